--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint bench capacity experiment clean
+
+demo: $(STAMP)
+	$(PYTHON) -m bench.demo
+
+test: $(STAMP)
+	$(PYTHON) -m tests.run
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check --quiet gooseberrydock tests bench
+	$(VENV)/bin/ruff check --quiet gooseberrydock tests bench
+	$(VENV)/bin/mypy
+
+bench: $(STAMP)
+	$(PYTHON) -m bench.latency
+
+experiment: $(STAMP)
+	$(PYTHON) -m bench.experiment
+
+capacity: $(STAMP)
+	$(PYTHON) -m bench.capacity
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e ".[dev]"
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,233 @@
+"""A fleet of real processes on loopback: store, nodes and stand-in targets.
+
+The product's own processes start no other process, so this is a development tool and no binary
+of the product. It stops exactly the processes that it started.
+"""
+
+import itertools
+import json
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+
+HOST: Final = "127.0.0.1"
+_START_TIMEOUT_S: Final = 20.0
+_STOP_TIMEOUT_S: Final = 10.0
+_POLL_S: Final = 0.05
+_PORTS: Final = itertools.cycle(range(20_000, 32_000))
+
+
+@attrs.frozen
+class ServiceShape:
+    """Describe one service: its servers and what each operation calls."""
+
+    name: str
+    servers: int
+    slots: int
+    service_ms: float
+    calls: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class FleetShape:
+    """Describe a deployment."""
+
+    name: str
+    domains: tuple[str, ...]
+    services: tuple[ServiceShape, ...]
+
+
+@attrs.define
+class Member:
+    """Hold the processes and addresses of one node with its target."""
+
+    node_id: str
+    service: ServiceShape
+    domain: str
+    entry: str
+    local: str
+    peer: str
+    gossip: str
+    admin: str
+    target: str
+    node_process: "subprocess.Popen[bytes] | None" = None
+    target_process: "subprocess.Popen[bytes] | None" = None
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports below the ephemeral range that nothing listens on."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        if _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
+@attrs.define
+class Fleet:
+    """Start, inspect and stop the processes of one deployment."""
+
+    shape: FleetShape
+    log_path: Path
+    store: str = ""
+    members: list[Member] = attrs.field(factory=list)
+    _processes: list["subprocess.Popen[bytes]"] = attrs.field(factory=list)
+
+    def start(self) -> None:
+        """Start the store, all nodes and all targets, and wait until they know each other."""
+        self.store = f"{HOST}:{free_ports(1)[0]}"
+        self._run("gooseberrydock.standin_main", "store", "--listen", self.store)
+        self._wait_for_port(self.store)
+        for service in self.shape.services:
+            for index in range(service.servers):
+                domain = self.shape.domains[index % len(self.shape.domains)]
+                self.members.append(_plan_member(service, index, domain))
+        for member in self.members:
+            self.start_node(member)
+        for member in self.members:
+            self.start_target(member)
+        self._wait_until_joined()
+
+    def start_node(self, member: Member) -> None:
+        """Start a member's node."""
+        member.node_process = self._run(
+            "gooseberrydock.node_main",
+            *("--node-id", member.node_id, "--failure-domain", member.domain),
+            *("--entry-listen", member.entry, "--local-listen", member.local),
+            *("--peer-listen", member.peer, "--gossip-listen", member.gossip),
+            *("--admin-listen", member.admin, "--store", self.store),
+            *("--seed", self.members[0].gossip, "--log-level", "warning"),
+        )
+
+    def start_target(self, member: Member) -> None:
+        """Start a member's target."""
+        service = member.service
+        calls = [part for call in service.calls for part in ("--calls", call)]
+        member.target_process = self._run(
+            "gooseberrydock.standin_main",
+            *("--log-level", "warning", "target"),
+            *("--service", service.name, "--listen", member.target),
+            *("--node-local", member.local, "--slots", str(service.slots)),
+            *("--service-ms", str(service.service_ms), *calls),
+        )
+
+    def ctl(self, *arguments: str) -> str:
+        """Run the operators' command and return what it printed."""
+        command = [sys.executable, "-m", "gooseberrydock.ctl_main", *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        if done.returncode:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
+        return done.stdout
+
+    def admin_arguments(self) -> list[str]:
+        """Return the flags that name all nodes' admin addresses."""
+        return [part for member in self.members for part in ("--admin", member.admin)]
+
+    def apply_sheet(self, path: Path) -> str:
+        """Put a sheet in force on all nodes."""
+        arguments = ["sheet", "apply", str(path), "--store", self.store, "--wait"]
+        return self.ctl(*arguments, *self.admin_arguments())
+
+    def of_service(self, name: str) -> list[Member]:
+        """Return the members of one service."""
+        return [member for member in self.members if member.service.name == name]
+
+    def state(self, member: Member) -> dict[str, Any]:
+        """Return a node's state dump."""
+        return fetch_json(f"http://{member.admin}/state")
+
+    def kill(self, process: "subprocess.Popen[bytes] | None") -> None:
+        """Kill one process of this fleet without warning."""
+        if process is not None and process in self._processes:
+            process.kill()
+            process.wait()
+
+    def stop(self) -> None:
+        """Stop all processes of this fleet."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait(_STOP_TIMEOUT_S)
+
+    def _run(self, module: str, *arguments: str) -> "subprocess.Popen[bytes]":
+        with self.log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+        self._processes.append(process)
+        return process
+
+    def _wait_for_port(self, address: str) -> None:
+        host, port = address.rsplit(":", 1)
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with socket.socket() as probe:
+                if probe.connect_ex((host, int(port))) == 0:
+                    return
+            time.sleep(_POLL_S)
+        raise RuntimeError(f"nothing listens on {address}")
+
+    def _wait_until_joined(self) -> None:
+        """Wait until every node knows every target."""
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        while not all(self._has_joined(member) for member in self.members):
+            if time.monotonic() > deadline:
+                raise RuntimeError("the nodes did not find each other in time")
+            time.sleep(_POLL_S)
+
+    def _has_joined(self, member: Member) -> bool:
+        try:
+            state = self.state(member)
+        except (OSError, urllib.error.URLError):
+            return False
+        with_target = [item for item in state["members"] if item["service"]]
+        has_own_target = bool(state["status"]["service"])
+        return has_own_target and len(with_target) == len(self.members) - 1
+
+
+def _plan_member(service: ServiceShape, index: int, domain: str) -> Member:
+    ports = free_ports(6)
+    entry, local, peer, gossip, admin, target = (f"{HOST}:{port}" for port in ports)
+    node_id = f"{service.name}-{index + 1}"
+    return Member(node_id, service, domain, entry, local, peer, gossip, admin, target)
+
+
+def fetch_json(url: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
+    """Send a GET, or a POST with a JSON body, and return the JSON answer."""
+    data = None if body is None else json.dumps(body).encode()
+    with urllib.request.urlopen(url, data, timeout=5.0) as answer:
+        result: dict[str, Any] = json.load(answer)
+    return result
+
+
+@contextmanager
+def running_fleet(shape: FleetShape, out_dir: Path) -> Iterator[Fleet]:
+    """Run a fleet for the length of a with block."""
+    out_dir.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(shape, out_dir / f"{shape.name}.log")
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/bench/shapes.py
@@ -0,0 +1,44 @@
+"""The deployments of the brief, scaled down so that one machine is not the bottleneck.
+
+Slots are a tenth of the real ones. Failure domains are names only: loopback adds no distance.
+"""
+
+from typing import Final
+
+from bench.fleet import FleetShape, ServiceShape
+
+SLOT_SCALE: Final = 0.1
+
+CARONI: Final = FleetShape(
+    "caroni",
+    ("piarco", "chaguanas", "couva"),
+    (
+        ServiceShape(
+            "availability",
+            3,
+            18,
+            10.0,
+            ("book=bookings/book", "check=bookings/view", "history=bookings/history"),
+        ),
+        ServiceShape("bookings", 3, 18, 15.0, ("book=ledger/post", "view=ledger/view")),
+        ServiceShape("ledger", 3, 18, 15.0, ("post=depot-stock/reserve", "view=depot-stock/view")),
+        ServiceShape("depot-stock", 3, 4, 60.0),
+    ),
+)
+
+ASSOCIATION: Final = FleetShape(
+    "association",
+    ("miraflores", "callao", "ate"),
+    (
+        ServiceShape(
+            "directory",
+            3,
+            13,
+            10.0,
+            ("follow=restoration-history/view", "oil=oil-stock/view"),
+        ),
+        ServiceShape("job-booking", 3, 13, 15.0, ("book=oil-stock/reserve",)),
+        ServiceShape("oil-stock", 3, 13, 15.0, ("reserve=restoration-history/append",)),
+        ServiceShape("restoration-history", 3, 4, 60.0),
+    ),
+)
--- /dev/null
+++ b/gooseberrydock/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control for service call graphs: one small process beside each target."""
--- /dev/null
+++ b/gooseberrydock/admin.py
@@ -0,0 +1,163 @@
+"""The operators' endpoint of a node: health, metrics, a dump of all state, and drain."""
+
+import json
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from gooseberrydock.errorcodes import NOT_FOUND
+from gooseberrydock.errors import Step
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.members import Member
+from gooseberrydock.metrics import render_metrics
+from gooseberrydock.stream import Stream
+
+if TYPE_CHECKING:
+    from gooseberrydock.node import Node
+
+_OK: Final = 200
+_ACCEPTED: Final = 202
+_UNAVAILABLE: Final = 503
+
+
+@attrs.define(eq=False)
+class AdminEndpoint:
+    """Answer operators."""
+
+    _node: "Node"
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one operator's connection."""
+        await serve_http(stream, self._on_request)
+
+    def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
+        routes: dict[tuple[str, str], Callable[[], HttpResponse]] = {
+            ("GET", "/health"): self._health,
+            ("GET", "/metrics"): self._metrics,
+            ("GET", "/state"): self._state,
+            ("GET", "/status"): self._status,
+            ("POST", "/drain"): self._drain,
+        }
+        route = routes.get((request.method, request.path))
+        if route is None:
+            detail = f"{request.method} {request.path}"
+            connection.respond(
+                problem_response(NOT_FOUND, NOT_FOUND.outcome, Step.ADMIN.value, "", detail)
+            )
+            return
+        connection.respond(route())
+
+    def _health(self) -> HttpResponse:
+        """Say whether the node can serve as an entry."""
+        core = self._node.core
+        is_ready = core.configuration.generation > 0 and not core.inbound.is_leaving
+        return _json_response(_OK if is_ready else _UNAVAILABLE, {"ready": is_ready})
+
+    def _metrics(self) -> HttpResponse:
+        content, content_type = render_metrics(self._node)
+        return HttpResponse(_OK, [(b"content-type", content_type.encode())], content)
+
+    def _state(self) -> HttpResponse:
+        return _json_response(_OK, dump_state(self._node))
+
+    def _status(self) -> HttpResponse:
+        return _json_response(_OK, status_summary(self._node))
+
+    def _drain(self) -> HttpResponse:
+        self._node.ask_stop()
+        return _json_response(_ACCEPTED, {"leaving": True})
+
+
+def status_summary(node: "Node") -> dict[str, Any]:
+    """Return what an operator wants to see of a node on one line."""
+    core = node.core
+    me = core.membership.me
+    admission = core.inbound.admission
+    return {
+        "node": me.node_id,
+        "service": me.service,
+        "failure_domain": me.failure_domain,
+        "state": me.state.name.lower(),
+        "generation": core.configuration.generation,
+        "members": len(core.membership.live_members()) + 1,
+        "in_flight": core.outbound.in_flight,
+        "runs": core.inbound.in_flight,
+        "limit": admission.limit.limit if admission else 0,
+        "cut_level": round(admission.cut_level, 3) if admission else 0.0,
+    }
+
+
+def dump_state(node: "Node") -> dict[str, Any]:
+    """Return the whole state of a node as plain values."""
+    core = node.core
+    stats = core.stats
+    return {
+        "status": status_summary(node),
+        "members": [_member_to_plain(m) for m in core.membership.members.values()],
+        "doubt": core.membership.doubt,
+        "configuration": {
+            "generation": core.configuration.generation,
+            "write_id": core.configuration.current.write_id,
+            "classes": [item.name for item in core.configuration.current.classes],
+        },
+        "routing": _routing_to_plain(node),
+        "cuts": {
+            report.service: round(report.level, 4) for report in core.board.reports(node.now_ms())
+        },
+        "paths_in_flight": core.path_limits.in_flight,
+        "retry_tokens": {
+            name: round(bucket.tokens, 2) for name, bucket in core.outbound.buckets.items()
+        },
+        "convicted_fingerprints": [f"{item:016x}" for item in core.quarantine.convicted],
+        "links": [
+            {"link": link.link_id, "peer": link.node_id, "calls_due": link.calls_due}
+            for link in node.links.open_links
+        ],
+        "target_connections": node.target.open_connections,
+        "counters": {
+            "answered": [[*key, count] for key, count in sorted(stats.answered.items())],
+            "dispatches": dict(stats.dispatches),
+            "runs": dict(stats.runs),
+            "repeats": stats.repeats,
+            "moves": stats.moves,
+            "joins": stats.joins,
+            "late_answers": stats.late_answers,
+            "cancellations": stats.cancellations,
+            "crashes": stats.crashes,
+            "gossip_bytes_sent": node.gossip.bytes_sent,
+            "gossip_bytes_received": node.gossip.bytes_received,
+            "store_calls": node.store.calls if node.store else 0,
+        },
+    }
+
+
+def _member_to_plain(member: Member) -> dict[str, Any]:
+    plain = attrs.asdict(member, recurse=False)
+    plain["state"] = member.state.name.lower()
+    plain["peer_address"] = str(member.peer_address)
+    plain["gossip_address"] = str(member.gossip_address)
+    return plain
+
+
+def _routing_to_plain(node: "Node") -> dict[str, Any]:
+    routing = node.core.routing
+    plain: dict[str, Any] = {}
+    for service in routing.services():
+        for member in routing.members_of(service):
+            evidence = routing.evidence_for(member.node_id)
+            if evidence is not None:
+                plain[member.node_id] = {
+                    "service": service,
+                    "latency_ms": round(evidence.latency_ms, 3),
+                    "in_flight": evidence.in_flight,
+                    "load_ratio": round(evidence.load_ratio, 3),
+                    "is_ejected": evidence.ejected_until > node.now_ms(),
+                }
+    return plain
+
+
+def _json_response(status: int, value: object) -> HttpResponse:
+    body = json.dumps(value, indent=2, default=str).encode() + b"\n"
+    return HttpResponse(status, [(b"content-type", b"application/json")], body)
--- /dev/null
+++ b/gooseberrydock/admission.py
@@ -0,0 +1,269 @@
+"""Admission of calls to one target: a limit, a short queue ordered by rank, and a cut level.
+
+The cut level is the rank above which calls are shed on arrival. While a queue stands, the level
+is set to the rank at which the offered calls of the last second match what the target completes;
+while none stands, it rises in growing steps. It is reported on every answer, so that entries
+shed before any work is done.
+"""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Iterator
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.errorcodes import DEADLINE_EXPIRED, SHED_AT_TARGET, ErrorCode
+from gooseberrydock.limiter import ConcurrencyLimit
+from gooseberrydock.messages import LoadReport
+from gooseberrydock.ranks import MAX_RANK
+
+
+@attrs.frozen
+class Waiting:
+    """Hold one queued call."""
+
+    ticket: int
+    rank: float
+    deadline_at: Millis
+
+
+@attrs.frozen
+class Started:
+    """Decide that a call runs now."""
+
+    ticket: int
+
+
+@attrs.frozen
+class Shed:
+    """Decide that a call is refused before it ran."""
+
+    ticket: int
+    code: ErrorCode
+
+
+@attrs.frozen
+class Queued:
+    """Decide that a call waits."""
+
+    ticket: int
+
+
+Decision = Started | Shed | Queued
+
+
+@attrs.define
+class CutLevel:
+    """Adapt the rank above which calls are shed on arrival."""
+
+    _level: float = MAX_RANK
+    _step: float = defaults.CUT_STEP_MIN
+    _offered: deque[tuple[Millis, float]] = attrs.field(
+        factory=lambda: deque(maxlen=defaults.RANK_SAMPLES)
+    )
+
+    @property
+    def level(self) -> float:
+        """Return the level in force."""
+        return self._level
+
+    def on_offer(self, now_ms: Millis, rank: float) -> None:
+        """Remember the rank of a call that arrived."""
+        self._offered.append((now_ms, rank))
+
+    def on_window(self, now_ms: Millis, capacity: float, stood: bool) -> None:
+        """Adapt the level at the end of a window.
+
+        ``capacity`` is the calls per millisecond that the target can complete, and ``stood``
+        says whether a queue stood.
+        """
+        if stood:
+            self._lower(now_ms, capacity)
+        else:
+            self._raise()
+
+    def _lower(self, now_ms: Millis, capacity: float) -> None:
+        """Set the level to the rank at which the offered load fits the capacity."""
+        self._step = defaults.CUT_STEP_MIN
+        ranks = self._recent_ranks(now_ms)
+        if len(ranks) < 2:
+            return
+        span_ms = max(now_ms - self._offered[0][0], defaults.ADMISSION_WINDOW_MS)
+        fitting = capacity * span_ms * defaults.CUT_HEADROOM
+        if fitting >= len(ranks):
+            return
+        ranks.sort()
+        self._level = min(self._level, ranks[int(fitting)])
+
+    def _recent_ranks(self, now_ms: Millis) -> list[float]:
+        while self._offered and now_ms - self._offered[0][0] > MS_PER_SECOND:
+            self._offered.popleft()
+        return [rank for _, rank in self._offered]
+
+    def _raise(self) -> None:
+        """Raise the level in growing steps, so that recovery takes a second or two."""
+        if self._level >= MAX_RANK:
+            return
+        self._level = min(MAX_RANK, self._level + self._step)
+        self._step = min(defaults.CUT_STEP_MAX, self._step * defaults.CUT_STEP_GROWTH)
+
+
+@attrs.define
+class AdmissionController:
+    """Decide which calls run on the target, wait, or are shed."""
+
+    _limit: ConcurrencyLimit
+    _cut: CutLevel = attrs.field(factory=CutLevel)
+    _in_flight: int = 0
+    _service_ms: Millis = 0.0
+    _queue: list[tuple[float, int, Waiting]] = attrs.field(factory=list)
+    _queued: dict[int, Waiting] = attrs.field(factory=dict)
+    _order: Iterator[int] = attrs.field(factory=itertools.count)
+    _window_start: Millis = 0.0
+    _window_completed: int = 0
+    _completion_rate: float = 0.0
+    _window_min_queue: int = 0
+    _window_shed: int = 0
+
+    @property
+    def cut_level(self) -> float:
+        """Return the rank above which calls are shed."""
+        return self._cut.level
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that run on the target."""
+        return self._in_flight
+
+    @property
+    def queue_length(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._queued)
+
+    @property
+    def load(self) -> LoadReport:
+        """Return the load to report to peers."""
+        return LoadReport(self._in_flight, len(self._queued), self._limit.limit)
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """Return the concurrency limit."""
+        return self._limit
+
+    @property
+    def max_queue(self) -> int:
+        """Return the length at which the queue is full."""
+        ratio = defaults.QUEUE_TO_LIMIT_RATIO
+        return max(defaults.MIN_QUEUE_LENGTH, int(self._limit.limit * ratio))
+
+    def offer(
+        self, now_ms: Millis, ticket: int, rank: float, deadline_at: Millis
+    ) -> list[Decision]:
+        """Decide about a new call; a better call may push a queued one out."""
+        self._cut.on_offer(now_ms, rank)
+        if rank > self._cut.level:
+            return [Shed(ticket, SHED_AT_TARGET)]
+        if self._in_flight < self._limit.limit and not self._queued:
+            self._in_flight += 1
+            return [Started(ticket)]
+        if now_ms + self._expected_wait(rank) + self._service_ms > deadline_at:
+            self._window_shed += 1
+            return [Shed(ticket, SHED_AT_TARGET)]
+        return self._enqueue(Waiting(ticket, rank, deadline_at))
+
+    def release(self, now_ms: Millis, service_ms: Millis, was_overload: bool) -> list[Decision]:
+        """Take back the slot of a finished call and start those that may follow."""
+        if was_overload:
+            self._limit.on_overload(now_ms)
+        else:
+            self._limit.on_success(self._in_flight)
+            self._observe_service_time(service_ms)
+            self._window_completed += 1
+        self._in_flight -= 1
+        return self._start_waiting(now_ms)
+
+    def cancel(self, ticket: int) -> bool:
+        """Take a waiting call out of the queue; say whether it was there."""
+        if self._queued.pop(ticket, None) is None:
+            return False
+        self._window_min_queue = min(self._window_min_queue, len(self._queued))
+        return True
+
+    def tick(self, now_ms: Millis) -> list[Decision]:
+        """Close the window when it is over, and start or drop waiting calls."""
+        decisions = self._start_waiting(now_ms)
+        elapsed_ms = now_ms - self._window_start
+        if elapsed_ms >= defaults.ADMISSION_WINDOW_MS:
+            self._close_window(now_ms, elapsed_ms)
+        return decisions
+
+    def _close_window(self, now_ms: Millis, elapsed_ms: Millis) -> None:
+        stood = self._window_min_queue > 0 or self._window_shed > 0
+        self._observe_completions(elapsed_ms)
+        self._cut.on_window(now_ms, self._capacity(), stood)
+        self._window_start = now_ms
+        self._window_completed = 0
+        self._window_shed = 0
+        self._window_min_queue = len(self._queued)
+
+    def _observe_completions(self, elapsed_ms: Millis) -> None:
+        rate = self._window_completed / elapsed_ms
+        self._completion_rate += (rate - self._completion_rate) / defaults.RATE_MEMORY_WINDOWS
+
+    def _capacity(self) -> float:
+        """Return the calls per millisecond that the target can complete.
+
+        Right after a change of speed the completions lag, so the limit and the service time
+        (Little's law) are taken too, and the higher figure counts.
+        """
+        by_limit = self._limit.limit / self._service_ms if self._service_ms else 0.0
+        return max(self._completion_rate, by_limit)
+
+    def _observe_service_time(self, service_ms: Millis) -> None:
+        if self._service_ms == 0.0:
+            self._service_ms = service_ms
+        self._service_ms += (service_ms - self._service_ms) * defaults.LATENCY_WEIGHT
+
+    def _expected_wait(self, rank: float) -> Millis:
+        """Return how long a call of this rank would wait behind better ones."""
+        ahead = sum(1 for waiting in self._queued.values() if waiting.rank <= rank)
+        return ahead * self._service_ms / self._limit.limit
+
+    def _enqueue(self, waiting: Waiting) -> list[Decision]:
+        decisions: list[Decision] = []
+        if len(self._queued) >= self.max_queue:
+            self._window_shed += 1
+            worst = max(self._queued.values(), key=lambda item: item.rank)
+            if worst.rank <= waiting.rank:
+                return [Shed(waiting.ticket, SHED_AT_TARGET)]
+            del self._queued[worst.ticket]
+            decisions.append(Shed(worst.ticket, SHED_AT_TARGET))
+        self._queued[waiting.ticket] = waiting
+        heapq.heappush(self._queue, (waiting.rank, next(self._order), waiting))
+        decisions.append(Queued(waiting.ticket))
+        return decisions
+
+    def _start_waiting(self, now_ms: Millis) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._queued and self._in_flight < self._limit.limit:
+            waiting = heapq.heappop(self._queue)[2]
+            if self._queued.pop(waiting.ticket, None) is None:
+                continue
+            if now_ms >= waiting.deadline_at:
+                self._window_shed += 1
+                decisions.append(Shed(waiting.ticket, DEADLINE_EXPIRED))
+                continue
+            self._in_flight += 1
+            decisions.append(Started(waiting.ticket))
+        if not self._queued:
+            self._queue.clear()
+        self._window_min_queue = min(self._window_min_queue, len(self._queued))
+        return decisions
+
+
+def create_admission(slots: int) -> AdmissionController:
+    """Make the admission controller of a target with this many slots."""
+    return AdmissionController(ConcurrencyLimit(slots))
--- /dev/null
+++ b/gooseberrydock/configuration_store.py
@@ -0,0 +1,137 @@
+"""Applying a configuration in the platform's key-value service.
+
+Each attempt is a compare-and-swap against the value that was read, marked with a write id. Where
+an answer is lost, the value is read back: the write id shows whether the change took effect.
+Repeating the same swap is harmless, because at most one of the repetitions can succeed.
+"""
+
+import random
+import uuid
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.backoff import Backoff
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
+from gooseberrydock.configuration import (
+    Configuration,
+    HistoryEntry,
+    ServiceClass,
+    decode_configuration,
+    empty_configuration,
+    encode_configuration,
+)
+from gooseberrydock.errorcodes import CONFIGURATION_CONFLICT, STORE_UNAVAILABLE
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.sheet import difference
+from gooseberrydock.store_client import StoreClient, StoredValue
+
+_NO_CHANGE: Final = "no change of classes"
+_SUMMARY_LENGTH: Final = 200
+
+
+@attrs.define
+class ConfigurationStore:
+    """Read and apply configurations."""
+
+    _store: StoreClient
+    _clock: Clock
+    _backoff: Backoff
+
+    async def read(self) -> Configuration:
+        """Return the stored configuration; generation 0 where there is none."""
+        return _configuration_of(await self._store.read(defaults.CONFIGURATION_KEY))
+
+    async def apply(
+        self,
+        classes: tuple[ServiceClass, ...],
+        author: str,
+        expected_generation: int | None,
+        timeout_ms: Millis,
+    ) -> Configuration:
+        """Put classes in force as the next generation.
+
+        Raises ``CONFIGURATION_CONFLICT`` where another operator changed the configuration, and
+        ``STORE_UNAVAILABLE`` where it could not be learnt in time whether the change took effect.
+        """
+        deadline = self._clock.now_ms() + timeout_ms
+        write_id = str(uuid.uuid4())
+        stored = await self._read_until(deadline, write_id)
+        before = _configuration_of(stored)
+        if expected_generation is not None and before.generation != expected_generation:
+            raise _conflict(f"generation {before.generation} is in force", before, classes)
+        after = self._next_configuration(before, classes, author, write_id)
+        await self._swap_until(deadline, stored, before, after)
+        return after
+
+    def _next_configuration(
+        self, before: Configuration, classes: tuple[ServiceClass, ...], author: str, write_id: str
+    ) -> Configuration:
+        generation = before.generation + 1
+        summary = "; ".join(difference(before.classes, classes)) or _NO_CHANGE
+        entry = HistoryEntry(
+            generation, write_id, author, self._clock.wall_ms(), summary[:_SUMMARY_LENGTH]
+        )
+        history = (entry, *before.history)[: defaults.HISTORY_LENGTH]
+        return Configuration(generation, write_id, author, classes, history)
+
+    async def _swap_until(
+        self, deadline: Millis, stored: StoredValue, before: Configuration, after: Configuration
+    ) -> None:
+        """Swap until the outcome is known."""
+        payload = encode_configuration(after)
+        while True:
+            try:
+                key = defaults.CONFIGURATION_KEY
+                if await self._store.swap(key, payload, stored.modify_index):
+                    return
+            except GooseberrydockError:
+                await self._wait(deadline, after.write_id)
+            current = await self._read_until(deadline, after.write_id)
+            if _contains_write(_configuration_of(current), after.write_id):
+                return
+            if current.modify_index != stored.modify_index:
+                found = _configuration_of(current)
+                detail = f"{found.author} put generation {found.generation} in force first"
+                raise _conflict(detail, found, before.classes)
+
+    async def _read_until(self, deadline: Millis, write_id: str) -> StoredValue:
+        while True:
+            try:
+                return await self._store.read(defaults.CONFIGURATION_KEY)
+            except GooseberrydockError:
+                await self._wait(deadline, write_id)
+
+    async def _wait(self, deadline: Millis, write_id: str) -> None:
+        """Wait before the next try, or give up at the deadline."""
+        wait_ms = self._backoff.next_wait()
+        if self._clock.now_ms() + wait_ms >= deadline:
+            detail = f"not confirmed in time; look for write id {write_id} in the history later"
+            raise GooseberrydockError(STORE_UNAVAILABLE, Step.CONFIGURATION, detail=detail)
+        await trio.sleep(wait_ms / MS_PER_SECOND)
+
+
+def _configuration_of(stored: StoredValue) -> Configuration:
+    if stored.value is None:
+        return empty_configuration()
+    return decode_configuration(stored.value)
+
+
+def _contains_write(configuration: Configuration, write_id: str) -> bool:
+    """Say whether a write took effect, even if later ones followed it."""
+    return any(entry.write_id == write_id for entry in configuration.history)
+
+
+def _conflict(
+    detail: str, found: Configuration, wanted: tuple[ServiceClass, ...]
+) -> GooseberrydockError:
+    lines = difference(wanted, found.classes) or [_NO_CHANGE]
+    text = "\n".join([detail, "what stands there differs by:", *lines])
+    return GooseberrydockError(CONFIGURATION_CONFLICT, Step.CONFIGURATION, detail=text)
+
+
+def create_configuration_store(store: StoreClient, clock: Clock) -> ConfigurationStore:
+    """Make the operators' access to the stored configuration."""
+    return ConfigurationStore(store, clock, Backoff(random.Random()))
--- /dev/null
+++ b/gooseberrydock/cutboard.py
@@ -0,0 +1,64 @@
+"""Cut levels that other services reported, as known on this node.
+
+Answers carry the levels of the services they passed through. The board keeps a weighted mean
+per service and lets a level relax once no report renews it.
+"""
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import Millis
+from gooseberrydock.messages import CutReport
+from gooseberrydock.ranks import MAX_RANK
+
+
+@attrs.define
+class _KnownCut:
+    """Hold what is known about one service."""
+
+    level: float
+    reported_at: Millis
+
+
+@attrs.define
+class CutBoard:
+    """Remember the cut levels of services beyond this node."""
+
+    _cuts: dict[str, _KnownCut] = attrs.field(factory=dict)
+
+    def observe(self, now_ms: Millis, reports: tuple[CutReport, ...]) -> None:
+        """Take in the levels that an answer carried."""
+        for report in reports:
+            known = self._cuts.get(report.service)
+            if known is None:
+                self._cuts[report.service] = _KnownCut(report.level, now_ms)
+                continue
+            current = self._relaxed(now_ms, known)
+            known.level = current + (report.level - current) * defaults.CUT_REPORT_WEIGHT
+            known.reported_at = now_ms
+
+    def level(self, now_ms: Millis, service: str) -> float:
+        """Return the rank above which a service is believed to shed."""
+        known = self._cuts.get(service)
+        if known is None:
+            return MAX_RANK
+        return self._relaxed(now_ms, known)
+
+    def reports(self, now_ms: Millis) -> tuple[CutReport, ...]:
+        """Return the levels to pass on to callers; forget those that no longer cut."""
+        reports = []
+        for service, known in list(self._cuts.items()):
+            level = self._relaxed(now_ms, known)
+            if level >= MAX_RANK and now_ms - known.reported_at > defaults.CUT_HOLD_MS:
+                del self._cuts[service]
+                continue
+            reports.append(CutReport(service, level))
+        return tuple(reports)
+
+    def _relaxed(self, now_ms: Millis, known: _KnownCut) -> float:
+        """Return the level after it relaxed linearly towards no cut at all."""
+        overdue_ms = now_ms - known.reported_at - defaults.CUT_HOLD_MS
+        if overdue_ms <= 0:
+            return known.level
+        share = min(1.0, overdue_ms / defaults.CUT_RELAX_MS)
+        return known.level + (MAX_RANK - known.level) * share
--- /dev/null
+++ b/gooseberrydock/defaults.py
@@ -0,0 +1,91 @@
+"""Default values of settings and of policy, with their units."""
+
+from typing import Final
+
+# Sizes, in bytes.
+MAX_BODY_BYTES: Final = 256 * 1024
+MAX_HEADER_BYTES: Final = 32 * 1024
+MAX_DATAGRAM_BYTES: Final = 1400
+MAX_PEER_MESSAGE_BYTES: Final = 8 * 1024 * 1024
+RECEIVE_BYTES: Final = 64 * 1024
+
+# Timeouts of the shells, in milliseconds.
+REQUEST_READ_TIMEOUT_MS: Final = 5_000.0
+CONNECT_TIMEOUT_MS: Final = 1_000.0
+STORE_CALL_TIMEOUT_MS: Final = 2_000.0
+STORE_WATCH_TIMEOUT_MS: Final = 30_000.0
+BUSY_TICK_MS: Final = 20.0
+IDLE_TICK_MS: Final = 250.0
+
+# Requests.
+DEFAULT_DEADLINE_MS: Final = 5_000.0
+DEFAULT_RETRY_ALLOWANCE: Final = 4
+DEADLINE_MARGIN_MS: Final = 10.0
+"""What each hop keeps back of the deadline, so that inner calls expire before outer ones."""
+MAX_CALL_DEPTH: Final = 16
+MAX_REROUTES: Final = 2
+PRIORITY_LEVELS: Final = 10
+"""Priorities run from 0, shed last, to 9, shed first."""
+
+# Retry bucket of one service class.
+RETRY_TOKENS_PER_SUCCESS: Final = 0.1
+RETRY_TOKENS_MAX: Final = 10.0
+
+# Admission at the target.
+ADMISSION_WINDOW_MS: Final = 100.0
+RATE_MEMORY_WINDOWS: Final = 5
+RANK_SAMPLES: Final = 512
+QUEUE_TO_LIMIT_RATIO: Final = 1.0
+MIN_QUEUE_LENGTH: Final = 4
+CUT_STEP_MIN: Final = 0.05
+CUT_STEP_MAX: Final = 1.0
+CUT_STEP_GROWTH: Final = 1.6
+CUT_HEADROOM: Final = 1.05
+
+# Adaptive limit.
+LIMIT_DECREASE: Final = 0.85
+LIMIT_INCREASE: Final = 1.0
+LIMIT_DECREASE_INTERVAL_MS: Final = 200.0
+
+# Cut levels known at a caller's side.
+CUT_REPORT_WEIGHT: Final = 0.2
+CUT_HOLD_MS: Final = 400.0
+CUT_RELAX_MS: Final = 800.0
+PROBE_SHARE: Final = 0.01
+
+# Routing.
+EJECTION_FAILURES: Final = 3
+EJECTION_BASE_MS: Final = 1_000.0
+EJECTION_MAX_MS: Final = 30_000.0
+EJECTION_MAX_SHARE: Final = 0.5
+SLOW_START_MS: Final = 10_000.0
+SLOW_START_MIN_WEIGHT: Final = 0.1
+LATENCY_WEIGHT: Final = 0.1
+UNREACHABLE_HOLD_MS: Final = 500.0
+
+# Membership.
+GOSSIP_PERIOD_MS: Final = 1_000.0
+PROBE_TIMEOUT_MS: Final = 300.0
+INDIRECT_PROBES: Final = 3
+SUSPICION_PERIODS: Final = 4.0
+SUSPICION_CONFIRMATIONS: Final = 3
+PIGGYBACK_UPDATES: Final = 6
+DISSEMINATION_FACTOR: Final = 3.0
+MIN_REPETITIONS: Final = 6
+DEAD_MEMBER_HOLD_MS: Final = 600_000.0
+MEMBER_SYNC_FIRST_MS: Final = 1_000.0
+MEMBER_SYNC_PERIOD_MS: Final = 30_000.0
+
+# Configuration.
+CONFIGURATION_KEY: Final = "gooseberrydock/configuration"
+SEED_KEY: Final = "gooseberrydock/seeds"
+HISTORY_LENGTH: Final = 20
+WATCHERS_PER_DOMAIN: Final = 2
+CONFIGURATION_FANOUT: Final = 4
+STORE_BACKOFF_MIN_MS: Final = 250.0
+STORE_BACKOFF_MAX_MS: Final = 15_000.0
+
+# Leaving.
+LEAVING_LINGER_MS: Final = 2_500.0
+"""How long a leaving node still answers, so that every peer has heard of it."""
+MAX_STOP_MS: Final = 30_000.0
--- /dev/null
+++ b/gooseberrydock/exchanges.py
@@ -0,0 +1,103 @@
+"""The state of requests in flight: exchanges on the calling side, runs on the target's side."""
+
+import enum
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.configuration import UNDECLARED_STEP, ServiceClass
+from gooseberrydock.credit import UNDECLARED_SUBTREE, CreditPool, Dispatch
+from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.http_messages import HttpRequest
+from gooseberrydock.messages import Call
+
+
+class Source(enum.Enum):
+    """Say where a request came from."""
+
+    ENTRY = "entry"
+    LOCAL = "local"
+
+
+@attrs.frozen
+class Refusal:
+    """Refuse a request before it was sent on."""
+
+    code: ErrorCode
+    detail: str = ""
+
+
+@attrs.define
+class Run:
+    """Track one call that this node guards on behalf of its target.
+
+    ``link_id`` names the connection that the call came on, because a peer that restarted may
+    use the same call ids again on a new one.
+    """
+
+    run_id: int
+    link_id: str
+    call: Call
+    arrived_at: Millis
+    deadline_at: Millis
+    pool: CreditPool
+    fingerprint: int
+    service_class: ServiceClass | None
+    token: str
+    started_at: Millis = -1.0
+    calls_made: int = 0
+    is_suspect: bool = False
+    ordinals: dict[tuple[str, str], int] = attrs.field(factory=dict)
+
+    @property
+    def has_started(self) -> bool:
+        """Say whether the call was handed to the target."""
+        return self.started_at >= 0
+
+
+@attrs.define
+class Attempt:
+    """Track one dispatch of an exchange."""
+
+    call_id: int
+    node_id: str
+    dispatch: Dispatch
+    sent_at: Millis
+
+
+@attrs.define
+class Exchange:
+    """Track one request from its arrival on this node until it is answered."""
+
+    exchange_id: int
+    source: Source
+    request: HttpRequest
+    caller: str
+    received_at: Millis
+    service: str
+    operation: str
+    target_path: str
+    request_id: str = ""
+    class_name: str = ""
+    service_class: ServiceClass | None = None
+    rank: float = 0.0
+    deadline_at: Millis = 0.0
+    is_idempotent: bool = True
+    idempotency_key: str = ""
+    path_index: int = UNDECLARED_STEP
+    depth: int = 0
+    is_suspect: bool = False
+    pool: CreditPool = attrs.field(factory=lambda: CreditPool(0, None))
+    parent: Run | None = None
+    attempt: Attempt | None = None
+    tried: set[str] = attrs.field(factory=set)
+    reroutes: int = 0
+    has_unknown_attempt: bool = False
+    passed_filters: int = 0
+
+    @property
+    def subtree_size(self) -> int:
+        """Return the declared dispatches of this call and all below it."""
+        if self.service_class is None or self.path_index == UNDECLARED_STEP:
+            return UNDECLARED_SUBTREE
+        return self.service_class.subtree_size(self.path_index)
--- /dev/null
+++ b/gooseberrydock/gossip.py
@@ -0,0 +1,102 @@
+"""The datagrams of membership gossip and their authenticated CBOR form.
+
+A datagram is a keyed digest followed by a CBOR array. Without a shared key the digest is empty.
+"""
+
+import enum
+import hashlib
+import hmac
+from typing import Any, Final
+
+import attrs
+import cbor2
+
+from gooseberrydock import defaults
+from gooseberrydock.errorcodes import PEER_PROTOCOL, PEER_REFUSED
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.members import Member, decode_member, encode_member
+
+DIGEST_BYTES: Final = 16
+_HEADER_SHAPE: Final = (int, int, str, str, int, list)
+
+
+class GossipKind(enum.IntEnum):
+    """Name the purpose of a datagram."""
+
+    PING = 1
+    ACK = 2
+    PING_REQUEST = 3
+
+
+@attrs.frozen
+class Update:
+    """Pass on a member record; ``reporter`` is the node that suspects or declared it."""
+
+    member: Member
+    reporter: str
+
+
+@attrs.frozen
+class Gossip:
+    """Hold one datagram.
+
+    ``subject`` is the node that a ping is meant for, empty where only its address is known.
+    ``generation`` is the configuration generation that the sender has in force.
+    """
+
+    kind: GossipKind
+    sequence: int
+    sender: str
+    subject: str
+    generation: int
+    updates: tuple[Update, ...]
+
+
+def encode_gossip(gossip: Gossip, key: bytes) -> bytes:
+    """Encode a datagram, leaving out updates that would make it too large."""
+    updates: list[list[Any]] = []
+    size = 64 + DIGEST_BYTES + len(gossip.sender) + len(gossip.subject)
+    for update in gossip.updates:
+        record = encode_member(update.member)
+        size += len(record) + len(update.reporter) + 8
+        if size > defaults.MAX_DATAGRAM_BYTES:
+            break
+        updates.append([record, update.reporter])
+    fields = [int(gossip.kind), gossip.sequence, gossip.sender, gossip.subject]
+    body = cbor2.dumps([*fields, gossip.generation, updates])
+    return _digest(body, key) + body
+
+
+def decode_gossip(data: bytes, key: bytes, peer: str) -> Gossip:
+    """Decode a datagram, raising a coded error where it is not valid or not authentic."""
+    size = DIGEST_BYTES if key else 0
+    digest, body = data[:size], data[size:]
+    if not hmac.compare_digest(digest, _digest(body, key)):
+        raise GooseberrydockError(PEER_REFUSED, Step.GOSSIP, peer, "wrong digest")
+    try:
+        return _gossip_from_array(cbor2.loads(body), peer)
+    except GooseberrydockError:
+        raise
+    except Exception as error:
+        # The decoder runs on untrusted bytes and documents no closed set of exceptions.
+        raise GooseberrydockError(PEER_PROTOCOL, Step.GOSSIP, peer, str(error)) from error
+
+
+def _digest(body: bytes, key: bytes) -> bytes:
+    if not key:
+        return b""
+    return hashlib.blake2b(body, key=key[: hashlib.blake2b.MAX_KEY_SIZE], digest_size=16).digest()
+
+
+def _gossip_from_array(array: Any, peer: str) -> Gossip:
+    if type(array) is not list or len(array) != len(_HEADER_SHAPE):
+        raise ValueError("wrong number of fields")
+    if any(type(value) is not kind for value, kind in zip(array, _HEADER_SHAPE, strict=True)):
+        raise ValueError("a field has the wrong type")
+    updates = []
+    for record, reporter in array[5]:
+        if type(reporter) is not str:
+            raise ValueError("a reporter is not a string")
+        updates.append(Update(decode_member(record, peer), reporter))
+    kind = GossipKind(array[0])
+    return Gossip(kind, array[1], array[2], array[3], array[4], tuple(updates))
--- /dev/null
+++ b/gooseberrydock/http_client.py
@@ -0,0 +1,245 @@
+"""HTTP/1.1 towards targets and the platform, by ``h11`` over non-blocking streams.
+
+Each connection has a permanent task that reads it. A connection goes back to the pool only after
+a whole answer with no bytes left over; every other end closes it.
+"""
+
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+import h11
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.errorcodes import (
+    TARGET_LOST,
+    TARGET_OVERSIZE,
+    TARGET_PROTOCOL,
+    TARGET_TRUNCATED,
+    TARGET_UNREACHABLE,
+    ErrorCode,
+)
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.members import Address
+from gooseberrydock.stream import Stream, connect
+
+ResponseHandler = Callable[[HttpResponse], None]
+FailureHandler = Callable[[ErrorCode], None]
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """Send one request at a time on one connection."""
+
+    _stream: Stream
+    _address: Address
+    _on_idle: Callable[["ClientConnection"], None]
+    _max_body: int
+    _h11: h11.Connection = attrs.field(factory=lambda: h11.Connection(h11.CLIENT))
+    _on_response: ResponseHandler | None = None
+    _on_failure: FailureHandler | None = None
+    _head: h11.Response | None = None
+    _body: bytearray = attrs.field(factory=bytearray)
+
+    @property
+    def is_closed(self) -> bool:
+        """Say whether the connection is closed."""
+        return self._stream.is_closed
+
+    def start(
+        self, request: HttpRequest, on_response: ResponseHandler, on_failure: FailureHandler
+    ) -> None:
+        """Send a request; exactly one of the handlers is called, unless ``abort`` comes first."""
+        self._on_response = on_response
+        self._on_failure = on_failure
+        self._head = None
+        self._body = bytearray()
+        headers = [(b"host", str(self._address).encode()), *request.headers]
+        headers.append((b"content-length", str(len(request.body)).encode()))
+        head = h11.Request(method=request.method, target=request.path, headers=headers)
+        data = self._h11.send(head) or b""
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._stream.send(data)
+
+    def abort(self) -> None:
+        """Close the connection without calling a handler."""
+        self._on_response = None
+        self._on_failure = None
+        self._stream.close()
+
+    async def run(self) -> None:
+        """Read answers until the connection ends."""
+        while not self._stream.is_closed:
+            data = await self._stream.receive()
+            if not self._feed(data):
+                break
+        self._stream.close()
+        self._fail(TARGET_TRUNCATED if self._head is not None else TARGET_LOST)
+
+    def _feed(self, data: bytes) -> bool:
+        """Parse bytes; say whether the connection goes on."""
+        if self._on_response is None:
+            # Bytes that nobody asked for, or the end of an idle connection.
+            return False
+        try:
+            self._h11.receive_data(data)
+            return self._parse()
+        except h11.RemoteProtocolError:
+            if data:
+                self._fail(TARGET_PROTOCOL)
+            return False
+
+    def _parse(self) -> bool:
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                return True
+            if isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self._max_body:
+                    self._fail(TARGET_OVERSIZE)
+                    return False
+            elif isinstance(event, h11.EndOfMessage):
+                return self._complete()
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                return False
+
+    def _complete(self) -> bool:
+        """Hand on a whole answer; say whether the connection may be used again."""
+        head, handler = self._head, self._on_response
+        if head is None or handler is None:
+            return False
+        response = HttpResponse(head.status_code, list(head.headers), bytes(self._body))
+        self._on_response = None
+        self._on_failure = None
+        self._head = None
+        can_reuse = self._can_reuse()
+        if can_reuse:
+            self._h11.start_next_cycle()
+            self._on_idle(self)
+        handler(response)
+        return can_reuse
+
+    def _can_reuse(self) -> bool:
+        is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        return is_done and not self._h11.trailing_data[0]
+
+    def _fail(self, code: ErrorCode) -> None:
+        handler = self._on_failure
+        self._on_response = None
+        self._on_failure = None
+        if handler is not None:
+            handler(code)
+
+
+@attrs.define(eq=False)
+class ClientPool:
+    """Keep connections to one address and open more as needed."""
+
+    _address: Address
+    _nursery: trio.Nursery
+    _max_body: int = defaults.MAX_BODY_BYTES
+    _idle: list[ClientConnection] = attrs.field(factory=list)
+    _open: int = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are open."""
+        return self._open
+
+    @property
+    def address(self) -> Address:
+        """Return the address that the pool connects to."""
+        return self._address
+
+    def start(
+        self, request: HttpRequest, on_response: ResponseHandler, on_failure: FailureHandler
+    ) -> "PendingRequest":
+        """Send a request on an idle connection, or on a new one."""
+        pending = PendingRequest()
+        connection = self._take_idle()
+        if connection is not None:
+            pending.connection = connection
+            connection.start(request, on_response, on_failure)
+        else:
+            self._nursery.start_soon(
+                partial(self._start_on_new, pending, request, on_response, on_failure)
+            )
+        return pending
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def _take_idle(self) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_closed:
+                return connection
+        return None
+
+    async def _start_on_new(
+        self,
+        pending: "PendingRequest",
+        request: HttpRequest,
+        on_response: ResponseHandler,
+        on_failure: FailureHandler,
+    ) -> None:
+        """Open a connection, send the request on it, and go on reading it."""
+        stream = await connect(self._address, self._nursery, defaults.CONNECT_TIMEOUT_MS)
+        if pending.is_aborted:
+            if stream is not None:
+                stream.close()
+            return
+        if stream is None:
+            on_failure(TARGET_UNREACHABLE)
+            return
+        connection = ClientConnection(stream, self._address, self._idle.append, self._max_body)
+        pending.connection = connection
+        self._open += 1
+        try:
+            connection.start(request, on_response, on_failure)
+            await connection.run()
+        finally:
+            self._open -= 1
+            if connection in self._idle:
+                self._idle.remove(connection)
+
+
+@attrs.define(eq=False)
+class PendingRequest:
+    """Hold a request that was started and may be aborted."""
+
+    connection: ClientConnection | None = None
+    is_aborted: bool = False
+
+    def abort(self) -> None:
+        """Give up the request; its handlers are not called."""
+        self.is_aborted = True
+        if self.connection is not None:
+            self.connection.abort()
+
+
+async def fetch(pool: ClientPool, request: HttpRequest, timeout_s: float) -> HttpResponse | None:
+    """Send one request and wait for its answer; return None where none came in time."""
+    done = trio.Event()
+    answers: list[HttpResponse] = []
+
+    def on_response(response: HttpResponse) -> None:
+        answers.append(response)
+        done.set()
+
+    pending = pool.start(request, on_response, lambda code: done.set())
+    with trio.move_on_after(timeout_s):
+        await done.wait()
+    if not answers:
+        pending.abort()
+        return None
+    return answers[0]
--- /dev/null
+++ b/gooseberrydock/http_messages.py
@@ -0,0 +1,102 @@
+"""HTTP requests and responses as plain values, and the header names of the product."""
+
+import json
+from typing import Final
+
+import attrs
+
+from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.outcomes import Outcome
+
+Headers = list[tuple[bytes, bytes]]
+"""Header names in lower case with their values, in the order received."""
+
+CONTEXT_HEADER: Final = b"gooseberrydock-context"
+OUTCOME_HEADER: Final = b"gooseberrydock-outcome"
+CLASS_HEADER: Final = b"gooseberrydock-class"
+CALLER_HEADER: Final = b"gooseberrydock-caller"
+CODE_HEADER: Final = b"gooseberrydock-code"
+DEADLINE_HEADER: Final = b"gooseberrydock-deadline-ms"
+KEY_HEADER: Final = b"idempotency-key"
+RETRY_AFTER_HEADER: Final = b"retry-after"
+PROBLEM_CONTENT_TYPE: Final = b"application/problem+json"
+RETRY_AFTER_SECONDS: Final = 1
+
+HOP_BY_HOP_HEADERS: Final = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"host",
+        b"content-length",
+        b"expect",
+    )
+)
+
+PRODUCT_REQUEST_HEADERS: Final = frozenset((CONTEXT_HEADER, CLASS_HEADER, CALLER_HEADER))
+"""Headers that a node reads itself and does not pass on as they came."""
+
+
+@attrs.frozen
+class HttpRequest:
+    """Hold one whole request; the path includes the query."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+
+@attrs.frozen
+class HttpResponse:
+    """Hold one whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def header_value(headers: Headers, name: bytes) -> str:
+    """Return the first value of a header, or an empty string."""
+    for header_name, value in headers:
+        if header_name == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers that travel beyond this connection."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP_HEADERS and name not in PRODUCT_REQUEST_HEADERS
+    ]
+
+
+def problem_response(
+    code: ErrorCode, outcome: Outcome, step: str, peer: str, detail: str = ""
+) -> HttpResponse:
+    """Make a refusal or failure as problem details (RFC 9457)."""
+    problem = {
+        "type": f"urn:gooseberrydock:error:{code.name}",
+        "title": code.title,
+        "status": code.status,
+        "code": code.number,
+        "outcome": outcome.label,
+        "step": step,
+        "peer": peer,
+        "detail": detail,
+    }
+    headers: Headers = [
+        (b"content-type", PROBLEM_CONTENT_TYPE),
+        (OUTCOME_HEADER, outcome.label.encode()),
+        (CODE_HEADER, str(code.number).encode()),
+    ]
+    if code.status in (429, 503):
+        headers.append((RETRY_AFTER_HEADER, str(RETRY_AFTER_SECONDS).encode()))
+    return HttpResponse(code.status, headers, json.dumps(problem).encode())
--- /dev/null
+++ b/gooseberrydock/inbound.py
@@ -0,0 +1,343 @@
+"""The side of a node that guards its own target.
+
+Calls from peers pass admission, run on the target, and are answered with the target's load and
+the known cut levels. A call that waits can be cancelled and is then surely "not run".
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.admission import (
+    AdmissionController,
+    Decision,
+    Queued,
+    Shed,
+    Started,
+    create_admission,
+)
+from gooseberrydock.clock import Millis
+from gooseberrydock.configuration import ConfigurationController
+from gooseberrydock.credit import create_call_pool
+from gooseberrydock.cutboard import CutBoard
+from gooseberrydock.effects import Effects
+from gooseberrydock.errorcodes import (
+    CANCELLED,
+    DEADLINE_EXPIRED,
+    NO_TARGET,
+    NODE_LEAVING,
+    QUARANTINED,
+    TARGET_LOST,
+    TARGET_SHED,
+    TARGET_TIMEOUT,
+    TARGET_TRUNCATED,
+    ErrorCode,
+)
+from gooseberrydock.errors import Step
+from gooseberrydock.exchanges import Run
+from gooseberrydock.http_messages import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    end_to_end_headers,
+    header_value,
+)
+from gooseberrydock.messages import Answer, Call, CutReport, LoadReport
+from gooseberrydock.outcomes import Outcome
+from gooseberrydock.quarantine import QuarantineController, request_fingerprint
+from gooseberrydock.stats import NodeStats
+
+NO_LOAD: Final = LoadReport(0, 0, 1)
+_TOKEN_BITS: Final = 64
+_CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
+
+
+@attrs.define
+class InboundController:
+    """Track the calls that peers ask this node's target to run."""
+
+    _effects: Effects
+    _on_run_cancelled: Callable[[int], None]
+    _configuration: ConfigurationController
+    _board: CutBoard
+    _quarantine: QuarantineController
+    _stats: NodeStats
+    _random: random.Random
+    _node_id: str
+    _service: str = ""
+    _admission: AdmissionController | None = None
+    _is_leaving: bool = False
+    _runs: dict[int, Run] = attrs.field(factory=dict)
+    _by_call: dict[tuple[str, int], Run] = attrs.field(factory=dict)
+    _by_token: dict[str, Run] = attrs.field(factory=dict)
+    _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _run_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that run or wait."""
+        return len(self._runs)
+
+    @property
+    def service(self) -> str:
+        """Return the service of the local target, or an empty string."""
+        return self._service
+
+    @property
+    def admission(self) -> AdmissionController | None:
+        """Return the admission controller, if a target is announced."""
+        return self._admission
+
+    @property
+    def is_leaving(self) -> bool:
+        """Say whether the target takes no new work."""
+        return self._is_leaving
+
+    def announce(self, service: str, slots: int) -> None:
+        """Take in the announcement of the local target."""
+        self._service = service
+        if self._admission is None:
+            self._admission = create_admission(slots)
+        else:
+            self._admission.limit.announce(slots)
+
+    def withdraw(self) -> None:
+        """Take in that the local target is gone."""
+        self._service = ""
+
+    def leave(self) -> None:
+        """Refuse new work from now on."""
+        self._is_leaving = True
+
+    def find_run(self, token: str) -> Run | None:
+        """Return the run that a context header names."""
+        return self._by_token.get(token)
+
+    def on_call(self, now_ms: Millis, link_id: str, call: Call) -> None:
+        """Take in a call of a peer."""
+        run = self._create_run(now_ms, link_id, call)
+        code = self._check(now_ms, run)
+        if code is not None or self._admission is None:
+            self._answer_refusal(now_ms, run, code or NO_TARGET)
+            return
+        self._runs[run.run_id] = run
+        self._by_call[(link_id, call.call_id)] = run
+        heapq.heappush(self._deadlines, (run.deadline_at, run.run_id))
+        decisions = self._admission.offer(now_ms, run.run_id, call.context.rank, run.deadline_at)
+        self._carry_out(now_ms, decisions)
+
+    def on_cancel(self, now_ms: Millis, link_id: str, call_id: int) -> None:
+        """Take in that a peer no longer waits; acknowledge where the call had not started."""
+        run = self._by_call.get((link_id, call_id))
+        if run is None:
+            return
+        if not run.has_started and self._admission is not None:
+            self._admission.cancel(run.run_id)
+            self._end(run)
+            self._answer_refusal(now_ms, run, CANCELLED)
+            return
+        self._stop_run(now_ms, run)
+
+    def on_link_lost(self, now_ms: Millis, link_id: str) -> None:
+        """Cancel what the peer of a lost link waited for, where cancelling is harmless."""
+        for (owner, call_id), run in list(self._by_call.items()):
+            if owner == link_id and (run.call.context.is_idempotent or not run.has_started):
+                self.on_cancel(now_ms, link_id, call_id)
+
+    def on_target_answer(self, now_ms: Millis, run_id: int, response: HttpResponse) -> None:
+        """Take in the target's answer to a run."""
+        run = self._runs.get(run_id)
+        if run is None:
+            self._stats.late_answers += 1
+            return
+        did_shed = self._did_target_shed(run, response)
+        self._end(run)
+        self._quarantine.on_finish(run.fingerprint)
+        if did_shed:
+            self._answer_refusal(now_ms, run, TARGET_SHED)
+        else:
+            self._answer_response(now_ms, run, response)
+        self._release(now_ms, run, was_overload=did_shed)
+
+    def on_target_failed(self, now_ms: Millis, run_id: int, code: ErrorCode) -> None:
+        """Take in that a run got no whole answer from the target."""
+        run = self._runs.get(run_id)
+        if run is None:
+            return
+        if code.number in _CRASH_CODES:
+            self._note_crash(now_ms)
+        self._end(run)
+        self._answer_refusal(now_ms, run, code)
+        self._release(now_ms, run, was_overload=False)
+
+    def tick(self, now_ms: Millis) -> None:
+        """Give up runs whose deadline passed and let admission adapt."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            run = self._runs.get(heapq.heappop(self._deadlines)[1])
+            if run is not None:
+                self._expire(now_ms, run)
+        if self._admission is not None:
+            self._carry_out(now_ms, self._admission.tick(now_ms))
+
+    def _create_run(self, now_ms: Millis, link_id: str, call: Call) -> Run:
+        context = call.context
+        service_class = self._configuration.current.class_named(context.class_name)
+        next_step = service_class.step_after(context.path_index) if service_class else None
+        run_id = next(self._run_ids)
+        request = HttpRequest(call.method, call.path, call.headers, call.body)
+        return Run(
+            run_id=run_id,
+            link_id=link_id,
+            call=call,
+            arrived_at=now_ms,
+            deadline_at=now_ms + context.remaining_ms,
+            pool=create_call_pool(context.credit, context.pays_for_calls, next_step),
+            fingerprint=request_fingerprint(call.service, request),
+            service_class=service_class,
+            token=f"{run_id:x}-{self._random.getrandbits(_TOKEN_BITS):x}",
+            is_suspect=context.is_suspect,
+        )
+
+    def _check(self, now_ms: Millis, run: Run) -> ErrorCode | None:
+        """Return why a call is refused before admission, if it is."""
+        if run.call.service != self._service:
+            return NO_TARGET
+        if self._is_leaving:
+            return NODE_LEAVING
+        if now_ms >= run.deadline_at:
+            return DEADLINE_EXPIRED
+        if run.is_suspect:
+            self._quarantine.suspect(now_ms, run.fingerprint)
+        if self._quarantine.is_convicted(now_ms, run.fingerprint):
+            return QUARANTINED
+        if not self._quarantine.may_run(now_ms, run.fingerprint):
+            return QUARANTINED
+        return None
+
+    def _carry_out(self, now_ms: Millis, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            run = self._runs.get(decision.ticket)
+            if run is None or isinstance(decision, Queued):
+                continue
+            if isinstance(decision, Started):
+                self._start(now_ms, run)
+            elif isinstance(decision, Shed):
+                self._end(run)
+                self._answer_refusal(now_ms, run, decision.code)
+
+    def _start(self, now_ms: Millis, run: Run) -> None:
+        run.started_at = now_ms
+        self._by_token[run.token] = run
+        self._quarantine.on_start(now_ms, run.fingerprint)
+        self._stats.runs[run.call.operation] += 1
+        self._effects.run_on_target(run.run_id, _request_for_target(now_ms, run))
+
+    def _expire(self, now_ms: Millis, run: Run) -> None:
+        if run.has_started:
+            self._answer_refusal(now_ms, run, TARGET_TIMEOUT)
+            self._stop_run(now_ms, run)
+            return
+        if self._admission is not None:
+            self._admission.cancel(run.run_id)
+        self._end(run)
+        self._answer_refusal(now_ms, run, DEADLINE_EXPIRED)
+
+    def _stop_run(self, now_ms: Millis, run: Run) -> None:
+        """Stop waiting for the target, and cancel the calls that the run made."""
+        self._effects.cancel_on_target(run.run_id)
+        self._end(run)
+        self._quarantine.on_finish(run.fingerprint)
+        self._on_run_cancelled(run.run_id)
+        self._release(now_ms, run, was_overload=False)
+
+    def _release(self, now_ms: Millis, run: Run, was_overload: bool) -> None:
+        if self._admission is None or not run.has_started:
+            return
+        service_ms = now_ms - run.started_at
+        self._carry_out(now_ms, self._admission.release(now_ms, service_ms, was_overload))
+
+    def _end(self, run: Run) -> None:
+        self._runs.pop(run.run_id, None)
+        self._by_call.pop((run.link_id, run.call.call_id), None)
+        self._by_token.pop(run.token, None)
+
+    def _note_crash(self, now_ms: Millis) -> None:
+        """Put under suspicion all that ran on the target when it died."""
+        in_flight = [run.fingerprint for run in self._runs.values() if run.has_started]
+        self._stats.crashes += 1
+        self._quarantine.on_crash(now_ms, in_flight)
+
+    def _did_target_shed(self, run: Run, response: HttpResponse) -> bool:
+        """Say whether the target refused before doing any work, by its own statement.
+
+        A run that already made calls is not believed to have done nothing.
+        """
+        outcome = header_value(response.headers, OUTCOME_HEADER)
+        return outcome == Outcome.NOT_RUN.label and run.calls_made == 0
+
+    def _answer_response(self, now_ms: Millis, run: Run, response: HttpResponse) -> None:
+        """Pass on a target's answer; one that reports a deeper failure is of unknown outcome."""
+        label = header_value(response.headers, OUTCOME_HEADER)
+        outcome = Outcome.DONE if label in ("", Outcome.DONE.label) else Outcome.UNKNOWN
+        headers = end_to_end_headers(response.headers)
+        answer = self._create_answer(
+            now_ms, run, outcome, 0, response.status, headers, response.body
+        )
+        self._effects.answer_peer(run.link_id, answer)
+
+    def _answer_refusal(self, now_ms: Millis, run: Run, code: ErrorCode) -> None:
+        answer = self._create_answer(now_ms, run, code.outcome, code.number, code.status, [], b"")
+        self._effects.answer_peer(run.link_id, answer)
+
+    def _create_answer(
+        self,
+        now_ms: Millis,
+        run: Run,
+        outcome: Outcome,
+        code: int,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> Answer:
+        return Answer(
+            call_id=run.call.call_id,
+            outcome=outcome,
+            code=code,
+            status=status,
+            headers=headers,
+            body=body,
+            credit=run.pool.available,
+            load=self._admission.load if self._admission is not None else NO_LOAD,
+            cuts=self._cut_reports(now_ms),
+            step=Step.INBOUND.value if code else "",
+            peer=self._node_id if code else "",
+        )
+
+    def _cut_reports(self, now_ms: Millis) -> tuple[CutReport, ...]:
+        """Return the cut level of the own service and those known of deeper services."""
+        if self._admission is None:
+            return self._board.reports(now_ms)
+        own = CutReport(self._service, self._admission.cut_level)
+        deeper = [cut for cut in self._board.reports(now_ms) if cut.service != self._service]
+        return (own, *deeper)
+
+
+def _request_for_target(now_ms: Millis, run: Run) -> HttpRequest:
+    """Make the request that the target sees, with its context, deadline and key."""
+    call = run.call
+    remaining_ms = max(0, int(run.deadline_at - now_ms - defaults.DEADLINE_MARGIN_MS))
+    product_headers = (CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER)
+    headers = [pair for pair in call.headers if pair[0] not in product_headers]
+    headers.append((CONTEXT_HEADER, run.token.encode()))
+    headers.append((DEADLINE_HEADER, str(remaining_ms).encode()))
+    headers.append((KEY_HEADER, call.context.idempotency_key.encode()))
+    return HttpRequest(call.method, call.path, headers, call.body)
--- /dev/null
+++ b/gooseberrydock/load.py
@@ -0,0 +1,196 @@
+"""Open-loop load: callers that arrive whether or not earlier ones were answered.
+
+Each whole request is sent with one idempotency key. An impatient caller sends it again after a
+refusal or after its own timeout, up to a number of times. All randomness comes from one seed.
+"""
+
+import random
+from collections import Counter
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock import keys
+from gooseberrydock.clock import MS_PER_SECOND, Millis, system_clock
+from gooseberrydock.configuration import ServiceClass
+from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_messages import (
+    CALLER_HEADER,
+    CLASS_HEADER,
+    CODE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    Headers,
+    HttpRequest,
+    header_value,
+)
+from gooseberrydock.members import Address
+
+_SECONDS_PER_MINUTE: Final = 60.0
+_NO_ANSWER: Final = "no-answer"
+_MAX_IN_FLIGHT: Final = 4_000
+
+
+@attrs.frozen
+class Surge:
+    """Multiply the arrival rate for a while."""
+
+    start_s: float
+    duration_s: float
+    factor: float
+
+    def covers(self, elapsed_s: float) -> bool:
+        """Say whether a moment lies within the surge."""
+        return self.start_s <= elapsed_s < self.start_s + self.duration_s
+
+
+@attrs.frozen
+class LoadPlan:
+    """Say what to send; ``scale`` multiplies the expected rates of the sheet."""
+
+    classes: tuple[ServiceClass, ...]
+    entries: tuple[Address, ...]
+    duration_s: float
+    scale: float
+    surges: tuple[Surge, ...]
+    resends: int
+    patience_ms: Millis
+    resend_pause_ms: Millis
+    callers: int
+    seed: int
+
+    def rate_at(self, elapsed_s: float) -> float:
+        """Return the arrivals per second at a moment."""
+        base = sum(item.expected_per_minute for item in self.classes) / _SECONDS_PER_MINUTE
+        factor = 1.0
+        for surge in self.surges:
+            if surge.covers(elapsed_s):
+                factor *= surge.factor
+        return base * self.scale * factor
+
+
+@attrs.frozen
+class RequestRecord:
+    """Hold how one whole request ended; times are seconds since the start of the run."""
+
+    class_name: str
+    arrived_s: float
+    ended_s: float
+    is_success: bool
+    outcome: str
+    code: str
+    attempts: int
+
+
+@attrs.define(eq=False)
+class LoadGenerator:
+    """Send whole requests and record how they end."""
+
+    _plan: LoadPlan
+    _nursery: trio.Nursery
+    _random: random.Random
+    _pools: list[ClientPool]
+    _started_at: float
+    _records: list[RequestRecord] = attrs.field(factory=list)
+    _in_flight: int = 0
+    _not_sent: int = 0
+
+    @property
+    def records(self) -> list[RequestRecord]:
+        """Return the records of all requests that ended."""
+        return self._records
+
+    @property
+    def not_sent(self) -> int:
+        """Return the arrivals that were dropped because too many were in flight."""
+        return self._not_sent
+
+    async def run(self) -> None:
+        """Let callers arrive until the end of the plan, and wait for the last ones."""
+        arrival_s = 0.0
+        async with trio.open_nursery() as requests:
+            while True:
+                arrival_s += self._random.expovariate(self._plan.rate_at(arrival_s))
+                if arrival_s >= self._plan.duration_s:
+                    break
+                await trio.sleep_until(self._started_at + arrival_s)
+                if self._in_flight >= _MAX_IN_FLIGHT:
+                    self._not_sent += 1
+                    continue
+                requests.start_soon(self._send_whole, self._choose_class(), arrival_s)
+
+    def _choose_class(self) -> ServiceClass:
+        weights = [item.expected_per_minute for item in self._plan.classes]
+        return self._random.choices(self._plan.classes, weights)[0]
+
+    async def _send_whole(self, service_class: ServiceClass, arrived_s: float) -> None:
+        """Send one request until it succeeds or the caller has had enough."""
+        self._in_flight += 1
+        key = keys.create_key(system_clock().wall_ms(), self._random)
+        caller = f"caller-{self._random.randrange(self._plan.callers)}"
+        attempts, status, outcome, code = 0, 0, _NO_ANSWER, ""
+        while attempts <= self._plan.resends:
+            attempts += 1
+            status, outcome, code = await self._send_once(service_class, key, caller)
+            if 200 <= status < 300:
+                break
+            pause_ms = self._plan.resend_pause_ms * self._random.uniform(0.5, 1.5)
+            await trio.sleep(pause_ms / MS_PER_SECOND)
+        self._in_flight -= 1
+        ended_s = trio.current_time() - self._started_at
+        is_success = 200 <= status < 300
+        record = RequestRecord(
+            service_class.name, arrived_s, ended_s, is_success, outcome, code, attempts
+        )
+        self._records.append(record)
+
+    async def _send_once(
+        self, service_class: ServiceClass, key: str, caller: str
+    ) -> tuple[int, str, str]:
+        """Send one attempt through a random entry; return status, outcome and code."""
+        entry = service_class.entry
+        headers: Headers = [
+            (CLASS_HEADER, service_class.name.encode()),
+            (KEY_HEADER, key.encode()),
+            (CALLER_HEADER, caller.encode()),
+        ]
+        request = HttpRequest("POST", f"/{entry.service}/{entry.operation}", headers, key.encode())
+        pool = self._random.choice(self._pools)
+        response = await fetch(pool, request, self._plan.patience_ms / MS_PER_SECOND)
+        if response is None:
+            return 0, _NO_ANSWER, ""
+        outcome = header_value(response.headers, OUTCOME_HEADER)
+        return response.status, outcome, header_value(response.headers, CODE_HEADER)
+
+
+@attrs.frozen
+class LoadResult:
+    """Hold what a run of the load tool saw."""
+
+    records: tuple[RequestRecord, ...]
+    not_sent: int
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Carry out a plan."""
+    async with trio.open_nursery() as nursery:
+        generator = LoadGenerator(
+            plan,
+            nursery,
+            random.Random(plan.seed),
+            [ClientPool(entry, nursery) for entry in plan.entries],
+            trio.current_time(),
+        )
+        await generator.run()
+        nursery.cancel_scope.cancel()
+    return LoadResult(tuple(generator.records), generator.not_sent)
+
+
+def count_failures(records: tuple[RequestRecord, ...]) -> Counter[tuple[str, str, str]]:
+    """Count failed requests by class, outcome and code."""
+    return Counter(
+        (record.class_name, record.outcome, record.code)
+        for record in records
+        if not record.is_success
+    )
--- /dev/null
+++ b/gooseberrydock/load_main.py
@@ -0,0 +1,84 @@
+"""The ``gooseberrydock-load`` command: open-loop callers and their report."""
+
+import json
+import sys
+from pathlib import Path
+
+import click
+import trio
+
+from gooseberrydock.load import LoadPlan, Surge, run_load
+from gooseberrydock.load_report import report_table, result_to_plain
+from gooseberrydock.members import Address
+from gooseberrydock.options import ADDRESS, setting
+from gooseberrydock.sheet import parse_sheet
+
+
+def parse_surge(text: str) -> Surge:
+    """Parse ``start:duration:factor``, in seconds."""
+    try:
+        start_s, duration_s, factor = (float(part) for part in text.split(":"))
+    except ValueError as error:
+        raise click.BadParameter(f"{text!r} is not start:duration:factor") from error
+    return Surge(start_s, duration_s, factor)
+
+
+@click.group()
+def main() -> None:
+    """Send load and report how it went."""
+
+
+@main.command()
+@setting("entry", "Entry of a node; may be repeated.", type=ADDRESS, multiple=True, required=True)
+@click.option(
+    "--sheet",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    required=True,
+    help="Morning sheet whose classes and expected amounts to send.",
+)
+@click.option("--duration-s", default=10.0, show_default=True, help="How long callers arrive.")
+@click.option("--scale", default=1.0, show_default=True, help="Multiplies the sheet's amounts.")
+@click.option("--surge", multiple=True, help="start:duration:factor in seconds.")
+@click.option("--resends", default=2, show_default=True, help="Re-sends by a caller.")
+@click.option("--patience-ms", default=3_000.0, show_default=True, help="A caller's timeout.")
+@click.option("--resend-pause-ms", default=100.0, show_default=True, help="Before a re-send.")
+@click.option("--callers", default=200, show_default=True, help="Different callers.")
+@click.option("--seed", default=1, show_default=True, help="Seed of all random choices.")
+@click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write results here.")
+def run(
+    entry: tuple[Address, ...],
+    sheet: Path,
+    duration_s: float,
+    scale: float,
+    surge: tuple[str, ...],
+    resends: int,
+    patience_ms: float,
+    resend_pause_ms: float,
+    callers: int,
+    seed: int,
+    json_path: Path | None,
+) -> None:
+    """Send the load of a morning sheet."""
+    parsed = parse_sheet(sheet.read_text(encoding="utf-8"))
+    if not parsed.is_valid:
+        raise click.ClickException("\n".join(str(error) for error in parsed.errors))
+    plan = LoadPlan(
+        classes=parsed.classes,
+        entries=entry,
+        duration_s=duration_s,
+        scale=scale,
+        surges=tuple(parse_surge(text) for text in surge),
+        resends=resends,
+        patience_ms=patience_ms,
+        resend_pause_ms=resend_pause_ms,
+        callers=callers,
+        seed=seed,
+    )
+    result = trio.run(run_load, plan)
+    click.echo(report_table(result))
+    if json_path is not None:
+        json_path.write_text(json.dumps(result_to_plain(result)), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gooseberrydock/load_report.py
@@ -0,0 +1,144 @@
+"""Figures from a load run: goodput, success by class, latency, and recovery time."""
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import Any, Final
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from gooseberrydock.load import LoadResult, RequestRecord, count_failures
+
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 3_600_000_000
+_DIGITS: Final = 3
+_US_PER_SECOND: Final = 1_000_000
+RECOVERY_SHARE: Final = 0.95
+RECOVERY_HOLD_S: Final = 5.0
+_BUCKET_S: Final = 0.5
+
+
+@attrs.frozen
+class ClassFigures:
+    """Hold the figures of one service class; latencies are those of successful requests."""
+
+    name: str
+    requests: int
+    successes: int
+    p50_ms: float
+    p99_ms: float
+    attempts: int
+
+    @property
+    def success_share(self) -> float:
+        """Return the share of whole requests that succeeded."""
+        return self.successes / self.requests if self.requests else math.nan
+
+
+def class_figures(records: Iterable[RequestRecord]) -> list[ClassFigures]:
+    """Return the figures of each class, by name."""
+    by_class: dict[str, list[RequestRecord]] = {}
+    for record in records:
+        by_class.setdefault(record.class_name, []).append(record)
+    return [_figures_of(name, by_class[name]) for name in sorted(by_class)]
+
+
+def _figures_of(name: str, records: Sequence[RequestRecord]) -> ClassFigures:
+    histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+    for record in records:
+        if record.is_success:
+            histogram.record_value(int((record.ended_s - record.arrived_s) * _US_PER_SECOND))
+    return ClassFigures(
+        name=name,
+        requests=len(records),
+        successes=sum(record.is_success for record in records),
+        p50_ms=histogram.get_value_at_percentile(50) / 1000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1000,
+        attempts=sum(record.attempts for record in records),
+    )
+
+
+def records_between(
+    records: Iterable[RequestRecord], start_s: float, end_s: float
+) -> list[RequestRecord]:
+    """Return the requests that arrived within a span."""
+    return [record for record in records if start_s <= record.arrived_s < end_s]
+
+
+def goodput(records: Iterable[RequestRecord], start_s: float, end_s: float) -> float:
+    """Return the whole requests that succeeded per second, by the time they ended."""
+    count = sum(record.is_success and start_s <= record.ended_s < end_s for record in records)
+    return count / (end_s - start_s)
+
+
+def recovery_time(
+    records: Sequence[RequestRecord],
+    before: tuple[float, float],
+    trigger_end_s: float,
+    end_s: float,
+) -> float:
+    """Return the seconds from the end of the trigger until success is back to normal.
+
+    Normal means that the share of arriving whole requests that succeed is at least 95% of the
+    share before the trigger, in every half second of the next five seconds. The share is used
+    rather than the count, because arrivals are random. Infinite where that never happens.
+    """
+    normal = _success_share(records_between(records, *before))
+    start = trigger_end_s
+    while start + RECOVERY_HOLD_S <= end_s:
+        failing = _first_failing_bucket(records, start, normal * RECOVERY_SHARE)
+        if failing is None:
+            return start - trigger_end_s
+        start = failing + _BUCKET_S
+    return math.inf
+
+
+def _first_failing_bucket(
+    records: Sequence[RequestRecord], start_s: float, least_share: float
+) -> float | None:
+    buckets = int(RECOVERY_HOLD_S / _BUCKET_S)
+    for index in range(buckets):
+        bucket_start = start_s + index * _BUCKET_S
+        bucket = records_between(records, bucket_start, bucket_start + _BUCKET_S)
+        if bucket and _success_share(bucket) < least_share:
+            return bucket_start
+    return None
+
+
+def _success_share(records: Sequence[RequestRecord]) -> float:
+    if not records:
+        return math.nan
+    return sum(record.is_success for record in records) / len(records)
+
+
+def report_table(result: LoadResult) -> str:
+    """Return the figures of a run as a table."""
+    header = f"{'class':<16}{'requests':>9}{'succeeded':>11}{'share':>8}{'p50 ms':>9}{'p99 ms':>9}"
+    lines = [header + f"{'attempts':>10}"]
+    for item in class_figures(result.records):
+        lines.append(
+            f"{item.name:<16}{item.requests:>9}{item.successes:>11}{item.success_share:>8.3f}"
+            f"{item.p50_ms:>9.1f}{item.p99_ms:>9.1f}{item.attempts:>10}"
+        )
+    failures = count_failures(result.records)
+    if failures:
+        lines.append("")
+        lines.append(f"{'class':<16}{'outcome':<12}{'code':>6}{'requests':>10}")
+        for (name, outcome, code), count in sorted(failures.items()):
+            lines.append(f"{name:<16}{outcome or '-':<12}{code or '-':>6}{count:>10}")
+    if result.not_sent:
+        lines.append(f"not sent because the load tool was at its own limit: {result.not_sent}")
+    return "\n".join(lines)
+
+
+def result_to_plain(result: LoadResult) -> dict[str, Any]:
+    """Return a run as plain JSON values."""
+    return {
+        "not_sent": result.not_sent,
+        "classes": [
+            {**attrs.asdict(item), "success_share": item.success_share}
+            for item in class_figures(result.records)
+        ],
+        "failures": [[*key, count] for key, count in count_failures(result.records).items()],
+        "records": [list(attrs.astuple(record)) for record in result.records],
+    }
--- /dev/null
+++ b/gooseberrydock/messages.py
@@ -0,0 +1,164 @@
+"""The typed messages between nodes.
+
+``wire`` turns them into CBOR. Durations travel as remaining or elapsed milliseconds, never as
+points in time, because hosts do not share a monotonic clock.
+"""
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.http_messages import Headers
+from gooseberrydock.outcomes import Outcome
+
+
+@attrs.frozen
+class CallContext:
+    """Hold what a call inherits from its whole request.
+
+    ``credit`` is the number of extra dispatches that this call and all below it may spend.
+    ``pays_for_calls`` is true below a repeated attempt, where even declared calls cost credit.
+    ``is_suspect`` marks a request that was in flight when a target crashed.
+    ``path_index`` is the position of the call on its class's path, or ``UNDECLARED_STEP``.
+    """
+
+    request_id: str
+    class_name: str
+    rank: float
+    remaining_ms: Millis
+    credit: int
+    pays_for_calls: bool
+    idempotency_key: str
+    is_idempotent: bool
+    caller: str
+    path_index: int
+    depth: int
+    is_suspect: bool
+
+
+@attrs.frozen
+class Call:
+    """Ask a peer to run a request on its target."""
+
+    call_id: int
+    service: str
+    operation: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    context: CallContext
+
+
+@attrs.frozen
+class CutReport:
+    """Report the rank above which a service sheds."""
+
+    service: str
+    level: float
+
+
+@attrs.frozen
+class LoadReport:
+    """Report how busy a target is, as its node sees it."""
+
+    in_flight: int
+    queued: int
+    limit: int
+
+
+@attrs.frozen
+class Answer:
+    """Answer one call; ``code`` is zero where a target answered."""
+
+    call_id: int
+    outcome: Outcome
+    code: int
+    status: int
+    headers: Headers
+    body: bytes
+    credit: int
+    load: LoadReport
+    cuts: tuple[CutReport, ...]
+    step: str = ""
+    peer: str = ""
+
+
+@attrs.frozen
+class Cancel:
+    """Tell a peer that nobody waits for a call any more."""
+
+    call_id: int
+
+
+@attrs.frozen
+class Hello:
+    """Introduce a node on a new link.
+
+    ``proof`` authenticates the link under the shared key; ``nonce`` is what the other side must
+    prove knowledge of the key over.
+    """
+
+    node_id: str
+    incarnation: int
+    nonce: bytes
+    proof: bytes
+
+
+@attrs.frozen
+class Leaving:
+    """Announce that the sender's target takes no new work."""
+
+    node_id: str
+    incarnation: int
+
+
+@attrs.frozen
+class ConfigurationRequest:
+    """Ask a peer for its configuration if it is newer than this generation."""
+
+    generation: int
+
+
+@attrs.frozen
+class ConfigurationPush:
+    """Hand a peer a whole configuration, compressed."""
+
+    generation: int
+    payload: bytes
+
+
+@attrs.frozen
+class MemberSyncRequest:
+    """Ask a peer for the members in the buckets whose digests differ from these."""
+
+    digests: tuple[int, ...]
+
+
+@attrs.frozen
+class MemberSync:
+    """Hand a peer encoded member records; ``wants`` lists buckets expected back."""
+
+    members: tuple[bytes, ...]
+    wants: tuple[int, ...]
+
+
+@attrs.frozen
+class Alive:
+    """Ask a peer to show that a link still passes bytes; ``is_reply`` marks the answer."""
+
+    token: int
+    is_reply: bool
+
+
+PeerMessage = (
+    Call
+    | Answer
+    | Cancel
+    | Hello
+    | Leaving
+    | ConfigurationRequest
+    | ConfigurationPush
+    | MemberSyncRequest
+    | MemberSync
+    | Alive
+)
--- /dev/null
+++ b/gooseberrydock/node_core.py
@@ -0,0 +1,347 @@
+"""The decision core of a node: every decision, no I/O.
+
+``NodeCore`` ties the controllers together. A shell hands it events with the time and carries out
+its effects. docs/ARCHITECTURE.md shows how to drive it from a test or another bench.
+"""
+
+import itertools
+import random
+from collections.abc import Iterator
+from functools import singledispatchmethod
+
+import attrs
+
+from gooseberrydock import keys, messages
+from gooseberrydock.callerlimits import CallerLimits, PathLimits
+from gooseberrydock.clock import Clock, Millis
+from gooseberrydock.configuration import ConfigurationController
+from gooseberrydock.cutboard import CutBoard
+from gooseberrydock.effects import Effects
+from gooseberrydock.errorcodes import MALFORMED_REQUEST, PEER_UNREACHABLE, ErrorCode
+from gooseberrydock.errors import Step
+from gooseberrydock.exchanges import Exchange, Source
+from gooseberrydock.filters import (
+    CallerLimitFilter,
+    ClassFilter,
+    ContextFilter,
+    CutFilter,
+    DeadlineFilter,
+    FilterChain,
+    KeyFilter,
+    PathLimitFilter,
+    QuarantineFilter,
+)
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
+from gooseberrydock.inbound import InboundController
+from gooseberrydock.members import Member, MemberState
+from gooseberrydock.membership import MembershipController
+from gooseberrydock.outbound import OutboundController
+from gooseberrydock.quarantine import QuarantineController
+from gooseberrydock.routing import RoutingController, create_routing
+from gooseberrydock.stats import NodeStats
+
+_REQUEST_ID_BITS = 96
+_LOOPBACK_LINK = "loopback"
+_JOIN_GRACE_MS: Millis = 10_000.0
+"""How long after its own start a node takes every member for an old one."""
+
+
+@attrs.define
+class NodeCore:
+    """Decide about everything that one node does."""
+
+    _effects: Effects
+    _clock: Clock
+    _random: random.Random
+    _membership: MembershipController
+    _configuration: ConfigurationController
+    _routing: RoutingController
+    _quarantine: QuarantineController
+    _stats: NodeStats
+    _board: CutBoard
+    _path_limits: PathLimits
+    _inbound: InboundController
+    _outbound: OutboundController
+    _started_at: Millis
+    _exchange_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    @property
+    def node_id(self) -> str:
+        """Return this node's id."""
+        return self._membership.me.node_id
+
+    @property
+    def membership(self) -> MembershipController:
+        """Return the membership controller."""
+        return self._membership
+
+    @property
+    def configuration(self) -> ConfigurationController:
+        """Return the configuration controller."""
+        return self._configuration
+
+    @property
+    def routing(self) -> RoutingController:
+        """Return the routing controller."""
+        return self._routing
+
+    @property
+    def inbound(self) -> InboundController:
+        """Return the controller that guards the local target."""
+        return self._inbound
+
+    @property
+    def outbound(self) -> OutboundController:
+        """Return the controller of the requests that start here."""
+        return self._outbound
+
+    @property
+    def quarantine(self) -> QuarantineController:
+        """Return the quarantine controller."""
+        return self._quarantine
+
+    @property
+    def board(self) -> CutBoard:
+        """Return the known cut levels."""
+        return self._board
+
+    @property
+    def path_limits(self) -> PathLimits:
+        """Return the counts of requests in flight by class."""
+        return self._path_limits
+
+    @property
+    def stats(self) -> NodeStats:
+        """Return the counters."""
+        return self._stats
+
+    @property
+    def is_busy(self) -> bool:
+        """Say whether any call is in flight through this node."""
+        return self._outbound.in_flight > 0 or self._inbound.in_flight > 0
+
+    def new_exchange_id(self) -> int:
+        """Return an id that this core never used before."""
+        return next(self._exchange_ids)
+
+    def on_request(
+        self, now_ms: Millis, exchange_id: int, source: Source, request: HttpRequest, caller: str
+    ) -> None:
+        """Take in a request of a caller or of the local target."""
+        parts = request.path.split("/", 2)
+        if len(parts) < 3 or parts[0] or not parts[1] or not parts[2]:
+            detail = "expected /service/operation"
+            response = problem_response(
+                MALFORMED_REQUEST, MALFORMED_REQUEST.outcome, Step.ENTRY.value, "", detail
+            )
+            self._effects.answer_caller(exchange_id, response)
+            return
+        exchange = Exchange(
+            exchange_id=exchange_id,
+            source=source,
+            request=request,
+            caller=caller,
+            received_at=now_ms,
+            service=parts[1],
+            operation=_operation_of(parts[2]),
+            target_path="/" + parts[2],
+        )
+        self._outbound.start(now_ms, exchange)
+
+    def on_caller_gone(self, exchange_id: int) -> None:
+        """Take in that a caller closed its connection."""
+        self._outbound.on_caller_gone(exchange_id)
+
+    @singledispatchmethod
+    def on_peer_message(self, message: object, now_ms: Millis, peer_id: str, link_id: str) -> None:
+        """Take in a message about calls from a peer; other messages are the shell's."""
+        raise TypeError(f"not a call message: {type(message).__name__}")
+
+    @on_peer_message.register
+    def _on_call(self, message: messages.Call, now_ms: Millis, peer_id: str, link_id: str) -> None:
+        self._inbound.on_call(now_ms, link_id, message)
+
+    @on_peer_message.register
+    def _on_answer(
+        self, message: messages.Answer, now_ms: Millis, peer_id: str, link_id: str
+    ) -> None:
+        self._outbound.on_answer(now_ms, peer_id, message)
+
+    @on_peer_message.register
+    def _on_cancel(
+        self, message: messages.Cancel, now_ms: Millis, peer_id: str, link_id: str
+    ) -> None:
+        self._inbound.on_cancel(now_ms, link_id, message.call_id)
+
+    @on_peer_message.register
+    def _on_leaving(
+        self, message: messages.Leaving, now_ms: Millis, peer_id: str, link_id: str
+    ) -> None:
+        member = self._membership.members.get(message.node_id)
+        if member is None or member.incarnation != message.incarnation:
+            return
+        leaving = attrs.evolve(member, version=member.version + 1, state=MemberState.LEAVING)
+        self._membership.on_record(now_ms, leaving, message.node_id)
+        self.apply_member_changes(now_ms)
+
+    def on_link_lost(
+        self, now_ms: Millis, link_id: str, call_ids: list[int], code: ErrorCode
+    ) -> None:
+        """Take in that a link closed with these calls sent on it and not answered."""
+        self._outbound.on_calls_lost(now_ms, call_ids, code)
+        self._inbound.on_link_lost(now_ms, link_id)
+
+    def on_calls_unsent(self, now_ms: Millis, call_ids: list[int]) -> None:
+        """Take in that calls never left this node."""
+        self._outbound.on_calls_lost(now_ms, call_ids, PEER_UNREACHABLE)
+
+    def on_target_answer(self, now_ms: Millis, run_id: int, response: HttpResponse) -> None:
+        """Take in the local target's answer."""
+        self._inbound.on_target_answer(now_ms, run_id, response)
+
+    def on_target_failed(self, now_ms: Millis, run_id: int, code: ErrorCode) -> None:
+        """Take in that the local target gave no whole answer."""
+        self._inbound.on_target_failed(now_ms, run_id, code)
+
+    def on_announcement(self, now_ms: Millis, service: str, slots: int, is_cold: bool) -> None:
+        """Take in the local target's announcement and tell the other nodes."""
+        self._inbound.announce(service, slots)
+        me = self._membership.me
+        if (me.service, me.slots, me.is_cold) != (service, slots, is_cold):
+            self._membership.update_self(service=service, slots=slots, is_cold=is_cold)
+            self.apply_member_changes(now_ms)
+
+    def withdraw_target(self, now_ms: Millis) -> None:
+        """Take in that the local target is gone, and tell the other nodes."""
+        self._inbound.withdraw()
+        self._membership.update_self(service="", slots=0)
+        self.apply_member_changes(now_ms)
+
+    def on_configuration(self, payload: bytes) -> bool:
+        """Put a configuration in force if it is newer; say whether it was."""
+        return self._configuration.offer(payload)
+
+    def leave(self, now_ms: Millis) -> messages.Leaving:
+        """Refuse new work; return the announcement for all open links."""
+        self._inbound.leave()
+        if self._membership.me.state is not MemberState.LEAVING:
+            self._membership.update_self(state=MemberState.LEAVING)
+            self.apply_member_changes(now_ms)
+        me = self._membership.me
+        return messages.Leaving(me.node_id, me.incarnation)
+
+    def apply_member_changes(self, now_ms: Millis) -> list[Member]:
+        """Let routing follow the member table; return the changed records."""
+        is_late = now_ms - self._started_at > _JOIN_GRACE_MS
+        changes = self._membership.take_changes()
+        for member in changes:
+            self._routing.on_member(now_ms, member, is_late_joiner=is_late)
+        return changes
+
+    def tick(self, now_ms: Millis) -> None:
+        """Run the timers of calls in flight."""
+        self._outbound.tick(now_ms)
+        self._inbound.tick(now_ms)
+
+
+def _operation_of(rest: str) -> str:
+    """Return the first path segment, without query."""
+    return rest.split("?", 1)[0].split("/", 1)[0]
+
+
+@attrs.define
+class _LoopbackEffects:
+    """Carry calls to the node's own target without a link; pass everything else on."""
+
+    _outer: Effects
+    _node_id: str
+    _core: "list[NodeCore]"
+    _clock: Clock
+
+    def answer_caller(self, exchange_id: int, response: HttpResponse) -> None:
+        """Answer a caller."""
+        self._outer.answer_caller(exchange_id, response)
+
+    def send_to_peer(self, node_id: str, message: messages.PeerMessage) -> None:
+        """Send to a peer, or hand the message straight to this node's other side."""
+        if node_id != self._node_id:
+            self._outer.send_to_peer(node_id, message)
+            return
+        self._core[0].on_peer_message(message, self._clock.now_ms(), node_id, _LOOPBACK_LINK)
+
+    def answer_peer(self, link_id: str, answer: messages.Answer) -> None:
+        """Answer on a link, or hand the answer straight to this node's other side."""
+        if link_id != _LOOPBACK_LINK:
+            self._outer.answer_peer(link_id, answer)
+            return
+        now_ms = self._clock.now_ms()
+        self._core[0].on_peer_message(answer, now_ms, self._node_id, link_id)
+
+    def run_on_target(self, run_id: int, request: HttpRequest) -> None:
+        """Run a request on the local target."""
+        self._outer.run_on_target(run_id, request)
+
+    def cancel_on_target(self, run_id: int) -> None:
+        """Cancel a request on the local target."""
+        self._outer.cancel_on_target(run_id)
+
+
+def create_node_core(
+    effects: Effects, clock: Clock, membership: MembershipController, seed: int
+) -> NodeCore:
+    """Make the decision core of a node; ``seed`` makes its random choices repeatable."""
+    generator = random.Random(seed)
+    me = membership.me
+    holder: list[NodeCore] = []
+    loopback = _LoopbackEffects(effects, me.node_id, holder, clock)
+    configuration = ConfigurationController()
+    routing = create_routing(me.failure_domain, seed)
+    stats, board, quarantine = NodeStats(), CutBoard(), QuarantineController()
+    path_limits = PathLimits()
+    inbound = InboundController(
+        effects=loopback,
+        on_run_cancelled=lambda run_id: holder[0].outbound.on_run_cancelled(run_id),
+        configuration=configuration,
+        board=board,
+        quarantine=quarantine,
+        stats=stats,
+        random=generator,
+        node_id=me.node_id,
+    )
+    entry_chain = FilterChain(
+        (
+            ClassFilter(configuration, lambda: f"{generator.getrandbits(_REQUEST_ID_BITS):024x}"),
+            KeyFilter(lambda: keys.create_key(clock.wall_ms(), generator)),
+            DeadlineFilter(),
+            CallerLimitFilter(CallerLimits()),
+            QuarantineFilter(quarantine),
+            CutFilter(board, generator),
+            PathLimitFilter(path_limits),
+        )
+    )
+    local_chain = FilterChain(
+        (
+            ContextFilter(configuration, inbound.find_run),
+            DeadlineFilter(),
+            QuarantineFilter(quarantine),
+            CutFilter(board, generator),
+        )
+    )
+    outbound = OutboundController(loopback, entry_chain, local_chain, routing, board, stats)
+    core = NodeCore(
+        effects=effects,
+        clock=clock,
+        random=generator,
+        membership=membership,
+        configuration=configuration,
+        routing=routing,
+        quarantine=quarantine,
+        stats=stats,
+        board=board,
+        path_limits=path_limits,
+        inbound=inbound,
+        outbound=outbound,
+        started_at=clock.now_ms(),
+    )
+    holder.append(core)
+    return core
--- /dev/null
+++ b/gooseberrydock/options.py
@@ -0,0 +1,91 @@
+"""The settings of each binary as one checked object."""
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import click
+
+from gooseberrydock import defaults
+from gooseberrydock.errorcodes import OPTION_INVALID
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.members import Address, parse_address
+
+ENVIRONMENT_PREFIX: Final = "GOOSEBERRYDOCK"
+_MIN_KEY_LENGTH: Final = 16
+
+
+class AddressType(click.ParamType[Address]):
+    """Convert ``IP:port`` on the command line."""
+
+    name = "ip:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> Address:
+        """Parse and check the address."""
+        if isinstance(value, Address):
+            return value
+        try:
+            address = parse_address(str(value))
+            ipaddress.ip_address(address.host)
+        except ValueError as error:
+            self.fail(f"{error} (hosts are given by IP address)", param, ctx)
+        return address
+
+
+ADDRESS: Final = AddressType()
+
+
+def setting(
+    name: str, help_text: str, default: Any = None, **attributes: Any
+) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
+    """Declare a flag with its environment variable ``GOOSEBERRYDOCK_<NAME>``."""
+    variable = f"{ENVIRONMENT_PREFIX}_{name.upper().replace('-', '_')}"
+    if default is not None:
+        attributes["default"] = default
+        attributes["show_default"] = True
+    return click.option(
+        f"--{name}", envvar=variable, show_envvar=True, help=help_text, **attributes
+    )
+
+
+@attrs.frozen
+class NodeOptions:
+    """Hold the settings of ``gooseberrydock-node``."""
+
+    node_id: str
+    region: str
+    failure_domain: str
+    entry_listen: Address
+    local_listen: Address
+    peer_listen: Address
+    gossip_listen: Address
+    admin_listen: Address
+    seeds: tuple[Address, ...]
+    store: Address | None
+    cluster_key: bytes
+    max_body_bytes: int
+    stop_timeout_ms: float
+    random_seed: int
+
+
+def check_node_options(options: NodeOptions) -> NodeOptions:
+    """Raise ``OPTION_INVALID`` for settings that do not fit together."""
+    for name in ("node_id", "region", "failure_domain"):
+        if not getattr(options, name):
+            raise _invalid(f"--{name.replace('_', '-')} must not be empty")
+    if not options.seeds and options.store is None:
+        raise _invalid("give --seed or --store, or the node can find no other node")
+    if 0 < len(options.cluster_key) < _MIN_KEY_LENGTH:
+        raise _invalid(f"--cluster-key must have at least {_MIN_KEY_LENGTH} characters")
+    if not 0 < options.max_body_bytes <= defaults.MAX_PEER_MESSAGE_BYTES // 2:
+        raise _invalid("--max-body-bytes is out of range")
+    if options.stop_timeout_ms <= 0:
+        raise _invalid("--stop-timeout-ms must be positive")
+    return options
+
+
+def _invalid(detail: str) -> GooseberrydockError:
+    return GooseberrydockError(OPTION_INVALID, Step.SETTINGS, detail=detail)
--- /dev/null
+++ b/gooseberrydock/outbound.py
@@ -0,0 +1,414 @@
+"""The calling side of a node: requests of callers and of the local target.
+
+A request passes the filter chain, is sent to the node of a chosen target, and is answered. An
+attempt that provably did not run moves to another target. An idempotent attempt with unknown
+outcome is repeated where credit and retry bucket allow it.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import Millis
+from gooseberrydock.credit import Dispatch, RetryBucket, create_retry_bucket
+from gooseberrydock.cutboard import CutBoard
+from gooseberrydock.effects import Effects
+from gooseberrydock.errorcodes import (
+    CREDIT_EXHAUSTED,
+    KEY_CONFLICT,
+    NO_TARGET,
+    NODE_LEAVING,
+    PEER_LOST,
+    PEER_SILENT,
+    PEER_TIMEOUT,
+    PEER_UNREACHABLE,
+    SHED_AT_TARGET,
+    TARGET_LOST,
+    TARGET_SHED,
+    TARGET_TRUNCATED,
+    TARGET_UNREACHABLE,
+    ErrorCode,
+    error_code,
+)
+from gooseberrydock.errors import Step
+from gooseberrydock.exchanges import Attempt, Exchange, Refusal, Source
+from gooseberrydock.filters import FilterChain
+from gooseberrydock.http_messages import (
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    HttpResponse,
+    end_to_end_headers,
+    header_value,
+    problem_response,
+)
+from gooseberrydock.messages import Answer, Call, CallContext, Cancel
+from gooseberrydock.outcomes import Outcome
+from gooseberrydock.ranks import MAX_RANK
+from gooseberrydock.routing import RoutingController
+from gooseberrydock.stats import NodeStats
+
+_MOVABLE_CODES: Final = frozenset(
+    (
+        SHED_AT_TARGET.number,
+        TARGET_SHED.number,
+        NO_TARGET.number,
+        NODE_LEAVING.number,
+        PEER_UNREACHABLE.number,
+        TARGET_UNREACHABLE.number,
+    )
+)
+_SHED_CODES: Final = frozenset((SHED_AT_TARGET.number, TARGET_SHED.number))
+_MAX_MOVES_AFTER_SHED: Final = 1
+_REPEATABLE_CODES: Final = frozenset(
+    (PEER_LOST.number, PEER_SILENT.number, TARGET_LOST.number, TARGET_TRUNCATED.number)
+)
+_CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
+_SERVER_ERROR: Final = 500
+
+
+@attrs.frozen
+class _Failure:
+    """Hold why an attempt failed, where, and at which peer."""
+
+    code: ErrorCode
+    step: str
+    peer: str
+
+
+@attrs.define
+class OutboundController:
+    """Track exchanges and decide what happens after each attempt."""
+
+    _effects: Effects
+    _entry_chain: FilterChain
+    _local_chain: FilterChain
+    _routing: RoutingController
+    _board: CutBoard
+    _stats: NodeStats
+    _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
+    _by_call: dict[int, Exchange] = attrs.field(factory=dict)
+    _by_key: dict[tuple[str, str], Exchange] = attrs.field(factory=dict)
+    _joined: dict[int, list[Exchange]] = attrs.field(factory=dict)
+    _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _buckets: dict[str, RetryBucket] = attrs.field(factory=dict)
+    _call_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of exchanges not answered yet."""
+        return len(self._exchanges)
+
+    @property
+    def buckets(self) -> dict[str, RetryBucket]:
+        """Return the retry buckets by service class."""
+        return self._buckets
+
+    def start(self, now_ms: Millis, exchange: Exchange) -> None:
+        """Take in a new request."""
+        self._exchanges[exchange.exchange_id] = exchange
+        if exchange.source is Source.ENTRY and self._join(exchange):
+            return
+        chain = self._chain_of(exchange)
+        refusal = chain.admit(now_ms, exchange)
+        if refusal is not None:
+            self._refuse(exchange, refusal)
+            return
+        self._note_key(exchange)
+        heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
+        terms = exchange.pool.first_dispatch(
+            exchange.service, exchange.operation, exchange.subtree_size
+        )
+        if terms is None:
+            self._refuse(exchange, Refusal(CREDIT_EXHAUSTED))
+            return
+        if exchange.parent is not None:
+            exchange.parent.calls_made += 1
+        self._dispatch(now_ms, exchange, terms)
+
+    def on_answer(self, now_ms: Millis, node_id: str, answer: Answer) -> None:
+        """Take in an answer from a peer; answers nobody waits for are counted and dropped."""
+        exchange = self._by_call.get(answer.call_id)
+        attempt = exchange.attempt if exchange is not None else None
+        if exchange is None or attempt is None or attempt.node_id != node_id:
+            self._stats.late_answers += 1
+            return
+        self._end_attempt(exchange, attempt)
+        exchange.pool.give_back(min(answer.credit, attempt.dispatch.credit))
+        self._board.observe(now_ms, answer.cuts)
+        self._learn(now_ms, attempt, answer)
+        if answer.outcome is Outcome.NOT_RUN:
+            self._after_not_run(now_ms, exchange, attempt, _failure_of(answer))
+        elif answer.outcome is Outcome.UNKNOWN and answer.code in _REPEATABLE_CODES:
+            self._after_unknown(now_ms, exchange, _failure_of(answer))
+        else:
+            self._answer_from_target(exchange, answer)
+
+    def on_calls_lost(self, now_ms: Millis, call_ids: list[int], code: ErrorCode) -> None:
+        """Take in that calls were not sent, or sent on a link that closed before their answer."""
+        for call_id in call_ids:
+            self._fail_attempt(now_ms, call_id, code)
+
+    def on_caller_gone(self, exchange_id: int) -> None:
+        """Take in that a caller closed its connection.
+
+        A request that may not be repeated goes on, so that a re-send finds its answer.
+        """
+        exchange = self._exchanges.get(exchange_id)
+        if exchange is None:
+            return
+        if self._is_joined_by_others(exchange) or not exchange.is_idempotent:
+            return
+        self._stats.cancellations += 1
+        self._abandon(exchange)
+
+    def on_run_cancelled(self, run_id: int) -> None:
+        """Cancel the calls that a cancelled run of the local target made."""
+        for exchange in list(self._exchanges.values()):
+            if exchange.parent is not None and exchange.parent.run_id == run_id:
+                self._abandon(exchange)
+
+    def tick(self, now_ms: Millis) -> None:
+        """Give up exchanges whose deadline has passed."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            exchange = self._exchanges.get(heapq.heappop(self._deadlines)[1])
+            if exchange is not None:
+                self._expire(now_ms, exchange)
+
+    def _join(self, exchange: Exchange) -> bool:
+        """Let a caller's re-send wait for the attempt in flight with the same key."""
+        key = header_value(exchange.request.headers, KEY_HEADER)
+        leader = self._by_key.get((exchange.caller, key)) if key else None
+        if leader is None:
+            return False
+        if not _is_same_request(exchange, leader):
+            self._refuse(exchange, Refusal(KEY_CONFLICT))
+            return True
+        self._stats.joins += 1
+        exchange.class_name = leader.class_name
+        self._joined.setdefault(leader.exchange_id, []).append(exchange)
+        return True
+
+    def _note_key(self, exchange: Exchange) -> None:
+        if exchange.source is Source.ENTRY:
+            self._by_key[(exchange.caller, exchange.idempotency_key)] = exchange
+
+    def _chain_of(self, exchange: Exchange) -> FilterChain:
+        return self._entry_chain if exchange.source is Source.ENTRY else self._local_chain
+
+    def _dispatch(self, now_ms: Millis, exchange: Exchange, terms: Dispatch) -> None:
+        """Send an attempt to a chosen target's node."""
+        member = self._routing.choose(now_ms, exchange.service, frozenset(exchange.tried))
+        if member is None:
+            exchange.pool.give_back(terms.credit)
+            self._refuse(exchange, Refusal(NO_TARGET, exchange.service))
+            return
+        call_id = next(self._call_ids)
+        exchange.attempt = Attempt(call_id, member.node_id, terms, now_ms)
+        exchange.tried.add(member.node_id)
+        self._by_call[call_id] = exchange
+        self._routing.on_sent(member.node_id)
+        self._stats.dispatches[exchange.service] += 1
+        call = _create_call(now_ms, call_id, exchange, terms)
+        self._effects.send_to_peer(member.node_id, call)
+
+    def _end_attempt(self, exchange: Exchange, attempt: Attempt) -> None:
+        del self._by_call[attempt.call_id]
+        exchange.attempt = None
+
+    def _learn(self, now_ms: Millis, attempt: Attempt, answer: Answer) -> None:
+        """Pass on to routing what an answer shows about its target."""
+        latency_ms = now_ms - attempt.sent_at
+        if answer.code == TARGET_UNREACHABLE.number:
+            self._routing.on_failure(now_ms, attempt.node_id, is_unreachable=True)
+        elif answer.code in _REPEATABLE_CODES or _is_bare_server_error(answer):
+            self._routing.on_failure(now_ms, attempt.node_id, is_unreachable=False)
+        else:
+            did_run = answer.outcome is Outcome.DONE
+            self._routing.on_answer(attempt.node_id, latency_ms, answer.load, did_run)
+
+    def _after_not_run(
+        self, now_ms: Millis, exchange: Exchange, attempt: Attempt, failure: _Failure
+    ) -> None:
+        """Move a call that did not run to another target, or pass on the refusal."""
+        if self._may_move(now_ms, exchange, failure.code.number):
+            exchange.reroutes += 1
+            self._stats.moves += 1
+            self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
+            return
+        self._answer_problem(exchange, failure.code, failure.step, failure.peer)
+
+    def _may_move(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
+        if code not in _MOVABLE_CODES or now_ms >= exchange.deadline_at:
+            return False
+        limit = _MAX_MOVES_AFTER_SHED if code in _SHED_CODES else defaults.MAX_REROUTES
+        others = [
+            m for m in self._routing.members_of(exchange.service) if m.node_id not in exchange.tried
+        ]
+        return exchange.reroutes < limit and bool(others)
+
+    def _after_unknown(self, now_ms: Millis, exchange: Exchange, failure: _Failure) -> None:
+        """Repeat an idempotent call whose outcome is unknown, or pass on the failure."""
+        exchange.has_unknown_attempt = True
+        exchange.is_suspect = exchange.is_suspect or failure.code.number in _CRASH_CODES
+        terms = self._repeat_terms(now_ms, exchange)
+        if terms is None:
+            self._answer_problem(exchange, failure.code, failure.step, failure.peer)
+            return
+        self._stats.repeats += 1
+        self._dispatch(now_ms, exchange, terms)
+
+    def _repeat_terms(self, now_ms: Millis, exchange: Exchange) -> Dispatch | None:
+        """Return the terms for repeating a call, or None where it must not be repeated."""
+        if not exchange.is_idempotent or now_ms >= exchange.deadline_at:
+            return None
+        if self._board.level(now_ms, exchange.service) < MAX_RANK:
+            return None
+        subtree = exchange.subtree_size
+        if exchange.pool.available < max(1, subtree) or not self._bucket(exchange).take():
+            return None
+        return exchange.pool.repeat_dispatch(subtree)
+
+    def _bucket(self, exchange: Exchange) -> RetryBucket:
+        bucket = self._buckets.get(exchange.class_name)
+        if bucket is None:
+            bucket = create_retry_bucket(
+                defaults.RETRY_TOKENS_PER_SUCCESS, defaults.RETRY_TOKENS_MAX
+            )
+            self._buckets[exchange.class_name] = bucket
+        return bucket
+
+    def _fail_attempt(self, now_ms: Millis, call_id: int, code: ErrorCode) -> None:
+        """End an attempt that its peer will not answer."""
+        exchange = self._by_call.get(call_id)
+        attempt = exchange.attempt if exchange is not None else None
+        if exchange is None or attempt is None:
+            return
+        self._end_attempt(exchange, attempt)
+        is_unreachable = code.outcome is Outcome.NOT_RUN
+        self._routing.on_failure(now_ms, attempt.node_id, is_unreachable)
+        failure = _Failure(code, Step.PEER_LINK.value, attempt.node_id)
+        if is_unreachable:
+            exchange.pool.give_back(attempt.dispatch.credit)
+            self._after_not_run(now_ms, exchange, attempt, failure)
+        else:
+            self._after_unknown(now_ms, exchange, failure)
+
+    def _expire(self, now_ms: Millis, exchange: Exchange) -> None:
+        """Answer an exchange whose deadline passed, and cancel its attempt."""
+        attempt = exchange.attempt
+        peer = attempt.node_id if attempt is not None else ""
+        if attempt is not None:
+            self._cancel_attempt(exchange, attempt)
+            self._routing.on_failure(now_ms, attempt.node_id, is_unreachable=False)
+        self._answer_problem(exchange, PEER_TIMEOUT, Step.OUTBOUND.value, peer)
+
+    def _cancel_attempt(self, exchange: Exchange, attempt: Attempt) -> None:
+        self._end_attempt(exchange, attempt)
+        self._effects.send_to_peer(attempt.node_id, Cancel(attempt.call_id))
+
+    def _abandon(self, exchange: Exchange) -> None:
+        """Drop an exchange that nobody waits for."""
+        attempt = exchange.attempt
+        if attempt is not None:
+            self._cancel_attempt(exchange, attempt)
+            self._routing.on_cancelled(attempt.node_id)
+        self._forget(exchange)
+
+    def _is_joined_by_others(self, exchange: Exchange) -> bool:
+        return bool(self._joined.get(exchange.exchange_id))
+
+    def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        step = Step.ENTRY if exchange.source is Source.ENTRY else Step.OUTBOUND
+        self._answer_problem(exchange, refusal.code, step.value, "", refusal.detail)
+
+    def _answer_problem(
+        self, exchange: Exchange, code: ErrorCode, step: str, peer: str, detail: str = ""
+    ) -> None:
+        """Answer with a problem; after an attempt of unknown outcome it cannot be "not run"."""
+        outcome = Outcome.UNKNOWN if exchange.has_unknown_attempt else code.outcome
+        response = problem_response(code, outcome, step, peer, detail)
+        self._finish(exchange, response, outcome, code.number)
+
+    def _answer_from_target(self, exchange: Exchange, answer: Answer) -> None:
+        """Pass on what the target answered, or the problem that its node reports."""
+        if answer.code:
+            self._answer_problem(exchange, error_code(answer.code), answer.step, answer.peer)
+            return
+        if answer.outcome is Outcome.DONE and answer.status < _SERVER_ERROR:
+            self._bucket(exchange).on_success()
+        headers = end_to_end_headers(answer.headers)
+        headers = [pair for pair in headers if pair[0] != OUTCOME_HEADER]
+        headers.append((OUTCOME_HEADER, answer.outcome.label.encode()))
+        response = HttpResponse(answer.status, headers, answer.body)
+        self._finish(exchange, response, answer.outcome, 0)
+
+    def _finish(
+        self, exchange: Exchange, response: HttpResponse, outcome: Outcome, code: int
+    ) -> None:
+        """Answer an exchange and all that joined it."""
+        joined = self._joined.get(exchange.exchange_id, [])
+        self._forget(exchange)
+        for waiting in [exchange, *joined]:
+            self._exchanges.pop(waiting.exchange_id, None)
+            if waiting.source is Source.ENTRY:
+                self._stats.answered[(waiting.class_name, outcome.label, code)] += 1
+            self._effects.answer_caller(waiting.exchange_id, response)
+
+    def _forget(self, exchange: Exchange) -> None:
+        self._exchanges.pop(exchange.exchange_id, None)
+        self._joined.pop(exchange.exchange_id, None)
+        self._chain_of(exchange).finish(exchange)
+        key = (exchange.caller, exchange.idempotency_key)
+        if self._by_key.get(key) is exchange:
+            del self._by_key[key]
+
+
+def _failure_of(answer: Answer) -> _Failure:
+    return _Failure(error_code(answer.code), answer.step, answer.peer)
+
+
+def _is_same_request(first: Exchange, second: Exchange) -> bool:
+    return (
+        first.service == second.service
+        and first.request.method == second.request.method
+        and first.target_path == second.target_path
+        and first.request.body == second.request.body
+    )
+
+
+def _is_bare_server_error(answer: Answer) -> bool:
+    """Say whether the target failed by itself, rather than passing on a deeper refusal."""
+    return answer.code == 0 and answer.status >= _SERVER_ERROR and answer.outcome is Outcome.DONE
+
+
+def _create_call(now_ms: Millis, call_id: int, exchange: Exchange, terms: Dispatch) -> Call:
+    remaining_ms = max(0.0, exchange.deadline_at - now_ms - defaults.DEADLINE_MARGIN_MS)
+    context = CallContext(
+        request_id=exchange.request_id,
+        class_name=exchange.class_name,
+        rank=exchange.rank,
+        remaining_ms=remaining_ms,
+        credit=terms.credit,
+        pays_for_calls=terms.pays_for_calls,
+        idempotency_key=exchange.idempotency_key,
+        is_idempotent=exchange.is_idempotent,
+        caller=exchange.caller,
+        path_index=exchange.path_index,
+        depth=exchange.depth,
+        is_suspect=exchange.is_suspect,
+    )
+    request = exchange.request
+    return Call(
+        call_id=call_id,
+        service=exchange.service,
+        operation=exchange.operation,
+        method=request.method,
+        path=exchange.target_path,
+        headers=end_to_end_headers(request.headers),
+        body=request.body,
+        context=context,
+    )
--- /dev/null
+++ b/gooseberrydock/peer_links.py
@@ -0,0 +1,378 @@
+"""Links between nodes: websockets over non-blocking streams, many calls on each.
+
+A node opens a link when it first has something to send and then keeps it. Each side proves that
+it knows the shared key before anything else passes. A link on which answers are due but no bytes
+arrive is asked for a sign of life and closed when none comes; TCP alone would wait for minutes.
+"""
+
+import hashlib
+import hmac
+import itertools
+import os
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import attrs
+import trio
+from websockets.client import ClientProtocol
+from websockets.exceptions import InvalidState, ProtocolError
+from websockets.frames import Frame, Opcode
+from websockets.http11 import Request
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+
+from gooseberrydock import defaults, wire
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
+from gooseberrydock.errorcodes import PEER_LOST, PEER_PROTOCOL, PEER_REFUSED, PEER_SILENT, ErrorCode
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
+from gooseberrydock.logs import log
+from gooseberrydock.members import Address
+from gooseberrydock.messages import Alive, Answer, Call, Cancel, Hello, PeerMessage
+from gooseberrydock.stream import Stream, connect
+
+_NONCE_BYTES: Final = 16
+_CHECK_AFTER_MS: Final[Millis] = 300.0
+"""Silence after which a link with answers due is asked for a sign of life."""
+_SILENT_AFTER_MS: Final[Millis] = 900.0
+"""Silence after which such a link is closed."""
+_HANDSHAKE_TIMEOUT_MS: Final[Millis] = 2_000.0
+
+
+@attrs.define(eq=False)
+class PeerLink:
+    """Hold one websocket connection to a peer."""
+
+    _links: "PeerLinks"
+    _link_id: str
+    _node_id: str
+    _is_client: bool
+    _stream: Stream | None = None
+    _protocol: ClientProtocol | ServerProtocol | None = None
+    _nonce: bytes = attrs.field(factory=lambda: os.urandom(_NONCE_BYTES))
+    _is_ready: bool = False
+    _is_closed: bool = False
+    _waiting: list[PeerMessage] = attrs.field(factory=list)
+    _calls: set[int] = attrs.field(factory=set)
+    _heard_at: Millis = 0.0
+    _asked_at: Millis = 0.0
+    _token: int = 0
+
+    @property
+    def link_id(self) -> str:
+        """Return the id of this link, which no other link of the process has."""
+        return self._link_id
+
+    @property
+    def node_id(self) -> str:
+        """Return the peer's node id, empty until it introduced itself."""
+        return self._node_id
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether both sides authenticated."""
+        return self._is_ready
+
+    @property
+    def calls_due(self) -> int:
+        """Return the number of calls sent on this link and not answered."""
+        return len(self._calls)
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message now, or as soon as the link is ready."""
+        if self._is_closed:
+            return
+        if not self._is_ready:
+            self._waiting.append(message)
+            return
+        self._track(message)
+        self._write(message)
+
+    def unsent_calls(self) -> list[int]:
+        """Return the calls that wait for the link to become ready."""
+        return [message.call_id for message in self._waiting if isinstance(message, Call)]
+
+    def sent_calls(self) -> list[int]:
+        """Return the calls that were sent and not answered."""
+        return sorted(self._calls)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._is_closed = True
+        if self._stream is not None:
+            self._stream.close()
+
+    def check_silence(self, now_ms: Millis) -> bool:
+        """Ask for a sign of life where answers are due; say whether the link went silent."""
+        if not self._calls or not self._is_ready:
+            self._asked_at = 0.0
+            return False
+        silent_ms = now_ms - self._heard_at
+        if silent_ms < _CHECK_AFTER_MS:
+            self._asked_at = 0.0
+            return False
+        if not self._asked_at:
+            self._asked_at = now_ms
+            self._token += 1
+            self._write(Alive(self._token, is_reply=False))
+            return False
+        return now_ms - self._asked_at >= _SILENT_AFTER_MS - _CHECK_AFTER_MS
+
+    async def run_client(self, address: Address) -> None:
+        """Connect, introduce this node, and read until the link ends."""
+        protocol = ClientProtocol(
+            parse_uri(f"ws://{address}/"), max_size=defaults.MAX_PEER_MESSAGE_BYTES
+        )
+        stream = await connect(address, self._links.nursery, defaults.CONNECT_TIMEOUT_MS)
+        if stream is None or self._is_closed:
+            return
+        self._stream, self._protocol = stream, protocol
+        protocol.send_request(protocol.connect())
+        self._flush()
+        await self._read()
+
+    async def run_server(self, stream: Stream) -> None:
+        """Accept an opened connection and read until the link ends."""
+        self._stream = stream
+        self._protocol = ServerProtocol(max_size=defaults.MAX_PEER_MESSAGE_BYTES)
+        await self._read()
+
+    async def _read(self) -> None:
+        """Read messages until the connection ends."""
+        deadline = trio.current_time() + _HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND
+        while not self._is_ready and not self._is_closed:
+            with trio.move_on_at(deadline) as scope:
+                if not await self._read_some():
+                    return
+            if scope.cancelled_caught:
+                return
+        while await self._read_some():
+            pass
+
+    async def _read_some(self) -> bool:
+        """Take in the next bytes; say whether the link goes on."""
+        stream, protocol = self._stream, self._protocol
+        if stream is None or protocol is None:
+            return False
+        data = await stream.receive()
+        if not data:
+            return False
+        self._heard_at = self._links.clock.now_ms()
+        try:
+            protocol.receive_data(data)
+            for event in protocol.events_received():
+                self._on_event(event)
+            self._flush()
+        except (ProtocolError, InvalidState) as error:
+            self._refuse(PEER_PROTOCOL, str(error))
+        except GooseberrydockError as error:
+            self._refuse(error.code, error.detail)
+        return not self._is_closed and protocol.parser_exc is None
+
+    def _on_event(self, event: object) -> None:
+        if isinstance(event, Request) and isinstance(self._protocol, ServerProtocol):
+            self._protocol.send_response(self._protocol.accept(event))
+        elif isinstance(event, Frame):
+            self._on_frame(event)
+        elif self._is_client and not isinstance(event, Request):
+            self._send_hello(b"")
+
+    def _on_frame(self, frame: Frame) -> None:
+        if frame.opcode is Opcode.CLOSE:
+            self.close()
+            return
+        if frame.opcode is not Opcode.BINARY or not frame.fin:
+            if frame.opcode in (Opcode.PING, Opcode.PONG):
+                return
+            raise GooseberrydockError(
+                PEER_PROTOCOL, Step.PEER_LINK, self._node_id, "not a whole binary message"
+            )
+        message = wire.decode(bytes(frame.data), self._node_id)
+        if isinstance(message, Hello):
+            self._on_hello(message)
+        elif not self._is_ready:
+            raise GooseberrydockError(
+                PEER_REFUSED, Step.PEER_LINK, self._node_id, "message before authentication"
+            )
+        else:
+            self._on_message(message)
+
+    def _on_message(self, message: PeerMessage) -> None:
+        if isinstance(message, Answer):
+            self._calls.discard(message.call_id)
+        elif isinstance(message, Alive):
+            if not message.is_reply:
+                self._write(Alive(message.token, is_reply=True))
+            return
+        self._links.on_message(self, message)
+
+    def _on_hello(self, hello: Hello) -> None:
+        """Check the peer's introduction and answer it.
+
+        The client sends its nonce; the server proves itself over that nonce and sends its own;
+        the client proves itself over the server's.
+        """
+        if self._is_ready:
+            return
+        if self._is_client:
+            self._check_proof(hello, b"server")
+            if hello.node_id != self._node_id:
+                raise GooseberrydockError(
+                    PEER_REFUSED, Step.PEER_LINK, self._node_id, f"found {hello.node_id} instead"
+                )
+            self._send_hello(self._links.proof(b"client", hello.nonce, self._links.node_id))
+            self._become_ready()
+        elif not self._node_id:
+            self._node_id = hello.node_id
+            self._send_hello(self._links.proof(b"server", hello.nonce, self._links.node_id))
+        else:
+            self._check_proof(hello, b"client")
+            self._become_ready()
+
+    def _check_proof(self, hello: Hello, role: bytes) -> None:
+        expected = self._links.proof(role, self._nonce, hello.node_id)
+        is_same_node = self._is_client or hello.node_id == self._node_id
+        if not is_same_node or not hmac.compare_digest(expected, hello.proof):
+            raise GooseberrydockError(
+                PEER_REFUSED, Step.PEER_LINK, hello.node_id, "wrong proof of the shared key"
+            )
+
+    def _send_hello(self, proof: bytes) -> None:
+        self._write(Hello(self._links.node_id, self._links.incarnation, self._nonce, proof))
+
+    def _become_ready(self) -> None:
+        self._is_ready = True
+        self._links.on_ready(self)
+        waiting, self._waiting = self._waiting, []
+        for message in waiting:
+            self.send(message)
+
+    def _track(self, message: PeerMessage) -> None:
+        """Remember which calls are due, since silence matters only then."""
+        if isinstance(message, Call):
+            if not self._calls:
+                self._heard_at = self._links.clock.now_ms()
+            self._calls.add(message.call_id)
+        elif isinstance(message, Cancel):
+            self._calls.discard(message.call_id)
+
+    def _write(self, message: PeerMessage) -> None:
+        if self._protocol is None:
+            return
+        try:
+            self._protocol.send_binary(wire.encode(message))
+        except InvalidState:
+            self.close()
+            return
+        self._flush()
+
+    def _flush(self) -> None:
+        if self._protocol is None or self._stream is None:
+            return
+        for data in self._protocol.data_to_send():
+            self._stream.send(data)
+
+    def _refuse(self, code: ErrorCode, detail: str) -> None:
+        log(LINK_REFUSED, peer=self._node_id, code=code.number, detail=detail)
+        self.close()
+
+
+MessageHandler = Callable[[PeerLink, PeerMessage], None]
+LinkLossHandler = Callable[[PeerLink, list[int], list[int], ErrorCode], None]
+"""Take a closed link, its unsent calls, its unanswered calls, and the cause."""
+
+
+@attrs.define(eq=False)
+class PeerLinks:
+    """Keep the links of a node, at most one for each direction and peer."""
+
+    clock: Clock
+    nursery: trio.Nursery
+    node_id: str
+    incarnation: int
+    on_message: MessageHandler
+    _on_lost: LinkLossHandler
+    _find_address: Callable[[str], Address | None]
+    _key: bytes
+    _by_node: dict[str, PeerLink] = attrs.field(factory=dict)
+    _by_id: dict[str, PeerLink] = attrs.field(factory=dict)
+    _serials: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    @property
+    def open_links(self) -> list[PeerLink]:
+        """Return all links that are ready."""
+        return [link for link in self._by_id.values() if link.is_ready]
+
+    def proof(self, role: bytes, nonce: bytes, node_id: str) -> bytes:
+        """Return the proof that a node knows the shared key; empty where there is no key."""
+        if not self._key:
+            return b""
+        message = b"\0".join((role, nonce, node_id.encode()))
+        return hmac.digest(self._key, message, hashlib.sha256)
+
+    def send(self, node_id: str, message: PeerMessage) -> None:
+        """Send a message to a node, opening a link if there is none."""
+        link = self._by_node.get(node_id)
+        if link is None:
+            if isinstance(message, Cancel):
+                return
+            link = self._open(node_id)
+        link.send(message)
+
+    def answer(self, link_id: str, answer: Answer) -> None:
+        """Send an answer on the link that the call came on, if it is still open."""
+        link = self._by_id.get(link_id)
+        if link is not None:
+            link.send(answer)
+
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message on every open link."""
+        for link in self.open_links:
+            link.send(message)
+
+    def on_ready(self, link: PeerLink) -> None:
+        """Use an accepted link for this node's own calls too, if it has no other."""
+        self._by_node.setdefault(link.node_id, link)
+
+    def tick(self, now_ms: Millis) -> None:
+        """Close links that went silent."""
+        for link in list(self._by_id.values()):
+            if link.check_silence(now_ms):
+                log(LINK_SILENT, peer=link.node_id, calls_due=link.calls_due)
+                self._lose(link, PEER_SILENT)
+
+    async def serve(self, stream: Stream) -> None:
+        """Run an accepted connection."""
+        link = PeerLink(self, self._next_link_id(), "", is_client=False)
+        self._by_id[link.link_id] = link
+        try:
+            await link.run_server(stream)
+        finally:
+            self._lose(link, PEER_LOST)
+
+    def _open(self, node_id: str) -> PeerLink:
+        link = PeerLink(self, self._next_link_id(), node_id, is_client=True)
+        self._by_node[node_id] = link
+        self._by_id[link.link_id] = link
+        self.nursery.start_soon(self._run_client, link)
+        return link
+
+    async def _run_client(self, link: PeerLink) -> None:
+        address = self._find_address(link.node_id)
+        try:
+            if address is not None:
+                await link.run_client(address)
+        finally:
+            self._lose(link, PEER_LOST)
+
+    def _lose(self, link: PeerLink, code: ErrorCode) -> None:
+        """Close a link and report what was due on it, once."""
+        if self._by_id.pop(link.link_id, None) is None:
+            return
+        link.close()
+        if self._by_node.get(link.node_id) is link:
+            del self._by_node[link.node_id]
+        self._on_lost(link, link.unsent_calls(), link.sent_calls(), code)
+
+    def _next_link_id(self) -> str:
+        return f"link-{next(self._serials)}"
--- /dev/null
+++ b/gooseberrydock/routing.py
@@ -0,0 +1,181 @@
+"""Choice of the target for a call, by this node's own evidence.
+
+Health and load endpoints lag or mislead, so targets are judged by the answers, failures and
+loads that calls bring back. Two candidates are compared (power of two choices); one of them is
+taken from the caller's own failure domain. Failing targets are ejected, but never more than a
+share of a service. Targets that just joined get work in a growing share (slow start).
+"""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import Millis
+from gooseberrydock.members import Member
+from gooseberrydock.messages import LoadReport
+
+_DOMAIN_TOLERANCE = 1.25
+"""How much worse a candidate of the same failure domain may look and still be chosen."""
+
+
+@attrs.define
+class TargetEvidence:
+    """Hold what calls from this node showed about one target."""
+
+    joined_at: Millis
+    latency_ms: Millis = 0.0
+    in_flight: int = 0
+    load: LoadReport = LoadReport(0, 0, 1)
+    sent_since_report: int = 0
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until: Millis = 0.0
+
+    @property
+    def load_ratio(self) -> float:
+        """Return the believed share of the target's limit that is in use."""
+        known = self.load.in_flight + self.load.queued + self.sent_since_report
+        return max(known, self.in_flight) / max(1, self.load.limit)
+
+    def start_weight(self, now_ms: Millis) -> float:
+        """Return the share of its work that a target gets during slow start."""
+        share = (now_ms - self.joined_at) / defaults.SLOW_START_MS
+        return min(1.0, max(defaults.SLOW_START_MIN_WEIGHT, share))
+
+    def cost(self, now_ms: Millis) -> float:
+        """Return how costly one more call would be; smaller is better."""
+        pressure = (2.0 * self.load_ratio) ** 3
+        latency = self.latency_ms or 1.0
+        return latency * (1.0 + pressure) / self.start_weight(now_ms)
+
+
+@attrs.define
+class RoutingController:
+    """Choose targets and learn from their answers."""
+
+    _failure_domain: str
+    _random: random.Random
+    _members: dict[str, dict[str, Member]] = attrs.field(factory=dict)
+    _evidence: dict[str, TargetEvidence] = attrs.field(factory=dict)
+
+    def members_of(self, service: str) -> list[Member]:
+        """Return the usable members of a service."""
+        return list(self._members.get(service, {}).values())
+
+    def evidence_for(self, node_id: str) -> TargetEvidence | None:
+        """Return what is known about a node's target."""
+        return self._evidence.get(node_id)
+
+    def on_member(self, now_ms: Millis, member: Member, is_late_joiner: bool) -> None:
+        """Take in a changed member record; a late joiner gets slow start."""
+        self._drop_from_other_services(member)
+        if not member.is_usable:
+            self._members.get(member.service, {}).pop(member.node_id, None)
+            self._evidence.pop(member.node_id, None)
+            return
+        self._members.setdefault(member.service, {})[member.node_id] = member
+        if member.node_id not in self._evidence:
+            needs_slow_start = is_late_joiner or member.is_cold
+            joined_at = now_ms if needs_slow_start else now_ms - defaults.SLOW_START_MS
+            evidence = TargetEvidence(joined_at)
+            evidence.load = LoadReport(0, 0, max(1, member.slots))
+            self._evidence[member.node_id] = evidence
+
+    def _drop_from_other_services(self, member: Member) -> None:
+        for service, members in self._members.items():
+            if service != member.service:
+                members.pop(member.node_id, None)
+
+    def choose(self, now_ms: Millis, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return the target for one call, or None where there is none."""
+        candidates = [m for m in self.members_of(service) if m.node_id not in excluded]
+        candidates = self._without_ejected(now_ms, service, candidates)
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        return self._better_of_two(now_ms, candidates)
+
+    def _without_ejected(
+        self, now_ms: Millis, service: str, candidates: list[Member]
+    ) -> list[Member]:
+        """Leave out ejected targets, but only up to the share that may be ejected at once."""
+        ejected = [m for m in candidates if self._evidence[m.node_id].ejected_until > now_ms]
+        may_eject = int(len(self._members[service]) * defaults.EJECTION_MAX_SHARE)
+        ejected.sort(key=lambda m: self._evidence[m.node_id].ejected_until, reverse=True)
+        refused = {m.node_id for m in ejected[:may_eject]}
+        healthy = [m for m in candidates if m.node_id not in refused]
+        return healthy or candidates
+
+    def _better_of_two(self, now_ms: Millis, candidates: list[Member]) -> Member:
+        first = self._local_candidate(candidates)
+        second = self._random.choice([m for m in candidates if m is not first])
+        first_cost = self._evidence[first.node_id].cost(now_ms)
+        second_cost = self._evidence[second.node_id].cost(now_ms)
+        if first.failure_domain == self._failure_domain != second.failure_domain:
+            first_cost /= _DOMAIN_TOLERANCE
+        return first if first_cost <= second_cost else second
+
+    def _local_candidate(self, candidates: list[Member]) -> Member:
+        """Return a candidate of this failure domain, or any where there is none."""
+        local = [m for m in candidates if m.failure_domain == self._failure_domain]
+        return self._random.choice(local or candidates)
+
+    def on_sent(self, node_id: str) -> None:
+        """Count a call that was sent."""
+        evidence = self._evidence.get(node_id)
+        if evidence is not None:
+            evidence.in_flight += 1
+            evidence.sent_since_report += 1
+
+    def on_answer(self, node_id: str, latency_ms: Millis, load: LoadReport, did_run: bool) -> None:
+        """Learn from an answer; refusals tell the load but not the speed."""
+        evidence = self._evidence.get(node_id)
+        if evidence is None:
+            return
+        evidence.in_flight = max(0, evidence.in_flight - 1)
+        evidence.load = load
+        evidence.sent_since_report = 0
+        if not did_run:
+            return
+        evidence.failures_in_row = 0
+        evidence.ejections = 0
+        if evidence.latency_ms == 0.0:
+            evidence.latency_ms = latency_ms
+        evidence.latency_ms += (latency_ms - evidence.latency_ms) * defaults.LATENCY_WEIGHT
+
+    def on_failure(self, now_ms: Millis, node_id: str, is_unreachable: bool) -> None:
+        """Learn from a failed call; eject after several in a row or where none gets through."""
+        evidence = self._evidence.get(node_id)
+        if evidence is None:
+            return
+        evidence.in_flight = max(0, evidence.in_flight - 1)
+        evidence.failures_in_row += 1
+        if is_unreachable:
+            hold_until = now_ms + defaults.UNREACHABLE_HOLD_MS
+            evidence.ejected_until = max(evidence.ejected_until, hold_until)
+        if evidence.failures_in_row >= defaults.EJECTION_FAILURES:
+            self._eject(now_ms, evidence)
+
+    def _eject(self, now_ms: Millis, evidence: TargetEvidence) -> None:
+        duration = defaults.EJECTION_BASE_MS * 2**evidence.ejections
+        evidence.ejected_until = now_ms + min(duration, defaults.EJECTION_MAX_MS)
+        evidence.ejections += 1
+        evidence.failures_in_row = 0
+
+    def on_cancelled(self, node_id: str) -> None:
+        """Forget a call that was cancelled before its answer."""
+        evidence = self._evidence.get(node_id)
+        if evidence is not None:
+            evidence.in_flight = max(0, evidence.in_flight - 1)
+
+    def services(self) -> Iterable[str]:
+        """Return the services with at least one usable member."""
+        return [service for service, members in self._members.items() if members]
+
+
+def create_routing(failure_domain: str, seed: int) -> RoutingController:
+    """Make a routing controller with its own seeded random generator."""
+    return RoutingController(failure_domain, random.Random(seed))
--- /dev/null
+++ b/gooseberrydock/standin_main.py
@@ -0,0 +1,70 @@
+"""The ``gooseberrydock-standin`` command: small stand-ins for the platform and for targets."""
+
+import sys
+
+import click
+import trio
+
+from gooseberrydock.logs import LOG_LEVELS, set_up_logs
+from gooseberrydock.members import Address
+from gooseberrydock.options import ADDRESS, setting
+from gooseberrydock.standin_store import run_store
+from gooseberrydock.standin_target import TargetOptions, parse_declared_call, run_target
+
+
+@click.group()
+@setting("log-level", "Least level to log.", default="info", type=click.Choice(LOG_LEVELS))
+def main(log_level: str) -> None:
+    """Run a stand-in for tests, demo and measurement."""
+    set_up_logs(log_level, "standin")
+
+
+@main.command()
+@setting("listen", "Address to listen on.", default="127.0.0.1:7500", type=ADDRESS)
+def store(listen: Address) -> None:
+    """Stand in for the platform's key-value service."""
+    trio.run(run_store, listen)
+
+
+@main.command()
+@setting("service", "Name of the service.", required=True)
+@setting("listen", "Address to listen on; port 0 takes any.", default="127.0.0.1:0", type=ADDRESS)
+@setting("node-local", "Local address of the node beside it.", required=True, type=ADDRESS)
+@setting("slots", "Requests worked on at once.", default=8, type=click.IntRange(1))
+@setting("service-ms", "Mean working time.", default=20.0, type=click.FloatRange(0.0))
+@setting("calls", "Call to make, operation=service/operation; may be repeated.", multiple=True)
+@setting("cold-ms", "Time after the start in which it is slower.", default=0.0, type=float)
+@setting("queue", "Requests that may wait for a slot.", default=0, type=click.IntRange(0))
+@setting("seed", "Seed of the working times.", default=1, type=int)
+def target(
+    service: str,
+    listen: Address,
+    node_local: Address,
+    slots: int,
+    service_ms: float,
+    calls: tuple[str, ...],
+    cold_ms: float,
+    queue: int,
+    seed: int,
+) -> None:
+    """Stand in for a back end."""
+    try:
+        declared = tuple(parse_declared_call(text) for text in calls)
+    except ValueError as error:
+        raise click.BadParameter(str(error), param_hint="--calls") from error
+    options = TargetOptions(
+        service=service,
+        listen=listen,
+        node_local=node_local,
+        slots=slots,
+        service_ms=service_ms,
+        calls=declared,
+        cold_ms=cold_ms,
+        queue=queue,
+        seed=seed,
+    )
+    trio.run(run_target, options)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gooseberrydock/standin_target.py
@@ -0,0 +1,283 @@
+"""A stand-in for a back end, for tests, demo and measurement.
+
+It holds a slot for each request while it works, makes its declared calls through its node, and
+answers. Fault switches slow it down, let it lie about its health, fall silent, or crash.
+"""
+
+import json
+import os
+import random
+import signal
+from collections import Counter
+from functools import partial
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.events import STANDIN_STARTED
+from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_messages import (
+    CODE_HEADER,
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    header_value,
+)
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.logs import log
+from gooseberrydock.members import Address
+from gooseberrydock.outcomes import Outcome
+from gooseberrydock.stream import Listener, Stream, listen
+from gooseberrydock.target_client import ANNOUNCE_PATH, LEAVE_PATH
+
+FAULT_PATH: Final = "/_fault"
+LEDGER_PATH: Final = "/_ledger"
+HEALTH_PATH: Final = "/_health"
+LOAD_PATH: Final = "/_load"
+CRASH_MARK: Final = b"crash-the-target"
+_CRASH_STATUS: Final = 3
+_ANNOUNCE_PERIOD_S: Final = 1.0
+_DRAIN_CHECK_S: Final = 0.05
+_LEAVE_SPREAD_S: Final = 3.0
+_COLD_FACTOR: Final = 3.0
+_DEFAULT_DEADLINE_MS: Final[Millis] = 5_000.0
+
+
+@attrs.frozen
+class DeclaredCall:
+    """Say that working on one operation calls another service's operation."""
+
+    operation: str
+    callee: str
+
+
+def parse_declared_call(text: str) -> DeclaredCall:
+    """Parse ``operation=service/operation``, raising ValueError where it is not that."""
+    operation, separator, callee = text.partition("=")
+    if not separator or not operation or callee.count("/") != 1:
+        raise ValueError(f"{text!r} is not operation=service/operation")
+    return DeclaredCall(operation, callee)
+
+
+@attrs.frozen
+class TargetOptions:
+    """Hold the settings of one stand-in target."""
+
+    service: str
+    listen: Address
+    node_local: Address
+    slots: int
+    service_ms: Millis
+    calls: tuple["DeclaredCall", ...]
+    cold_ms: Millis
+    queue: int
+    seed: int
+
+
+@attrs.define
+class TargetFaults:
+    """Hold the fault switches."""
+
+    slow_factor: float = 1.0
+    is_silent: bool = False
+    health_lies: bool = False
+    load_lag_ms: Millis = 0.0
+
+
+@attrs.define(eq=False)
+class StandinTarget:
+    """Work on requests with a limited number of slots."""
+
+    _options: TargetOptions
+    _nursery: trio.Nursery
+    _node: ClientPool
+    _random: random.Random
+    _started_at: float
+    faults: TargetFaults = attrs.field(factory=TargetFaults)
+    _busy: int = 0
+    _waiting: int = 0
+    _slot_freed: trio.Event = attrs.field(factory=trio.Event)
+    _scopes: dict[int, trio.CancelScope] = attrs.field(factory=dict)
+    _ledger: Counter[str] = attrs.field(factory=Counter)
+    _runs: int = 0
+    _reported_load: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that work or wait."""
+        return self._busy + self._waiting
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve one connection of the node."""
+        await serve_http(stream, self._on_request, self._on_gone)
+
+    def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
+        control = self._control_answer(request)
+        if control is not None:
+            connection.respond(control)
+            return
+        if self.faults.is_silent:
+            return
+        self._nursery.start_soon(self._handle, connection, request)
+
+    def _on_gone(self, connection: HttpConnection) -> None:
+        """Cancel the work of a caller that closed its connection."""
+        scope = self._scopes.pop(connection.serial, None)
+        if scope is not None:
+            scope.cancel()
+
+    def _control_answer(self, request: HttpRequest) -> HttpResponse | None:
+        if request.path == FAULT_PATH:
+            self._set_faults(request.body)
+            return _json(200, attrs.asdict(self.faults))
+        if request.path == LEDGER_PATH:
+            return _json(200, {"runs": self._runs, "by_key": dict(self._ledger)})
+        if request.path == HEALTH_PATH:
+            is_well = self.faults.health_lies or not self.faults.is_silent
+            return _json(200 if is_well else 503, {"healthy": is_well})
+        if request.path == LOAD_PATH:
+            return _json(200, {"in_flight": self._reported_load})
+        return None
+
+    def _set_faults(self, body: bytes) -> None:
+        fields = json.loads(body or b"{}")
+        self.faults = TargetFaults(
+            slow_factor=float(fields.get("slow_factor", 1.0)),
+            is_silent=bool(fields.get("is_silent", False)),
+            health_lies=bool(fields.get("health_lies", False)),
+            load_lag_ms=float(fields.get("load_lag_ms", 0.0)),
+        )
+
+    async def _handle(self, connection: HttpConnection, request: HttpRequest) -> None:
+        if CRASH_MARK in request.body:
+            os._exit(_CRASH_STATUS)
+        with trio.CancelScope() as scope:
+            self._scopes[connection.serial] = scope
+            response = await self._work(request)
+            self._scopes.pop(connection.serial, None)
+            connection.respond(response)
+
+    async def _work(self, request: HttpRequest) -> HttpResponse:
+        """Wait for a slot, work, make the declared calls and answer."""
+        if self._busy >= self._options.slots and self._waiting >= self._options.queue:
+            headers = [(OUTCOME_HEADER, Outcome.NOT_RUN.label.encode())]
+            return HttpResponse(503, headers, b"no slot")
+        await self._take_slot()
+        try:
+            self._runs += 1
+            self._ledger[header_value(request.headers, KEY_HEADER)] += 1
+            await trio.sleep(self._service_time_ms() / MS_PER_SECOND)
+            return await self._make_calls(request)
+        finally:
+            self._free_slot()
+
+    async def _take_slot(self) -> None:
+        self._waiting += 1
+        try:
+            while self._busy >= self._options.slots:
+                await self._slot_freed.wait()
+        finally:
+            self._waiting -= 1
+        self._busy += 1
+
+    def _free_slot(self) -> None:
+        self._busy -= 1
+        self._slot_freed.set()
+        self._slot_freed = trio.Event()
+
+    def _service_time_ms(self) -> Millis:
+        age_ms = (trio.current_time() - self._started_at) * MS_PER_SECOND
+        factor = self.faults.slow_factor
+        if age_ms < self._options.cold_ms:
+            factor *= _COLD_FACTOR
+        return self._options.service_ms * factor * self._random.uniform(0.7, 1.3)
+
+    async def _make_calls(self, request: HttpRequest) -> HttpResponse:
+        """Call the next services through the node; pass on the first failure."""
+        deadline = header_value(request.headers, DEADLINE_HEADER)
+        timeout_s = float(deadline or _DEFAULT_DEADLINE_MS) / MS_PER_SECOND + 1.0
+        context = header_value(request.headers, CONTEXT_HEADER).encode()
+        operation = request.path.split("?", 1)[0].split("/")[1]
+        for call in self._options.calls:
+            if call.operation != operation:
+                continue
+            path = f"/{call.callee}"
+            inner = HttpRequest("POST", path, [(CONTEXT_HEADER, context)], request.body)
+            answer = await fetch(self._node, inner, timeout_s)
+            if answer is None:
+                return HttpResponse(504, _unknown_headers(), b"no answer")
+            if answer.status >= 400:
+                return _passed_on(answer)
+        body = self._options.service.encode() + b":" + request.body
+        return HttpResponse(200, [(b"content-type", b"application/octet-stream")], body)
+
+    async def announce(self) -> None:
+        """Announce this target to its node again and again."""
+        while True:
+            age_ms = (trio.current_time() - self._started_at) * MS_PER_SECOND
+            fields = {
+                "service": self._options.service,
+                "address": str(self._options.listen),
+                "slots": self._options.slots,
+                "cold": age_ms < self._options.cold_ms,
+            }
+            request = HttpRequest("POST", ANNOUNCE_PATH, [], json.dumps(fields).encode())
+            await fetch(self._node, request, _ANNOUNCE_PERIOD_S)
+            await trio.sleep(_ANNOUNCE_PERIOD_S)
+
+    async def report_load(self) -> None:
+        """Update the load endpoint with the set lag."""
+        while True:
+            load = self.in_flight
+            await trio.sleep(max(0.1, self.faults.load_lag_ms / MS_PER_SECOND))
+            self._reported_load = load
+
+    async def drain_on_signal(self) -> None:
+        """On SIGTERM tell the node to leave, finish all work, and stop."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                await fetch(self._node, HttpRequest("POST", LEAVE_PATH, [], b""), 1.0)
+                await trio.sleep(_LEAVE_SPREAD_S)
+                while self.in_flight:
+                    await trio.sleep(_DRAIN_CHECK_S)
+                self._nursery.cancel_scope.cancel()
+
+
+def _unknown_headers() -> Headers:
+    return [(OUTCOME_HEADER, Outcome.UNKNOWN.label.encode())]
+
+
+def _passed_on(answer: HttpResponse) -> HttpResponse:
+    """Pass on a deeper failure with its outcome and code."""
+    kept = [pair for pair in answer.headers if pair[0] in (OUTCOME_HEADER, CODE_HEADER)]
+    return HttpResponse(answer.status, kept, answer.body)
+
+
+def _json(status: int, value: object) -> HttpResponse:
+    body = json.dumps(value).encode()
+    return HttpResponse(status, [(b"content-type", b"application/json")], body)
+
+
+async def run_target(options: TargetOptions) -> None:
+    """Run the stand-in until it is told to stop."""
+    async with trio.open_nursery() as nursery:
+        listener: Listener = listen(options.listen)
+        bound = attrs.evolve(options, listen=listener.address)
+        target = StandinTarget(
+            bound,
+            nursery,
+            ClientPool(options.node_local, nursery),
+            random.Random(options.seed),
+            trio.current_time(),
+        )
+        log(STANDIN_STARTED, kind="target", service=options.service, address=str(bound.listen))
+        nursery.start_soon(target.announce)
+        nursery.start_soon(target.report_load)
+        nursery.start_soon(target.drain_on_signal)
+        nursery.start_soon(partial(listener.serve, target.serve))
--- /dev/null
+++ b/gooseberrydock/stats.py
@@ -0,0 +1,23 @@
+"""Counters of one node, for metrics and the state dump."""
+
+from collections import Counter
+
+import attrs
+
+
+@attrs.define
+class NodeStats:
+    """Count what passed through this node.
+
+    ``answered`` is keyed by service class, outcome and error code (0 where a target answered).
+    """
+
+    answered: Counter[tuple[str, str, int]] = attrs.field(factory=Counter)
+    dispatches: Counter[str] = attrs.field(factory=Counter)
+    runs: Counter[str] = attrs.field(factory=Counter)
+    repeats: int = 0
+    moves: int = 0
+    joins: int = 0
+    late_answers: int = 0
+    cancellations: int = 0
+    crashes: int = 0
--- /dev/null
+++ b/gooseberrydock/store_client.py
@@ -0,0 +1,102 @@
+"""Client of the platform's key-value service, by the HTTP API of Consul's KV store.
+
+Reads, compare-and-swap writes, and watches (blocking queries) are used. A failed call raises a
+coded error; a failed write may have taken effect, so callers read back and compare.
+"""
+
+import base64
+import json
+from typing import Any, Final
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.errorcodes import STORE_PROTOCOL, STORE_UNAVAILABLE
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_WATCH_SLACK_MS: Final[Millis] = 3_000.0
+
+
+@attrs.frozen
+class StoredValue:
+    """Hold a value with the index of its last change; an absent key has index 0 and no value."""
+
+    value: bytes | None
+    modify_index: int
+    watch_index: int
+
+
+@attrs.define
+class StoreClient:
+    """Read, swap and watch single keys."""
+
+    _pool: ClientPool
+    _calls: int = 0
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made, watches included."""
+        return self._calls
+
+    async def read(self, key: str) -> StoredValue:
+        """Return the value of a key now."""
+        response = await self._call("GET", f"/v1/kv/{key}", b"", defaults.STORE_CALL_TIMEOUT_MS)
+        return self._stored_value(response)
+
+    async def watch(self, key: str, index: int) -> StoredValue:
+        """Return the value of a key once its watch index passed ``index``, or after a while."""
+        wait_s = int(defaults.STORE_WATCH_TIMEOUT_MS / MS_PER_SECOND)
+        path = f"/v1/kv/{key}?index={index}&wait={wait_s}s"
+        timeout_ms = defaults.STORE_WATCH_TIMEOUT_MS + _WATCH_SLACK_MS
+        return self._stored_value(await self._call("GET", path, b"", timeout_ms))
+
+    async def swap(self, key: str, value: bytes, modify_index: int) -> bool:
+        """Write a value if the key was not changed since; index 0 means it must not exist."""
+        path = f"/v1/kv/{key}?cas={modify_index}"
+        response = await self._call("PUT", path, value, defaults.STORE_CALL_TIMEOUT_MS)
+        answer = response.body.strip()
+        if response.status != _OK or answer not in (b"true", b"false"):
+            raise self._error(f"swap answered {response.status}")
+        return answer == b"true"
+
+    async def _call(self, method: str, path: str, body: bytes, timeout_ms: Millis) -> HttpResponse:
+        self._calls += 1
+        request = HttpRequest(method, path, [], body)
+        response = await fetch(self._pool, request, timeout_ms / MS_PER_SECOND)
+        if response is None or response.status >= 500:
+            status = "no answer" if response is None else f"status {response.status}"
+            peer = str(self._pool.address)
+            raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE, peer, status)
+        return response
+
+    def _stored_value(self, response: HttpResponse) -> StoredValue:
+        watch_index = self._watch_index(response)
+        if response.status == _NOT_FOUND:
+            return StoredValue(None, 0, watch_index)
+        if response.status != _OK:
+            raise self._error(f"read answered {response.status}")
+        try:
+            entry: dict[str, Any] = json.loads(response.body)[0]
+            value = base64.b64decode(entry["Value"] or "", validate=True)
+            return StoredValue(value, int(entry["ModifyIndex"]), watch_index)
+        except (ValueError, KeyError, IndexError, TypeError) as error:
+            raise self._error(f"{type(error).__name__}: {error}") from error
+
+    def _watch_index(self, response: HttpResponse) -> int:
+        for name, value in response.headers:
+            if name == b"x-consul-index" and value.isdigit():
+                return int(value)
+        return 0
+
+    def _error(self, detail: str) -> GooseberrydockError:
+        return GooseberrydockError(STORE_PROTOCOL, Step.STORE, str(self._pool.address), detail)
+
+
+def create_store_client(pool: ClientPool) -> StoreClient:
+    """Make a client over a connection pool to the service."""
+    return StoreClient(pool)
--- /dev/null
+++ b/gooseberrydock/store_watch.py
@@ -0,0 +1,123 @@
+"""The loops that keep a node in step with the platform's key-value service.
+
+A watcher follows the configuration by a blocking query. Every node that starts without seeds
+reads the seed record once. Watchers keep the seed record up to date, which takes few writes.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.backoff import Backoff
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.events import STORE_BACK, STORE_LOST
+from gooseberrydock.logs import log
+from gooseberrydock.members import Address, parse_address
+from gooseberrydock.store_client import StoreClient
+
+_ROLE_CHECK_MS: Final[Millis] = 2_000.0
+_SEED_CHECK_MS: Final[Millis] = 60_000.0
+_MIN_WATCH_MS: Final[Millis] = 50.0
+_MAX_SEEDS_PER_DOMAIN: Final = 2
+
+
+@attrs.define
+class StoreWatch:
+    """Follow the configuration and the seed record."""
+
+    _store: StoreClient
+    _random: random.Random
+    _is_watcher: Callable[[], bool]
+    _on_payload: Callable[[bytes], None]
+    _is_available: bool = True
+
+    async def follow_configuration(self) -> None:
+        """Watch the configuration while this node is a watcher."""
+        backoff = Backoff(self._random)
+        index = 0
+        while True:
+            if not self._is_watcher():
+                await trio.sleep(_ROLE_CHECK_MS / MS_PER_SECOND)
+                continue
+            try:
+                stored = await self._store.watch(defaults.CONFIGURATION_KEY, index)
+            except GooseberrydockError as error:
+                self._note_loss(error)
+                await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
+                # A service that was restored from a backup may count from a lower index.
+                index = 0
+                continue
+            self._note_success()
+            backoff.reset()
+            index = 0 if stored.watch_index < index else stored.watch_index
+            if stored.value is not None:
+                self._on_payload(stored.value)
+            await trio.sleep(_MIN_WATCH_MS / MS_PER_SECOND)
+
+    async def read_seeds(self) -> list[Address]:
+        """Return the recorded seeds, waiting for the service as long as it takes."""
+        backoff = Backoff(self._random)
+        while True:
+            try:
+                stored = await self._store.read(defaults.SEED_KEY)
+                self._note_success()
+                return _parse_seeds(stored.value)
+            except GooseberrydockError as error:
+                self._note_loss(error)
+                await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
+
+    async def keep_seed(self, domain: str, address: Address) -> None:
+        """Keep this node in the seed record while it is a watcher."""
+        while True:
+            if self._is_watcher():
+                try:
+                    await self._record_seed(domain, address)
+                except GooseberrydockError as error:
+                    self._note_loss(error)
+            await trio.sleep(_SEED_CHECK_MS / MS_PER_SECOND * self._random.uniform(0.5, 1.0))
+
+    async def _record_seed(self, domain: str, address: Address) -> None:
+        stored = await self._store.read(defaults.SEED_KEY)
+        seeds = _seed_table(stored.value)
+        known = seeds.get(domain, [])
+        if str(address) in known:
+            return
+        seeds[domain] = [str(address), *known][:_MAX_SEEDS_PER_DOMAIN]
+        # Losing the swap to another watcher is fine: the next check tries again.
+        await self._store.swap(defaults.SEED_KEY, json.dumps(seeds).encode(), stored.modify_index)
+
+    def _note_loss(self, error: GooseberrydockError) -> None:
+        if self._is_available:
+            self._is_available = False
+            log(STORE_LOST, code=error.code.number, peer=error.peer, detail=error.detail)
+
+    def _note_success(self) -> None:
+        if not self._is_available:
+            self._is_available = True
+            log(STORE_BACK)
+
+
+def _seed_table(value: bytes | None) -> dict[str, list[str]]:
+    """Parse the seed record; a damaged one counts as empty and is written anew."""
+    try:
+        table = json.loads(value or b"{}")
+        return {str(domain): [str(item) for item in items] for domain, items in table.items()}
+    except (ValueError, AttributeError, TypeError):
+        return {}
+
+
+def _parse_seeds(value: bytes | None) -> list[Address]:
+    seeds = []
+    for items in _seed_table(value).values():
+        for item in items:
+            try:
+                seeds.append(parse_address(item))
+            except ValueError:
+                continue
+    return seeds
--- /dev/null
+++ b/gooseberrydock/stream.py
@@ -0,0 +1,199 @@
+"""Non-blocking TCP streams that send at once where the socket takes the bytes.
+
+One task reads a stream. Any code may call ``send``: it writes straight to the socket, and only
+what the socket does not take waits for a task that flushes it. This saves a task switch for each
+message, which is most of what a hop would cost.
+"""
+
+import contextlib
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.members import Address
+
+_BACKLOG: Final = 1024
+_ACCEPT_PAUSE_S: Final = 0.1
+_MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
+
+
+@attrs.define(eq=False)
+class Stream:
+    """Hold one TCP connection."""
+
+    _socket: socket.socket
+    _nursery: trio.Nursery
+    _unsent: bytearray = attrs.field(factory=bytearray)
+    _is_closed: bool = False
+    _is_flushing: bool = False
+    _closes_when_flushed: bool = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Say whether this side closed the connection."""
+        return self._is_closed
+
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address of the other side, or an empty string once it is gone."""
+        try:
+            return str(self._socket.getpeername()[0])
+        except OSError:
+            return ""
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or nothing at the end or after a failure of the stream."""
+        while not self._is_closed:
+            try:
+                await trio.lowlevel.wait_readable(self._socket)
+                return self._socket.recv(defaults.RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except (OSError, trio.ClosedResourceError):
+                return b""
+        return b""
+
+    def send(self, data: bytes) -> None:
+        """Send bytes now, or as soon as the socket takes them; failures show when reading."""
+        if self._is_closed or not data:
+            return
+        if self._unsent:
+            self._keep(data)
+            return
+        try:
+            sent = self._socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        if sent < len(data):
+            self._keep(data[sent:])
+
+    def close(self) -> None:
+        """Close the connection; a task that reads it sees its end."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+    def close_when_sent(self) -> None:
+        """Close the connection once all bytes are with the socket."""
+        if self._unsent:
+            self._closes_when_flushed = True
+            return
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_WR)
+        self.close()
+
+    def _keep(self, data: bytes) -> None:
+        self._unsent += data
+        if len(self._unsent) > _MAX_UNSENT_BYTES:
+            self.close()
+            return
+        if not self._is_flushing:
+            self._is_flushing = True
+            self._nursery.start_soon(self._flush)
+
+    async def _flush(self) -> None:
+        """Send what the socket did not take at once."""
+        try:
+            while self._unsent and not self._is_closed:
+                await trio.lowlevel.wait_writable(self._socket)
+                sent = self._socket.send(self._unsent)
+                del self._unsent[:sent]
+        except (OSError, trio.ClosedResourceError):
+            self.close()
+        finally:
+            self._is_flushing = False
+        if self._closes_when_flushed:
+            self.close_when_sent()
+
+
+StreamHandler = Callable[[Stream], Awaitable[None]]
+
+
+async def connect(address: Address, nursery: trio.Nursery, timeout_ms: Millis) -> Stream | None:
+    """Open a connection, or return None where that fails or takes too long."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    new_socket = socket.socket(family, socket.SOCK_STREAM)
+    new_socket.setblocking(False)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    is_connected = False
+    try:
+        with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+            is_connected = await _finish_connect(new_socket, address)
+    finally:
+        if not is_connected:
+            new_socket.close()
+    return Stream(new_socket, nursery) if is_connected else None
+
+
+async def _finish_connect(new_socket: socket.socket, address: Address) -> bool:
+    result = new_socket.connect_ex((address.host, address.port))
+    if result not in (0, errno.EINPROGRESS):
+        return False
+    await trio.lowlevel.wait_writable(new_socket)
+    return new_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+
+
+@attrs.define(eq=False)
+class Listener:
+    """Accept TCP connections on one address."""
+
+    _socket: socket.socket
+
+    @property
+    def address(self) -> Address:
+        """Return the address that the listener is bound to."""
+        host, port = self._socket.getsockname()[:2]
+        return Address(str(host), int(port))
+
+    async def serve(self, handler: StreamHandler) -> None:
+        """Accept connections until cancelled or closed, with one task for each."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                try:
+                    await trio.lowlevel.wait_readable(self._socket)
+                    accepted, _ = self._socket.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    continue
+                except trio.ClosedResourceError:
+                    return
+                except OSError:
+                    # Out of file descriptors: connections that end will free some.
+                    await trio.sleep(_ACCEPT_PAUSE_S)
+                    continue
+                accepted.setblocking(False)
+                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                nursery.start_soon(_handle, handler, Stream(accepted, nursery))
+
+    def close(self) -> None:
+        """Stop accepting; open connections go on."""
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+
+async def _handle(handler: StreamHandler, stream: Stream) -> None:
+    try:
+        await handler(stream)
+    finally:
+        stream.close_when_sent()
+
+
+def listen(address: Address) -> Listener:
+    """Bind a TCP listener; port 0 takes any free port."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    new_socket = socket.socket(family, socket.SOCK_STREAM)
+    new_socket.setblocking(False)
+    new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    new_socket.bind((address.host, address.port))
+    new_socket.listen(_BACKLOG)
+    return Listener(new_socket)
--- /dev/null
+++ b/gooseberrydock/target_client.py
@@ -0,0 +1,95 @@
+"""The node's side of its local target: announcements in, requests out."""
+
+import ipaddress
+import json
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, ErrorCode
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.http_client import ClientPool, PendingRequest
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.members import Address, parse_address
+from gooseberrydock.node_core import NodeCore
+
+ANNOUNCE_PATH = "/_gooseberrydock/announce"
+LEAVE_PATH = "/_gooseberrydock/leave"
+ANNOUNCEMENT_LIFETIME_MS: Millis = 5_000.0
+"""How long a target counts as present after its last announcement."""
+_MAX_SLOTS = 1_000_000
+
+
+@attrs.frozen
+class Announcement:
+    """Hold what a target says about itself."""
+
+    service: str
+    address: Address
+    slots: int
+    is_cold: bool
+
+
+def parse_announcement(body: bytes) -> Announcement:
+    """Parse an announcement, raising ``INVALID_ANNOUNCEMENT`` where it is not valid."""
+    try:
+        fields = json.loads(body)
+        service, slots = fields["service"], fields["slots"]
+        address = parse_address(fields["address"])
+        ipaddress.ip_address(address.host)
+        if not isinstance(service, str) or not service or "/" in service:
+            raise ValueError("service must be a name without slash")
+        if type(slots) is not int or not 0 < slots <= _MAX_SLOTS:
+            raise ValueError("slots must be a positive number")
+        return Announcement(service, address, slots, bool(fields.get("cold", False)))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        detail = f"{type(error).__name__}: {error}"
+        raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
+
+
+@attrs.define(eq=False)
+class TargetClient:
+    """Send requests to the local target and report how they end."""
+
+    _nursery: trio.Nursery
+    _pool: ClientPool | None = None
+    _pending: dict[int, PendingRequest] = attrs.field(factory=dict)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the connections open to the target."""
+        return self._pool.open_connections if self._pool is not None else 0
+
+    def use_address(self, address: Address, max_body: int) -> None:
+        """Send requests to this address from now on."""
+        if self._pool is not None and self._pool.address == address:
+            return
+        if self._pool is not None:
+            self._pool.close()
+        self._pool = ClientPool(address, self._nursery, max_body)
+
+    def run(
+        self, core: NodeCore, now_ms: Callable[[], Millis], run_id: int, request: HttpRequest
+    ) -> None:
+        """Send a request; its end is reported to the core."""
+        pool = self._pool
+        if pool is None:
+            raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail="no target")
+
+        def on_response(response: HttpResponse) -> None:
+            self._pending.pop(run_id, None)
+            core.on_target_answer(now_ms(), run_id, response)
+
+        def on_failure(code: ErrorCode) -> None:
+            self._pending.pop(run_id, None)
+            core.on_target_failed(now_ms(), run_id, code)
+
+        self._pending[run_id] = pool.start(request, on_response, on_failure)
+
+    def cancel(self, run_id: int) -> None:
+        """Give up a request by closing its connection, which the target notices."""
+        pending = self._pending.pop(run_id, None)
+        if pending is not None:
+            pending.abort()
--- /dev/null
+++ b/gooseberrydock/wire.py
@@ -0,0 +1,315 @@
+"""Encode and decode the messages between nodes as CBOR arrays.
+
+Each message is an array of a tag and the message's fields in their declared order. Decoding
+checks the number and the type of all fields, so that the rest of the node may trust a message.
+"""
+
+import math
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Any, Final
+
+import cbor2
+
+from gooseberrydock import messages
+from gooseberrydock.errorcodes import PEER_PROTOCOL
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.http_messages import Headers
+from gooseberrydock.messages import PeerMessage
+from gooseberrydock.outcomes import Outcome
+
+TAG_CALL: Final = 1
+TAG_ANSWER: Final = 2
+TAG_CANCEL: Final = 3
+TAG_HELLO: Final = 4
+TAG_LEAVING: Final = 5
+TAG_CONFIGURATION_REQUEST: Final = 6
+TAG_CONFIGURATION_PUSH: Final = 7
+TAG_MEMBER_SYNC_REQUEST: Final = 8
+TAG_MEMBER_SYNC: Final = 9
+TAG_ALIVE: Final = 10
+
+
+class _ShapeError(ValueError):
+    """Report a field of the wrong type."""
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Encode a message."""
+    return cbor2.dumps(_to_array(message))
+
+
+def decode(data: bytes, peer: str) -> PeerMessage:
+    """Decode a message, raising ``PEER_PROTOCOL`` where it is not a valid one."""
+    try:
+        array = cbor2.loads(data)
+    except Exception as error:
+        # The decoder runs on untrusted bytes and documents no closed set of exceptions.
+        raise _protocol_error(peer, f"not CBOR: {error}") from error
+    if type(array) is not list or not array or type(array[0]) is not int:
+        raise _protocol_error(peer, "not a tagged array")
+    decoder = _DECODERS.get(array[0])
+    if decoder is None:
+        raise _protocol_error(peer, f"unknown tag {array[0]}")
+    try:
+        return decoder(array)
+    except _ShapeError as error:
+        raise _protocol_error(peer, f"tag {array[0]}: {error}") from error
+
+
+def _protocol_error(peer: str, detail: str) -> GooseberrydockError:
+    return GooseberrydockError(PEER_PROTOCOL, Step.PEER_LINK, peer, detail)
+
+
+@singledispatch
+def _to_array(message: Any) -> list[Any]:
+    raise TypeError(f"not a peer message: {type(message).__name__}")
+
+
+@_to_array.register
+def _call_to_array(message: messages.Call) -> list[Any]:
+    context = message.context
+    return [
+        TAG_CALL,
+        message.call_id,
+        message.service,
+        message.operation,
+        message.method,
+        message.path,
+        message.headers,
+        message.body,
+        context.request_id,
+        context.class_name,
+        context.rank,
+        context.remaining_ms,
+        context.credit,
+        context.pays_for_calls,
+        context.idempotency_key,
+        context.is_idempotent,
+        context.caller,
+        context.path_index,
+        context.depth,
+        context.is_suspect,
+    ]
+
+
+@_to_array.register
+def _answer_to_array(message: messages.Answer) -> list[Any]:
+    load = message.load
+    return [
+        TAG_ANSWER,
+        message.call_id,
+        int(message.outcome),
+        message.code,
+        message.status,
+        message.headers,
+        message.body,
+        message.credit,
+        load.in_flight,
+        load.queued,
+        load.limit,
+        [[cut.service, cut.level] for cut in message.cuts],
+        message.step,
+        message.peer,
+    ]
+
+
+@_to_array.register
+def _cancel_to_array(message: messages.Cancel) -> list[Any]:
+    return [TAG_CANCEL, message.call_id]
+
+
+@_to_array.register
+def _hello_to_array(message: messages.Hello) -> list[Any]:
+    return [TAG_HELLO, message.node_id, message.incarnation, message.nonce, message.proof]
+
+
+@_to_array.register
+def _leaving_to_array(message: messages.Leaving) -> list[Any]:
+    return [TAG_LEAVING, message.node_id, message.incarnation]
+
+
+@_to_array.register
+def _request_to_array(message: messages.ConfigurationRequest) -> list[Any]:
+    return [TAG_CONFIGURATION_REQUEST, message.generation]
+
+
+@_to_array.register
+def _push_to_array(message: messages.ConfigurationPush) -> list[Any]:
+    return [TAG_CONFIGURATION_PUSH, message.generation, message.payload]
+
+
+@_to_array.register
+def _sync_request_to_array(message: messages.MemberSyncRequest) -> list[Any]:
+    return [TAG_MEMBER_SYNC_REQUEST, list(message.digests)]
+
+
+@_to_array.register
+def _sync_to_array(message: messages.MemberSync) -> list[Any]:
+    return [TAG_MEMBER_SYNC, list(message.members), list(message.wants)]
+
+
+@_to_array.register
+def _alive_to_array(message: messages.Alive) -> list[Any]:
+    return [TAG_ALIVE, message.token, message.is_reply]
+
+
+def _check_shape(array: list[Any], shape: tuple[type, ...]) -> None:
+    """Check that the fields after the tag have exactly these types."""
+    if len(array) != len(shape) + 1:
+        raise _ShapeError(f"{len(array) - 1} fields instead of {len(shape)}")
+    for position, expected in enumerate(shape, start=1):
+        if type(array[position]) is not expected:
+            raise _ShapeError(f"field {position} is not {expected.__name__}")
+
+
+def _check_not_negative(*values: float) -> None:
+    for value in values:
+        if not math.isfinite(value) or value < 0:
+            raise _ShapeError("a number is negative or not finite")
+
+
+def _to_headers(value: list[Any]) -> Headers:
+    headers: Headers = []
+    for pair in value:
+        if type(pair) not in (list, tuple) or len(pair) != 2:
+            raise _ShapeError("a header is not a pair")
+        name, text = pair
+        if type(name) is not bytes or type(text) is not bytes:
+            raise _ShapeError("a header is not bytes")
+        headers.append((name, text))
+    return headers
+
+
+_CALL_SHAPE: Final = (
+    int,
+    str,
+    str,
+    str,
+    str,
+    list,
+    bytes,
+    str,
+    str,
+    float,
+    float,
+    int,
+    bool,
+    str,
+    bool,
+    str,
+    int,
+    int,
+    bool,
+)
+
+
+def _to_call(array: list[Any]) -> messages.Call:
+    _check_shape(array, _CALL_SHAPE)
+    _check_not_negative(array[1], array[10], array[11], array[12], array[18])
+    context = messages.CallContext(*array[8:20])
+    return messages.Call(
+        array[1],
+        array[2],
+        array[3],
+        array[4],
+        array[5],
+        _to_headers(array[6]),
+        array[7],
+        context,
+    )
+
+
+_ANSWER_SHAPE: Final = (int, int, int, int, list, bytes, int, int, int, int, list, str, str)
+
+
+def _to_answer(array: list[Any]) -> messages.Answer:
+    _check_shape(array, _ANSWER_SHAPE)
+    _check_not_negative(array[1], array[7], array[8], array[9], array[10])
+    try:
+        outcome = Outcome(array[2])
+    except ValueError as error:
+        raise _ShapeError("not an outcome") from error
+    return messages.Answer(
+        call_id=array[1],
+        outcome=outcome,
+        code=array[3],
+        status=array[4],
+        headers=_to_headers(array[5]),
+        body=array[6],
+        credit=array[7],
+        load=messages.LoadReport(array[8], array[9], array[10]),
+        cuts=tuple(_to_cut(entry) for entry in array[11]),
+        step=array[12],
+        peer=array[13],
+    )
+
+
+def _to_cut(entry: Any) -> messages.CutReport:
+    if type(entry) is not list or len(entry) != 2:
+        raise _ShapeError("a cut report is not a pair")
+    service, level = entry
+    if type(service) is not str or type(level) is not float:
+        raise _ShapeError("a cut report has the wrong types")
+    _check_not_negative(level)
+    return messages.CutReport(service, level)
+
+
+def _to_cancel(array: list[Any]) -> messages.Cancel:
+    _check_shape(array, (int,))
+    return messages.Cancel(array[1])
+
+
+def _to_hello(array: list[Any]) -> messages.Hello:
+    _check_shape(array, (str, int, bytes, bytes))
+    return messages.Hello(*array[1:])
+
+
+def _to_leaving(array: list[Any]) -> messages.Leaving:
+    _check_shape(array, (str, int))
+    return messages.Leaving(*array[1:])
+
+
+def _to_request(array: list[Any]) -> messages.ConfigurationRequest:
+    _check_shape(array, (int,))
+    return messages.ConfigurationRequest(array[1])
+
+
+def _to_push(array: list[Any]) -> messages.ConfigurationPush:
+    _check_shape(array, (int, bytes))
+    return messages.ConfigurationPush(*array[1:])
+
+
+def _to_sync_request(array: list[Any]) -> messages.MemberSyncRequest:
+    _check_shape(array, (list,))
+    return messages.MemberSyncRequest(_all_of(int, array[1]))
+
+
+def _to_sync(array: list[Any]) -> messages.MemberSync:
+    _check_shape(array, (list, list))
+    return messages.MemberSync(_all_of(bytes, array[1]), _all_of(int, array[2]))
+
+
+def _to_alive(array: list[Any]) -> messages.Alive:
+    _check_shape(array, (int, bool))
+    return messages.Alive(*array[1:])
+
+
+def _all_of(expected: type, values: list[Any]) -> tuple[Any, ...]:
+    if any(type(value) is not expected for value in values):
+        raise _ShapeError(f"a list holds more than {expected.__name__}")
+    return tuple(values)
+
+
+_DECODERS: Final[dict[int, Callable[[list[Any]], PeerMessage]]] = {
+    TAG_CALL: _to_call,
+    TAG_ANSWER: _to_answer,
+    TAG_CANCEL: _to_cancel,
+    TAG_HELLO: _to_hello,
+    TAG_LEAVING: _to_leaving,
+    TAG_CONFIGURATION_REQUEST: _to_request,
+    TAG_CONFIGURATION_PUSH: _to_push,
+    TAG_MEMBER_SYNC_REQUEST: _to_sync_request,
+    TAG_MEMBER_SYNC: _to_sync,
+    TAG_ALIVE: _to_alive,
+}
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,25 @@
+"""Run all tests by nose2 and print one closing line."""
+
+import sys
+
+import hypothesis
+from nose2 import discover
+
+from tests.counting import outcomes
+
+
+def main() -> int:
+    """Run the tests; fail where one failed or none ran."""
+    hypothesis.settings.register_profile(
+        "fixed", derandomize=True, deadline=None, database=None, print_blob=False
+    )
+    hypothesis.settings.load_profile("fixed")
+    arguments = ["nose2", "-s", "tests", "-t", "."]
+    program = discover(module=None, argv=arguments, exit=False, plugins=["tests.counting"])
+    passed, failed = outcomes["passed"], outcomes["failed"]
+    print(f"{passed} passed, {failed} failed")
+    return 0 if passed and program.result.wasSuccessful() else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
