Experiment: overload scenarios beside two baselines in one run

Cause: goodput, bookings and recovery under overload were not measured.

Change: make experiment starts real processes in the shape of a deployment, sends open-loop callers that send failed requests again, triggers a surge, a slow deepest service, a lost domain or uneven hosts, and prints figures for the product, for no control, and for fixed limits with per-hop retries.

--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,388 @@
+"""Overload experiments: real processes on loopback, beside two baselines, in one run.
+
+Each scenario runs three times: with the product, without any control, and with fixed limits and
+per-hop retries. In all of them the same callers arrive at the same moments and send failed
+requests again. docs/OVERLOAD.md explains the figures.
+"""
+
+import argparse
+import json
+import math
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import trio
+
+from bench.fleet import Fleet, FleetShape, Member, Mode, fetch_json, running_fleet
+from bench.shapes import ASSOCIATION, CARONI
+from gooseberrydock.load import LoadPlan, LoadResult, RequestRecord, Surge, run_load
+from gooseberrydock.load_report import goodput, records_between, recovery_time
+from gooseberrydock.members import parse_address
+from gooseberrydock.sheet import parse_sheet
+
+_ROOT: Final = Path(__file__).resolve().parent.parent
+_OUT: Final = _ROOT / "out"
+_SETTLE_S: Final = 3.0
+TRIGGER_S: Final = 8.0
+TRIGGER_LENGTH_S: Final = 20.0
+AFTER_S: Final = 12.0
+END_S: Final = TRIGGER_S + TRIGGER_LENGTH_S + AFTER_S
+_SURGE_FACTOR: Final = 3.0
+_SLOW_FACTOR: Final = 5.0
+
+
+@attrs.frozen
+class Deployment:
+    """Describe a deployment under test; the deepest service bounds its capacity."""
+
+    shape: FleetShape
+    sheet: Path
+    scale: float
+    entry_service: str
+    deepest_service: str
+    important: str
+    deep_operations: tuple[str, ...]
+    entry_operations: tuple[str, ...]
+    deep_classes: tuple[str, ...]
+
+
+DEPLOYMENTS: Final = {
+    "caroni": Deployment(
+        CARONI,
+        _ROOT / "examples" / "caroni.csv",
+        1.2,
+        "availability",
+        "depot-stock",
+        "booking",
+        ("reserve", "view"),
+        ("book", "check"),
+        ("booking", "availability"),
+    ),
+    "association": Deployment(
+        ASSOCIATION,
+        _ROOT / "examples" / "association.csv",
+        2.5,
+        "directory",
+        "restoration-history",
+        "job-booking",
+        ("append", "view"),
+        ("book", "follow"),
+        ("job-booking", "restoration"),
+    ),
+}
+
+
+@attrs.frozen
+class Scenario:
+    """Describe a trigger; ``capacity_left`` is the share of the deepest service's capacity."""
+
+    name: str
+    capacity_left: float
+    surge: float = 1.0
+    slow_factor: float = 1.0
+    loses_domain: bool = False
+    is_uneven: bool = False
+
+    @property
+    def trigger_end_s(self) -> float:
+        """Return when the trigger is over; a lost domain stays lost."""
+        lasts = self.surge > 1.0 or self.slow_factor > 1.0
+        return TRIGGER_S + TRIGGER_LENGTH_S if lasts else TRIGGER_S
+
+
+SCENARIOS: Final = (
+    Scenario("surge", 1.0, surge=_SURGE_FACTOR),
+    Scenario("slow", 1.0 / _SLOW_FACTOR, slow_factor=_SLOW_FACTOR),
+    Scenario("domain", 2.0 / 3.0, loses_domain=True),
+    Scenario("surge+domain", 2.0 / 3.0, surge=_SURGE_FACTOR, loses_domain=True),
+    Scenario("uneven", 1.0, surge=1.5, is_uneven=True),
+)
+
+
+@attrs.frozen
+class Figures:
+    """Hold the figures of one scenario in one mode."""
+
+    scenario: str
+    mode: str
+    important_share: float
+    important_after: float
+    goodput_share: float
+    goodput_during: float
+    goodput_after: float
+    recovery_s: float
+    amplification: float
+
+
+@attrs.define
+class Ledgers:
+    """Sum what targets ran, including those that were killed on the way."""
+
+    deployment: Deployment
+    fleet: Fleet
+    _lost: Counter[str] = attrs.field(factory=Counter)
+
+    def note_before_kill(self, member: Member) -> None:
+        """Keep the counts of a target that is about to be killed."""
+        self._lost.update(self._counts_of(member))
+
+    def amplification(self, killed: list[Member]) -> float:
+        """Return the deepest service's runs for each run of the entry service."""
+        total = Counter(self._lost)
+        for member in self.fleet.members:
+            if member not in killed:
+                total.update(self._counts_of(member))
+        deep = sum(
+            total[f"{self.deployment.deepest_service}/{name}"]
+            for name in self.deployment.deep_operations
+        )
+        entered = sum(
+            count
+            for name, count in total.items()
+            if name.split("/")[1] in self.deployment.entry_operations
+            and name.split("/")[0] != self.deployment.deepest_service
+            and name.split("/")[0] in (self.deployment.entry_service, "job-booking")
+        )
+        return deep / entered if entered else math.nan
+
+    def _counts_of(self, member: Member) -> Counter[str]:
+        try:
+            ledger = fetch_json(f"http://{member.target}/_ledger")
+        except OSError:
+            return Counter()
+        counts: dict[str, int] = ledger["by_operation"]
+        return Counter({f"{member.service.name}/{name}": n for name, n in counts.items()})
+
+
+def run_scenario(deployment: Deployment, scenario: Scenario, mode: Mode) -> tuple[Figures, Any]:
+    """Run one scenario in one mode."""
+    with running_fleet(deployment.shape, _OUT, mode) as fleet:
+        if mode is Mode.CONTROLLED:
+            fleet.apply_sheet(deployment.sheet)
+        if scenario.is_uneven:
+            _set_uneven(deployment, fleet)
+        time.sleep(_SETTLE_S)
+        ledgers = Ledgers(deployment, fleet)
+        killed: list[Member] = []
+        triggers = _triggers(deployment, scenario, fleet, ledgers, killed)
+        result = _load_with_triggers(_plan(deployment, scenario, fleet), triggers)
+        amplification = ledgers.amplification(killed)
+    figures = _figures(deployment, scenario, mode, result.records, amplification)
+    return figures, result
+
+
+def _plan(deployment: Deployment, scenario: Scenario, fleet: Fleet) -> LoadPlan:
+    sheet = parse_sheet(deployment.sheet.read_text(encoding="utf-8"))
+    entries = [m for m in fleet.members if m.domain != _lost_domain(deployment, scenario)]
+    first_services = {item.entry.service for item in sheet.classes}
+    is_baseline = fleet.mode is not Mode.CONTROLLED
+    entries_by_service: dict[str, list[Member]] = {}
+    for member in entries:
+        if member.service.name in first_services:
+            entries_by_service.setdefault(member.service.name, []).append(member)
+    surges = (Surge(TRIGGER_S, TRIGGER_LENGTH_S, scenario.surge),) if scenario.surge > 1 else ()
+    all_entries = [m for members in entries_by_service.values() for m in members]
+    return LoadPlan(
+        classes=sheet.classes,
+        entries=tuple(parse_address(m.entry) for m in all_entries),
+        duration_s=END_S,
+        scale=deployment.scale,
+        surges=surges,
+        resends=3,
+        patience_ms=2_500.0,
+        resend_pause_ms=100.0,
+        callers=500,
+        seed=11,
+        entries_by_service=(
+            {
+                name: tuple(parse_address(m.entry) for m in members)
+                for name, members in entries_by_service.items()
+            }
+            if is_baseline
+            else {}
+        ),
+    )
+
+
+def _lost_domain(deployment: Deployment, scenario: Scenario) -> str:
+    """Return the domain that a scenario loses; callers know to use entries elsewhere."""
+    return deployment.shape.domains[-1] if scenario.loses_domain else ""
+
+
+def _set_uneven(deployment: Deployment, fleet: Fleet) -> None:
+    """Make one host of the deepest service three times as slow as announced."""
+    slow = fleet.of_service(deployment.deepest_service)[0]
+    fetch_json(f"http://{slow.target}/_fault", {"slow_factor": 3.0})
+
+
+@attrs.frozen
+class Trigger:
+    """Hold something to do at a moment of the run."""
+
+    at_s: float
+    action: Callable[[], None]
+
+
+def _triggers(
+    deployment: Deployment,
+    scenario: Scenario,
+    fleet: Fleet,
+    ledgers: Ledgers,
+    killed: list[Member],
+) -> list[Trigger]:
+    triggers = []
+    if scenario.slow_factor > 1.0:
+        targets = [m.target for m in fleet.of_service(deployment.deepest_service)]
+        end_s = TRIGGER_S + TRIGGER_LENGTH_S
+        triggers.append(Trigger(TRIGGER_S, lambda: _slow_down(targets, scenario.slow_factor)))
+        triggers.append(Trigger(end_s, lambda: _slow_down(targets, 1.0)))
+    if scenario.loses_domain:
+        lost = [m for m in fleet.members if m.domain == _lost_domain(deployment, scenario)]
+        triggers.append(Trigger(TRIGGER_S, lambda: _kill(fleet, lost, ledgers, killed)))
+    return triggers
+
+
+def _slow_down(targets: list[str], factor: float) -> None:
+    for target in targets:
+        fetch_json(f"http://{target}/_fault", {"slow_factor": factor})
+
+
+def _kill(fleet: Fleet, members: list[Member], ledgers: Ledgers, killed: list[Member]) -> None:
+    """Kill all processes of a failure domain at once."""
+    for member in members:
+        ledgers.note_before_kill(member)
+    for member in members:
+        killed.append(member)
+        fleet.kill(member.target_process)
+        fleet.kill(member.node_process)
+
+
+def _load_with_triggers(plan: LoadPlan, triggers: list[Trigger]) -> LoadResult:
+    results: list[LoadResult] = []
+    thread = threading.Thread(target=lambda: results.append(trio.run(run_load, plan)))
+    started = time.monotonic()
+    thread.start()
+    for trigger in triggers:
+        time.sleep(max(0.0, started + trigger.at_s - time.monotonic()))
+        trigger.action()
+    thread.join()
+    return results[0]
+
+
+def _figures(
+    deployment: Deployment,
+    scenario: Scenario,
+    mode: Mode,
+    records: tuple[RequestRecord, ...],
+    amplification: float,
+) -> Figures:
+    trigger_end = TRIGGER_S + TRIGGER_LENGTH_S
+    deep = [r for r in records if r.class_name in deployment.deep_classes]
+    important = [r for r in records if r.class_name == deployment.important]
+    during = goodput(deep, TRIGGER_S, trigger_end)
+    return Figures(
+        scenario=scenario.name,
+        mode=mode.value,
+        important_share=_share(records_between(important, TRIGGER_S, trigger_end)),
+        important_after=_share(records_between(important, trigger_end, END_S)),
+        goodput_share=during / _reachable_goodput(deployment, scenario),
+        goodput_during=goodput(records, TRIGGER_S, trigger_end),
+        goodput_after=goodput(records, trigger_end, END_S - 2.0),
+        recovery_s=recovery_time(records, (2.0, TRIGGER_S), scenario.trigger_end_s, END_S),
+        amplification=amplification,
+    )
+
+
+def _share(records: list[RequestRecord]) -> float:
+    return sum(r.is_success for r in records) / len(records) if records else math.nan
+
+
+def _reachable_goodput(deployment: Deployment, scenario: Scenario) -> float:
+    """Return the deep goodput that is possible: the capacity left, or the offered load if less."""
+    service = next(s for s in deployment.shape.services if s.name == deployment.deepest_service)
+    capacity = service.servers * service.slots / (service.service_ms / 1000)
+    capacity *= scenario.capacity_left
+    if scenario.is_uneven:
+        capacity *= (service.servers - 1 + 1 / 3.0) / service.servers
+    sheet = parse_sheet(deployment.sheet.read_text(encoding="utf-8"))
+    deep = [item for item in sheet.classes if item.name in deployment.deep_classes]
+    offered = sum(item.expected_per_minute for item in deep) / 60 * deployment.scale
+    return min(capacity, offered * scenario.surge)
+
+
+def print_table(rows: list[Figures]) -> None:
+    """Print all figures."""
+    print(
+        f"{'scenario':<14}{'mode':<32}{'bookings':>9}{'after':>8}{'of reach':>9}"
+        f"{'goodput':>9}{'after':>8}{'recovery':>10}{'amplif.':>9}"
+    )
+    for row in rows:
+        print(
+            f"{row.scenario:<14}{row.mode:<32}{row.important_share:>9.3f}"
+            f"{row.important_after:>8.3f}{row.goodput_share:>9.3f}{row.goodput_during:>9.1f}"
+            f"{row.goodput_after:>8.1f}{row.recovery_s:>10.1f}{row.amplification:>9.2f}",
+            flush=True,
+        )
+
+
+def write_plot(runs: dict[str, Any], path: Path) -> None:
+    """Plot goodput over time, one panel for each scenario, where matplotlib is installed."""
+    try:
+        from matplotlib.figure import Figure
+    except ImportError:
+        print("no plot: install the extra 'plot' for it")
+        return
+    names = sorted({key.split("|")[0] for key in runs})
+    figure = Figure(figsize=(9, 2.6 * len(names)))
+    for index, name in enumerate(names, start=1):
+        axes = figure.add_subplot(len(names), 1, index)
+        for key, result in runs.items():
+            if key.split("|")[0] == name:
+                seconds = list(range(int(END_S)))
+                axes.plot(
+                    seconds,
+                    [goodput(result.records, second, second + 1) for second in seconds],
+                    label=key.split("|")[1],
+                )
+        axes.axvspan(TRIGGER_S, TRIGGER_S + TRIGGER_LENGTH_S, alpha=0.1)
+        axes.set_title(name)
+        axes.set_ylabel("goodput/s")
+        axes.legend(loc="lower right", fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main() -> None:
+    """Run the chosen scenarios and write table, JSON and plot."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="caroni")
+    parser.add_argument("--scenario", action="append", help="run only this one; may be repeated")
+    parser.add_argument("--only-product", action="store_true", help="leave out the baselines")
+    arguments = parser.parse_args()
+    deployment = DEPLOYMENTS[arguments.deployment]
+    modes = [Mode.CONTROLLED] if arguments.only_product else list(Mode)
+    rows: list[Figures] = []
+    runs: dict[str, Any] = {}
+    for scenario in SCENARIOS:
+        if arguments.scenario and scenario.name not in arguments.scenario:
+            continue
+        for mode in modes:
+            figures, result = run_scenario(deployment, scenario, mode)
+            rows.append(figures)
+            runs[f"{scenario.name}|{mode.value}"] = result
+            print_table([figures])
+    print()
+    print_table(rows)
+    name = f"experiment-{arguments.deployment}"
+    plain = [attrs.asdict(row) for row in rows]
+    (_OUT / f"{name}.json").write_text(json.dumps(plain, indent=2), encoding="utf-8")
+    write_plot(runs, _OUT / f"{name}.png")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 of the product. It stops exactly the processes that it started.
 """
 
+import enum
 import itertools
 import json
 import socket
@@ -46,6 +47,18 @@
     services: tuple[ServiceShape, ...]
 
 
+class Mode(enum.Enum):
+    """Say what stands between callers and targets."""
+
+    CONTROLLED = "gooseberrydock"
+    NO_CONTROL = "no control"
+    FIXED_LIMITS = "fixed limits, per-hop retries"
+
+
+BASELINE_RETRIES: Final = 2
+UNLIMITED_QUEUE: Final = 1_000_000
+
+
 @attrs.define
 class Member:
     """Hold the processes and addresses of one node with its target."""
@@ -89,6 +102,7 @@
 
     shape: FleetShape
     log_path: Path
+    mode: Mode = Mode.CONTROLLED
     store: str = ""
     members: list[Member] = attrs.field(factory=list)
     _processes: list["subprocess.Popen[bytes]"] = attrs.field(factory=list)
@@ -102,12 +116,23 @@
             for index in range(service.servers):
                 domain = self.shape.domains[index % len(self.shape.domains)]
                 self.members.append(_plan_member(service, index, domain))
+        if self.mode is not Mode.CONTROLLED:
+            self._start_baseline()
+            return
         for member in self.members:
             self.start_node(member)
         for member in self.members:
             self.start_target(member)
         self._wait_until_joined()
 
+    def _start_baseline(self) -> None:
+        """Start targets that call each other without nodes."""
+        for member in self.members:
+            self.start_target(member)
+        for member in self.members:
+            self.wait_for_port(member.target)
+            member.entry = member.target
+
     def start_node(self, member: Member) -> None:
         """Start a member's node."""
         member.node_process = self.run_module(
@@ -129,8 +154,20 @@
             *("--service", service.name, "--listen", member.target),
             *("--node-local", member.local, "--slots", str(service.slots)),
             *("--service-ms", str(service.service_ms), *calls),
+            *self._baseline_arguments(service),
         )
 
+    def _baseline_arguments(self, service: ServiceShape) -> list[str]:
+        """Return the flags of a target that runs without a node."""
+        if self.mode is Mode.CONTROLLED:
+            return []
+        queue = UNLIMITED_QUEUE if self.mode is Mode.NO_CONTROL else service.slots
+        arguments = ["--queue", str(queue), "--hop-retries", str(BASELINE_RETRIES)]
+        for name in {member.service.name for member in self.members}:
+            addresses = ",".join(member.target for member in self.of_service(name))
+            arguments += ["--direct", f"{name}={addresses}"]
+        return arguments
+
     def ctl(self, *arguments: str) -> str:
         """Run the operators' command and return what it printed."""
         command = [sys.executable, "-m", "gooseberrydock.ctl_main", *arguments]
@@ -224,10 +261,12 @@
 
 
 @contextmanager
-def running_fleet(shape: FleetShape, out_dir: Path) -> Iterator[Fleet]:
+def running_fleet(
+    shape: FleetShape, out_dir: Path, mode: Mode = Mode.CONTROLLED
+) -> Iterator[Fleet]:
     """Run a fleet for the length of a with block."""
     out_dir.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(shape, out_dir / f"{shape.name}.log")
+    fleet = Fleet(shape, out_dir / f"{shape.name}.log", mode)
     try:
         fleet.start()
         yield fleet
--- a/gooseberrydock/load.py
+++ b/gooseberrydock/load.py
@@ -29,6 +29,7 @@
 
 _SECONDS_PER_MINUTE: Final = 60.0
 _NO_ANSWER: Final = "no-answer"
+_ANY_SERVICE: Final = ""
 _MAX_IN_FLIGHT: Final = 4_000
 
 
@@ -59,6 +60,8 @@
     resend_pause_ms: Millis
     callers: int
     seed: int
+    entries_by_service: dict[str, tuple[Address, ...]] = attrs.field(factory=dict)
+    """Baselines only: where no node routes, callers must know each service's own entries."""
 
     def rate_at(self, elapsed_s: float) -> float:
         """Return the arrivals per second at a moment."""
@@ -90,7 +93,7 @@
     _plan: LoadPlan
     _nursery: trio.Nursery
     _random: random.Random
-    _pools: list[ClientPool]
+    _pools: dict[str, list[ClientPool]]
     _started_at: float
     _records: list[RequestRecord] = attrs.field(factory=list)
     _in_flight: int = 0
@@ -156,7 +159,8 @@
             (CALLER_HEADER, caller.encode()),
         ]
         request = HttpRequest("POST", f"/{entry.service}/{entry.operation}", headers, key.encode())
-        pool = self._random.choice(self._pools)
+        pools = self._pools.get(entry.service) or self._pools[_ANY_SERVICE]
+        pool = self._random.choice(pools)
         response = await fetch(pool, request, self._plan.patience_ms / MS_PER_SECOND)
         if response is None:
             return 0, _NO_ANSWER, ""
@@ -179,7 +183,7 @@
             plan,
             nursery,
             random.Random(plan.seed),
-            [ClientPool(entry, nursery) for entry in plan.entries],
+            _create_pools(plan, nursery),
             trio.current_time(),
         )
         await generator.run()
@@ -187,6 +191,14 @@
     return LoadResult(tuple(generator.records), generator.not_sent)
 
 
+def _create_pools(plan: LoadPlan, nursery: trio.Nursery) -> dict[str, list[ClientPool]]:
+    addresses = {_ANY_SERVICE: plan.entries, **plan.entries_by_service}
+    return {
+        service: [ClientPool(entry, nursery) for entry in entries]
+        for service, entries in addresses.items()
+    }
+
+
 def count_failures(records: tuple[RequestRecord, ...]) -> Counter[tuple[str, str, str]]:
     """Count failed requests by class, outcome and code."""
     return Counter(
--- a/gooseberrydock/standin_main.py
+++ b/gooseberrydock/standin_main.py
@@ -9,7 +9,12 @@
 from gooseberrydock.members import Address
 from gooseberrydock.options import ADDRESS, setting
 from gooseberrydock.standin_store import run_store
-from gooseberrydock.standin_target import TargetOptions, parse_declared_call, run_target
+from gooseberrydock.standin_target import (
+    TargetOptions,
+    parse_declared_call,
+    parse_direct_service,
+    run_target,
+)
 
 
 @click.group()
@@ -36,6 +41,8 @@
 @setting("cold-ms", "Time after the start in which it is slower.", default=0.0, type=float)
 @setting("queue", "Requests that may wait for a slot.", default=0, type=click.IntRange(0))
 @setting("seed", "Seed of the working times.", default=1, type=int)
+@setting("direct", "Baselines: service=ip:port,...; may be repeated.", multiple=True)
+@setting("hop-retries", "Baselines: retries of each direct call.", default=0, type=int)
 def target(
     service: str,
     listen: Address,
@@ -46,12 +53,15 @@
     cold_ms: float,
     queue: int,
     seed: int,
+    direct: tuple[str, ...],
+    hop_retries: int,
 ) -> None:
     """Stand in for a back end."""
     try:
         declared = tuple(parse_declared_call(text) for text in calls)
+        services = tuple(parse_direct_service(text) for text in direct)
     except ValueError as error:
-        raise click.BadParameter(str(error), param_hint="--calls") from error
+        raise click.BadParameter(str(error)) from error
     options = TargetOptions(
         service=service,
         listen=listen,
@@ -62,6 +72,8 @@
         cold_ms=cold_ms,
         queue=queue,
         seed=seed,
+        direct=services,
+        hop_retries=hop_retries,
     )
     trio.run(run_target, options)
 
--- a/gooseberrydock/standin_target.py
+++ b/gooseberrydock/standin_target.py
@@ -31,7 +31,7 @@
 )
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.logs import log
-from gooseberrydock.members import Address
+from gooseberrydock.members import Address, parse_address
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.stream import Listener, Stream, listen
 from gooseberrydock.target_client import ANNOUNCE_PATH, LEAVE_PATH
@@ -46,6 +46,7 @@
 _DRAIN_CHECK_S: Final = 0.05
 _LEAVE_SPREAD_S: Final = 3.0
 _COLD_FACTOR: Final = 3.0
+_DIRECT_TIMEOUT_S: Final = 2.0
 _DEFAULT_DEADLINE_MS: Final[Millis] = 5_000.0
 
 
@@ -78,6 +79,24 @@
     cold_ms: Millis
     queue: int
     seed: int
+    direct: tuple["DirectService", ...] = ()
+    hop_retries: int = 0
+
+
+@attrs.frozen
+class DirectService:
+    """Say where a service's targets are, for baselines that run without nodes."""
+
+    name: str
+    addresses: tuple[Address, ...]
+
+
+def parse_direct_service(text: str) -> DirectService:
+    """Parse ``service=ip:port,ip:port``, raising ValueError where it is not that."""
+    name, separator, addresses = text.partition("=")
+    if not separator or not name:
+        raise ValueError(f"{text!r} is not service=ip:port,ip:port")
+    return DirectService(name, tuple(parse_address(part) for part in addresses.split(",")))
 
 
 @attrs.define
@@ -105,6 +124,8 @@
     _slot_freed: trio.Event = attrs.field(factory=trio.Event)
     _scopes: dict[int, trio.CancelScope] = attrs.field(factory=dict)
     _ledger: Counter[str] = attrs.field(factory=Counter)
+    _operations: Counter[str] = attrs.field(factory=Counter)
+    _direct: dict[str, list[ClientPool]] = attrs.field(factory=dict)
     _runs: int = 0
     _reported_load: int = 0
 
@@ -113,6 +134,13 @@
         """Return the requests that work or wait."""
         return self._busy + self._waiting
 
+    def use_direct_services(self, services: tuple[DirectService, ...]) -> None:
+        """Call these services without a node."""
+        for service in services:
+            self._direct[service.name] = [
+                ClientPool(address, self._nursery) for address in service.addresses
+            ]
+
     async def serve(self, stream: Stream) -> None:
         """Serve one connection of the node."""
         await serve_http(stream, self._on_request, self._on_gone)
@@ -137,7 +165,7 @@
             self._set_faults(request.body)
             return _json(200, attrs.asdict(self.faults))
         if request.path == LEDGER_PATH:
-            return _json(200, {"runs": self._runs, "by_key": dict(self._ledger)})
+            return _json(200, self._ledger_fields())
         if request.path == HEALTH_PATH:
             is_well = self.faults.health_lies or not self.faults.is_silent
             return _json(200 if is_well else 503, {"healthy": is_well})
@@ -145,6 +173,10 @@
             return _json(200, {"in_flight": self._reported_load})
         return None
 
+    def _ledger_fields(self) -> dict[str, object]:
+        by_operation = dict(self._operations)
+        return {"runs": self._runs, "by_operation": by_operation, "by_key": dict(self._ledger)}
+
     def _set_faults(self, body: bytes) -> None:
         fields = json.loads(body or b"{}")
         self.faults = TargetFaults(
@@ -172,6 +204,7 @@
         try:
             self._runs += 1
             self._ledger[header_value(request.headers, KEY_HEADER)] += 1
+            self._operations[self._operation_of(request)] += 1
             await trio.sleep(self._service_time_ms() / MS_PER_SECOND)
             return await self._make_calls(request)
         finally:
@@ -203,13 +236,13 @@
         deadline = header_value(request.headers, DEADLINE_HEADER)
         timeout_s = float(deadline or _DEFAULT_DEADLINE_MS) / MS_PER_SECOND + 1.0
         context = header_value(request.headers, CONTEXT_HEADER).encode()
-        operation = request.path.split("?", 1)[0].split("/")[1]
+        operation = self._operation_of(request)
         for call in self._options.calls:
             if call.operation != operation:
                 continue
             path = f"/{call.callee}"
             inner = HttpRequest("POST", path, [(CONTEXT_HEADER, context)], request.body)
-            answer = await fetch(self._node, inner, timeout_s)
+            answer = await self._call(call, inner, timeout_s)
             if answer is None:
                 return HttpResponse(504, _unknown_headers(), b"no answer")
             if answer.status >= 400:
@@ -217,6 +250,27 @@
         body = self._options.service.encode() + b":" + request.body
         return HttpResponse(200, [(b"content-type", b"application/octet-stream")], body)
 
+    async def _call(
+        self, call: DeclaredCall, request: HttpRequest, timeout_s: float
+    ) -> HttpResponse | None:
+        """Call through the node, or straight and with retries where a baseline asks for it."""
+        pools = self._direct.get(call.callee.split("/")[0])
+        if pools is None:
+            return await fetch(self._node, request, timeout_s)
+        answer = None
+        for _ in range(1 + self._options.hop_retries):
+            answer = await fetch(self._random.choice(pools), request, _DIRECT_TIMEOUT_S)
+            if answer is not None and answer.status < 500:
+                break
+        return answer
+
+    def _operation_of(self, request: HttpRequest) -> str:
+        """Return the operation; callers of a baseline put the service before it."""
+        parts = request.path.split("?", 1)[0].split("/")
+        if len(parts) > 2 and parts[1] == self._options.service:
+            return parts[2]
+        return parts[1]
+
     async def announce(self) -> None:
         """Announce this target to its node again and again."""
         while True:
@@ -276,8 +330,10 @@
             random.Random(options.seed),
             trio.current_time(),
         )
+        target.use_direct_services(options.direct)
         log(STANDIN_STARTED, kind="target", service=options.service, address=str(bound.listen))
-        nursery.start_soon(target.announce)
+        if not options.direct:
+            nursery.start_soon(target.announce)
         nursery.start_soon(target.report_load)
         nursery.start_soon(target.drain_on_signal)
         nursery.start_soon(partial(listener.serve, target.serve))
