--- a/gooseberrydock/admin.py
+++ b/gooseberrydock/admin.py
@@ -115,6 +115,7 @@
             {"link": link.link_id, "peer": link.node_id, "calls_due": link.calls_due}
             for link in node.links.open_links
         ],
+        "ownership": _ownership_to_plain(node),
         "target_connections": node.target.open_connections,
         "counters": {
             "answered": [[*key, count] for key, count in sorted(stats.answered.items())],
@@ -141,6 +142,23 @@
     return plain
 
 
+def _ownership_to_plain(node: "Node") -> dict[str, Any]:
+    """Return the register of the own service and how far this node may decide."""
+    core = node.core
+    register = core.ownership.register
+    if register is None:
+        return {"epoch": 0}
+    return {
+        "epoch": register.current.number,
+        "version": register.version,
+        "is_changing": register.pending is not None,
+        "owners": sorted(item.node_id for item in register.current.members),
+        "horizon_wall_ms": core.ownership.horizon_ms,
+        "keys_remembered": core.inbound.keyed.record_count,
+        "calls_held": core.inbound.keyed.held_count,
+    }
+
+
 def _routing_to_plain(node: "Node") -> dict[str, Any]:
     routing = node.core.routing
     plain: dict[str, Any] = {}
--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -1,9 +1,9 @@
 """Admission of calls to one target: a limit, a short queue ordered by rank, and a cut level.
 
 The cut level is the rank above which calls are shed on arrival. While a queue stands, the level
-is set to the rank at which the offered calls of the last second match what the target completes;
-while none stands, it rises in growing steps. It is reported on every answer, so that entries
-shed before any work is done.
+is set to the rank at which the offered calls of the last second match what the target completes.
+While none stands and slots are idle, it rises in growing steps; while the slots are just busy, it
+stays. It is reported on every answer, so that entries shed before any work is done.
 """
 
 import heapq
@@ -74,14 +74,16 @@
         """Remember the rank of a call that arrived."""
         self._offered.append((now_ms, rank))
 
-    def on_window(self, now_ms: Millis, capacity: float, stood: bool) -> None:
+    def on_window(self, now_ms: Millis, capacity: float, utilization: float, stood: bool) -> None:
         """Adapt the level at the end of a window.
 
-        ``capacity`` is the calls per millisecond that the target can complete, and ``stood``
-        says whether a queue stood.
+        ``capacity`` is the calls per millisecond that the target can complete, ``utilization``
+        the share of its slots that was busy, and ``stood`` says whether a queue stood.
         """
         if stood:
             self._lower(now_ms, capacity)
+        elif utilization >= defaults.BUSY_UTILIZATION:
+            self._step = defaults.CUT_STEP_MIN
         else:
             self._raise()
 
@@ -118,6 +120,8 @@
     _limit: ConcurrencyLimit
     _cut: CutLevel = attrs.field(factory=CutLevel)
     _in_flight: int = 0
+    _busy_since: Millis = 0.0
+    _window_busy: float = 0.0
     _service_ms: Millis = 0.0
     _queue: list[tuple[float, int, Waiting]] = attrs.field(factory=list)
     _queued: dict[int, Waiting] = attrs.field(factory=dict)
@@ -167,7 +171,7 @@
         if rank > self._cut.level:
             return [Shed(ticket, SHED_AT_TARGET)]
         if self._in_flight < self._limit.limit and not self._queued:
-            self._in_flight += 1
+            self._change_in_flight(now_ms, 1)
             return [Started(ticket)]
         if now_ms + self._expected_wait(rank) + self._service_ms > deadline_at:
             self._window_shed += 1
@@ -182,7 +186,7 @@
             self._limit.on_success(self._in_flight)
             self._observe_service_time(service_ms)
             self._window_completed += 1
-        self._in_flight -= 1
+        self._change_in_flight(now_ms, -1)
         return self._start_waiting(now_ms)
 
     def cancel(self, ticket: int) -> bool:
@@ -203,9 +207,11 @@
     def _close_window(self, now_ms: Millis, elapsed_ms: Millis) -> None:
         stood = self._window_min_queue > 0 or self._window_shed > 0
         self._observe_completions(elapsed_ms)
-        self._cut.on_window(now_ms, self._capacity(), stood)
+        self._change_in_flight(now_ms, 0)
+        self._cut.on_window(now_ms, self._capacity(), self._utilization(elapsed_ms), stood)
         self._window_start = now_ms
         self._window_completed = 0
+        self._window_busy = 0.0
         self._window_shed = 0
         self._window_min_queue = len(self._queued)
 
@@ -222,6 +228,16 @@
         by_limit = self._limit.limit / self._service_ms if self._service_ms else 0.0
         return max(self._completion_rate, by_limit)
 
+    def _change_in_flight(self, now_ms: Millis, change: int) -> None:
+        """Change the number of running calls, and add up the time that slots were busy."""
+        self._window_busy += self._in_flight * (now_ms - self._busy_since)
+        self._busy_since = now_ms
+        self._in_flight += change
+
+    def _utilization(self, elapsed_ms: Millis) -> float:
+        """Return the share of slots that were busy in the window."""
+        return self._window_busy / (elapsed_ms * self._limit.limit)
+
     def _observe_service_time(self, service_ms: Millis) -> None:
         if self._service_ms == 0.0:
             self._service_ms = service_ms
@@ -256,7 +272,7 @@
                 self._window_shed += 1
                 decisions.append(Shed(waiting.ticket, DEADLINE_EXPIRED))
                 continue
-            self._in_flight += 1
+            self._change_in_flight(now_ms, 1)
             decisions.append(Started(waiting.ticket))
         if not self._queued:
             self._queue.clear()
--- a/gooseberrydock/cutboard.py
+++ b/gooseberrydock/cutboard.py
@@ -1,7 +1,8 @@
 """Cut levels that other services reported, as known on this node.
 
 Answers carry the levels of the services they passed through. The board keeps a weighted mean
-per service and lets a level relax once no report renews it.
+per service for this node's own decisions, and lets a level relax once no report renews it. To
+callers it passes on the latest report, so that only the node which decides smooths.
 """
 
 import attrs
@@ -17,6 +18,7 @@
     """Hold what is known about one service."""
 
     level: float
+    latest: float
     reported_at: Millis
 
 
@@ -31,9 +33,10 @@
         for report in reports:
             known = self._cuts.get(report.service)
             if known is None:
-                self._cuts[report.service] = _KnownCut(report.level, now_ms)
+                self._cuts[report.service] = _KnownCut(report.level, report.level, now_ms)
                 continue
-            current = self._relaxed(now_ms, known)
+            current = self._relaxed(now_ms, known, known.level)
+            known.latest = report.level
             known.level = current + (report.level - current) * defaults.CUT_REPORT_WEIGHT
             known.reported_at = now_ms
 
@@ -42,23 +45,23 @@
         known = self._cuts.get(service)
         if known is None:
             return MAX_RANK
-        return self._relaxed(now_ms, known)
+        return self._relaxed(now_ms, known, known.level)
 
     def reports(self, now_ms: Millis) -> tuple[CutReport, ...]:
         """Return the levels to pass on to callers; forget those that no longer cut."""
         reports = []
         for service, known in list(self._cuts.items()):
-            level = self._relaxed(now_ms, known)
+            level = self._relaxed(now_ms, known, known.latest)
             if level >= MAX_RANK and now_ms - known.reported_at > defaults.CUT_HOLD_MS:
                 del self._cuts[service]
                 continue
             reports.append(CutReport(service, level))
         return tuple(reports)
 
-    def _relaxed(self, now_ms: Millis, known: _KnownCut) -> float:
+    def _relaxed(self, now_ms: Millis, known: _KnownCut, level: float) -> float:
         """Return the level after it relaxed linearly towards no cut at all."""
         overdue_ms = now_ms - known.reported_at - defaults.CUT_HOLD_MS
         if overdue_ms <= 0:
-            return known.level
+            return level
         share = min(1.0, overdue_ms / defaults.CUT_RELAX_MS)
-        return known.level + (MAX_RANK - known.level) * share
+        return level + (MAX_RANK - level) * share
--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -40,6 +40,7 @@
 CUT_STEP_MIN: Final = 0.05
 CUT_STEP_MAX: Final = 1.0
 CUT_STEP_GROWTH: Final = 1.6
+BUSY_UTILIZATION: Final = 0.9
 CUT_HEADROOM: Final = 1.05
 
 # Adaptive limit.
--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -115,6 +115,12 @@
 KEY_CONFLICT: Final = _register(
     215, "key-conflict", 422, _NOT_RUN, "The idempotency key was used for another request"
 )
+KEY_SEALED: Final = _register(
+    216, "key-sealed", 409, _NOT_RUN, "A request with this key was refused; use a new key"
+)
+KEY_ANSWER_GONE: Final = _register(
+    217, "key-answer-gone", 409, Outcome.DONE, "The request ran; its answer is no longer kept"
+)
 
 PEER_LOST: Final = _register(
     300, "peer-lost", 502, _UNKNOWN, "The link to the target's node closed during the call"
--- a/gooseberrydock/exchanges.py
+++ b/gooseberrydock/exchanges.py
@@ -67,7 +67,12 @@
 
 @attrs.define
 class Exchange:
-    """Track one request from its arrival on this node until it is answered."""
+    """Track one request from its arrival on this node until it is answered.
+
+    ``is_first_attempt`` is true where nobody can have sent the same key before. ``owner_hint``
+    names the node that may decide about the key. ``seal_code`` is the error code of a refusal
+    that the key's owner still has to confirm.
+    """
 
     exchange_id: int
     source: Source
@@ -92,6 +97,9 @@
     attempt: Attempt | None = None
     tried: set[str] = attrs.field(factory=set)
     reroutes: int = 0
+    is_first_attempt: bool = True
+    owner_hint: str = ""
+    seal_code: int = 0
     has_unknown_attempt: bool = False
     passed_filters: int = 0
 
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -145,6 +145,7 @@
         if key and not keys.is_valid_key(key):
             return Refusal(INVALID_KEY, "expected a UUID of version 7 in lower case")
         exchange.idempotency_key = key or self._new_key()
+        exchange.is_first_attempt = not key
         return None
 
 
@@ -278,14 +279,27 @@
     def _derive_key(self, exchange: Exchange, run: Run) -> str:
         """Derive the call's key from the parent's key and the call's ordinal.
 
-        A target that numbers its own calls by an idempotency key is taken at its word.
+        A target that numbers its own calls by an idempotency key is taken at its word. Of calls
+        that may not be repeated, those beyond the declared count are taken for repetitions and
+        get the last call's key again.
         """
         operation = (exchange.service, exchange.operation)
         ordinal = run.ordinals.get(operation, 0)
         run.ordinals[operation] = ordinal + 1
         own_key = header_value(exchange.request.headers, KEY_HEADER)
-        name = own_key or str(ordinal)
-        return keys.derive_key(run.call.context.idempotency_key, *operation, name)
+        if own_key:
+            exchange.is_first_attempt = False
+            return keys.derive_key(run.call.context.idempotency_key, *operation, own_key)
+        count = self._declared_count(exchange)
+        if not exchange.is_idempotent and ordinal >= count:
+            exchange.is_first_attempt = False
+            ordinal = count - 1
+        return keys.derive_key(run.call.context.idempotency_key, *operation, str(ordinal))
+
+    def _declared_count(self, exchange: Exchange) -> int:
+        if exchange.service_class is None or exchange.path_index == UNDECLARED_STEP:
+            return 1
+        return exchange.service_class.path[exchange.path_index].count
 
 
 def _is_call_of(step: CallStep, exchange: Exchange) -> bool:
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -1,7 +1,8 @@
 """The side of a node that guards its own target.
 
 Calls from peers pass admission, run on the target, and are answered with the target's load and
-the known cut levels. A call that waits can be cancelled and is then surely "not run".
+the known cut levels. A call that waits can be cancelled and is then surely "not run". Calls that
+may not be repeated are first judged by ``keyed_runs``.
 """
 
 import heapq
@@ -29,6 +30,7 @@
 from gooseberrydock.errorcodes import (
     CANCELLED,
     DEADLINE_EXPIRED,
+    KEY_NOT_OWNED,
     NO_TARGET,
     NODE_LEAVING,
     QUARANTINED,
@@ -37,6 +39,7 @@
     TARGET_TIMEOUT,
     TARGET_TRUNCATED,
     ErrorCode,
+    error_code,
 )
 from gooseberrydock.errors import Step
 from gooseberrydock.exchanges import Run
@@ -51,8 +54,10 @@
     end_to_end_headers,
     header_value,
 )
+from gooseberrydock.keyed_runs import KeyedRuns, Proceed, Refuse, Replay, Wait
 from gooseberrydock.messages import Answer, Call, CutReport, LoadReport
 from gooseberrydock.outcomes import Outcome
+from gooseberrydock.owner_register import Identity
 from gooseberrydock.quarantine import QuarantineController, request_fingerprint
 from gooseberrydock.stats import NodeStats
 
@@ -73,6 +78,8 @@
     _stats: NodeStats
     _random: random.Random
     _node_id: str
+    _keyed: KeyedRuns
+    _is_live: Callable[[Identity], bool]
     _service: str = ""
     _admission: AdmissionController | None = None
     _is_leaving: bool = False
@@ -97,6 +104,11 @@
         """Return the admission controller, if a target is announced."""
         return self._admission
 
+    @property
+    def keyed(self) -> KeyedRuns:
+        """Return the calls that may not be repeated."""
+        return self._keyed
+
     @property
     def is_leaving(self) -> bool:
         """Say whether the target takes no new work."""
@@ -125,14 +137,41 @@
     def on_call(self, now_ms: Millis, link_id: str, call: Call) -> None:
         """Take in a call of a peer."""
         run = self._create_run(now_ms, link_id, call)
+        if call.service != self._service:
+            self._answer_refusal(now_ms, run, NO_TARGET)
+        elif call.context.is_idempotent:
+            self._admit(now_ms, run)
+        else:
+            self._judge(now_ms, run)
+
+    def _judge(self, now_ms: Millis, run: Run) -> None:
+        """Do with a call that may not be repeated what its key's owner decides."""
+        self._by_call[(run.link_id, run.call.call_id)] = run
+        verdict = self._keyed.judge(run, self._is_live)
+        if isinstance(verdict, Wait):
+            return
+        if isinstance(verdict, Proceed):
+            self._admit(now_ms, run)
+            return
+        self._end(run)
+        if isinstance(verdict, Replay):
+            self._replay(run.link_id, run.call.call_id, run.pool.available, verdict.answer)
+        elif isinstance(verdict, Refuse):
+            self._answer_refusal(now_ms, run, verdict.code, verdict.owner)
+        else:
+            self._refuse_unstarted(now_ms, run, error_code(run.call.context.seal_code))
+
+    def _admit(self, now_ms: Millis, run: Run) -> None:
+        """Let a call pass the checks and admission."""
         code = self._check(now_ms, run)
         if code is not None or self._admission is None:
-            self._answer_refusal(now_ms, run, code or NO_TARGET)
+            self._refuse_unstarted(now_ms, run, code or NO_TARGET)
             return
         self._runs[run.run_id] = run
-        self._by_call[(link_id, call.call_id)] = run
+        self._by_call[(run.link_id, run.call.call_id)] = run
         heapq.heappush(self._deadlines, (run.deadline_at, run.run_id))
-        decisions = self._admission.offer(now_ms, run.run_id, call.context.rank, run.deadline_at)
+        rank = run.call.context.rank
+        decisions = self._admission.offer(now_ms, run.run_id, rank, run.deadline_at)
         self._carry_out(now_ms, decisions)
 
     def on_cancel(self, now_ms: Millis, link_id: str, call_id: int) -> None:
@@ -140,17 +179,32 @@
         run = self._by_call.get((link_id, call_id))
         if run is None:
             return
-        if not run.has_started and self._admission is not None:
-            self._admission.cancel(run.run_id)
+        if not run.call.context.is_idempotent:
+            self._cancel_keyed(now_ms, run)
+        elif run.has_started:
+            self._stop_run(now_ms, run)
+        else:
+            self._cancel_unstarted(now_ms, run)
+
+    def _cancel_keyed(self, now_ms: Millis, run: Run) -> None:
+        """Cancel a call that may not be repeated, unless it started or others wait for it."""
+        if self._keyed.drop_held(run):
             self._end(run)
-            self._answer_refusal(now_ms, run, CANCELLED)
+            self._answer_refusal(now_ms, run, KEY_NOT_OWNED)
             return
-        self._stop_run(now_ms, run)
+        is_queued = run.run_id in self._runs and not run.has_started
+        if is_queued and not self._keyed.has_waiters(run):
+            self._cancel_unstarted(now_ms, run)
+
+    def _cancel_unstarted(self, now_ms: Millis, run: Run) -> None:
+        if self._admission is not None:
+            self._admission.cancel(run.run_id)
+        self._refuse_unstarted(now_ms, run, CANCELLED)
 
     def on_link_lost(self, now_ms: Millis, link_id: str) -> None:
         """Cancel what the peer of a lost link waited for, where cancelling is harmless."""
-        for (owner, call_id), run in list(self._by_call.items()):
-            if owner == link_id and (run.call.context.is_idempotent or not run.has_started):
+        for owner, call_id in list(self._by_call):
+            if owner == link_id:
                 self.on_cancel(now_ms, link_id, call_id)
 
     def on_target_answer(self, now_ms: Millis, run_id: int, response: HttpResponse) -> None:
@@ -160,12 +214,12 @@
             self._stats.late_answers += 1
             return
         did_shed = self._did_target_shed(run, response)
-        self._end(run)
         self._quarantine.on_finish(run.fingerprint)
         if did_shed:
-            self._answer_refusal(now_ms, run, TARGET_SHED)
+            self._refuse_unstarted(now_ms, run, TARGET_SHED)
         else:
-            self._answer_response(now_ms, run, response)
+            self._end(run)
+            self._answer_run(run, self._answer_of_response(now_ms, run, response))
         self._release(now_ms, run, was_overload=did_shed)
 
     def on_target_failed(self, now_ms: Millis, run_id: int, code: ErrorCode) -> None:
@@ -175,10 +229,22 @@
             return
         if code.number in _CRASH_CODES:
             self._note_crash(now_ms)
-        self._end(run)
-        self._answer_refusal(now_ms, run, code)
+        if code.outcome is Outcome.NOT_RUN:
+            self._refuse_unstarted(now_ms, run, code)
+        else:
+            self._end(run)
+            self._answer_run(run, self._answer_of_code(now_ms, run, code))
         self._release(now_ms, run, was_overload=False)
 
+    def judge_held(self, now_ms: Millis) -> None:
+        """Judge anew the calls whose key could not be decided about."""
+        for run in self._keyed.take_held():
+            if now_ms >= run.deadline_at:
+                self._end(run)
+                self._answer_refusal(now_ms, run, KEY_NOT_OWNED)
+            else:
+                self._judge(now_ms, run)
+
     def tick(self, now_ms: Millis) -> None:
         """Give up runs whose deadline passed and let admission adapt."""
         while self._deadlines and self._deadlines[0][0] <= now_ms:
@@ -187,6 +253,8 @@
                 self._expire(now_ms, run)
         if self._admission is not None:
             self._carry_out(now_ms, self._admission.tick(now_ms))
+        self.judge_held(now_ms)
+        self._keyed.purge()
 
     def _create_run(self, now_ms: Millis, link_id: str, call: Call) -> Run:
         context = call.context
@@ -209,9 +277,8 @@
 
     def _check(self, now_ms: Millis, run: Run) -> ErrorCode | None:
         """Return why a call is refused before admission, if it is."""
-        if run.call.service != self._service:
-            return NO_TARGET
-        if self._is_leaving:
+        if self._is_leaving and run.call.context.is_idempotent:
+            # The keys of this node stay its own until the next epoch, which it waits for.
             return NODE_LEAVING
         if now_ms >= run.deadline_at:
             return DEADLINE_EXPIRED
@@ -231,8 +298,7 @@
             if isinstance(decision, Started):
                 self._start(now_ms, run)
             elif isinstance(decision, Shed):
-                self._end(run)
-                self._answer_refusal(now_ms, run, decision.code)
+                self._refuse_unstarted(now_ms, run, decision.code)
 
     def _start(self, now_ms: Millis, run: Run) -> None:
         run.started_at = now_ms
@@ -243,13 +309,12 @@
 
     def _expire(self, now_ms: Millis, run: Run) -> None:
         if run.has_started:
-            self._answer_refusal(now_ms, run, TARGET_TIMEOUT)
+            self._answer_run(run, self._answer_of_code(now_ms, run, TARGET_TIMEOUT))
             self._stop_run(now_ms, run)
             return
         if self._admission is not None:
             self._admission.cancel(run.run_id)
-        self._end(run)
-        self._answer_refusal(now_ms, run, DEADLINE_EXPIRED)
+        self._refuse_unstarted(now_ms, run, DEADLINE_EXPIRED)
 
     def _stop_run(self, now_ms: Millis, run: Run) -> None:
         """Stop waiting for the target, and cancel the calls that the run made."""
@@ -284,18 +349,42 @@
         outcome = header_value(response.headers, OUTCOME_HEADER)
         return outcome == Outcome.NOT_RUN.label and run.calls_made == 0
 
-    def _answer_response(self, now_ms: Millis, run: Run, response: HttpResponse) -> None:
-        """Pass on a target's answer; one that reports a deeper failure is of unknown outcome."""
+    def _answer_of_response(self, now_ms: Millis, run: Run, response: HttpResponse) -> Answer:
+        """Make the answer of a run; one that reports a deeper failure is of unknown outcome."""
         label = header_value(response.headers, OUTCOME_HEADER)
         outcome = Outcome.DONE if label in ("", Outcome.DONE.label) else Outcome.UNKNOWN
         headers = end_to_end_headers(response.headers)
-        answer = self._create_answer(
-            now_ms, run, outcome, 0, response.status, headers, response.body
-        )
+        return self._create_answer(now_ms, run, outcome, 0, response.status, headers, response.body)
+
+    def _answer_of_code(self, now_ms: Millis, run: Run, code: ErrorCode) -> Answer:
+        return self._create_answer(now_ms, run, code.outcome, code.number, code.status, [], b"")
+
+    def _answer_run(self, run: Run, answer: Answer) -> None:
+        """Answer a run that the target had, and all copies that waited for it."""
         self._effects.answer_peer(run.link_id, answer)
+        if not run.call.context.is_idempotent:
+            for waiter in self._keyed.finish(run, answer):
+                self._replay(waiter.link_id, waiter.call_id, waiter.credit, answer)
 
-    def _answer_refusal(self, now_ms: Millis, run: Run, code: ErrorCode) -> None:
-        answer = self._create_answer(now_ms, run, code.outcome, code.number, code.status, [], b"")
+    def _refuse_unstarted(self, now_ms: Millis, run: Run, code: ErrorCode) -> None:
+        """Refuse a call that surely did not run, and see to it that its key never does."""
+        self._end(run)
+        answer = self._answer_of_code(now_ms, run, code)
+        self._effects.answer_peer(run.link_id, answer)
+        if not run.call.context.is_idempotent:
+            for waiter in self._keyed.seal(run):
+                self._replay(waiter.link_id, waiter.call_id, waiter.credit, answer)
+
+    def _replay(self, link_id: str, call_id: int, credit: int, answer: Answer) -> None:
+        """Answer a copy of a call with the answer to the first."""
+        copy = attrs.evolve(answer, call_id=call_id, credit=credit)
+        self._by_call.pop((link_id, call_id), None)
+        self._effects.answer_peer(link_id, copy)
+
+    def _answer_refusal(self, now_ms: Millis, run: Run, code: ErrorCode, owner: str = "") -> None:
+        """Refuse a call without deciding about its key; ``owner`` may decide."""
+        answer = self._answer_of_code(now_ms, run, code)
+        answer = attrs.evolve(answer, peer=owner) if owner else answer
         self._effects.answer_peer(run.link_id, answer)
 
     def _create_answer(
--- /dev/null
+++ b/gooseberrydock/keyed_runs.py
@@ -0,0 +1,160 @@
+"""The decision about calls that may not be repeated, before admission.
+
+Such a call carries an idempotency key. Only the key's owner may decide about it: it lets the
+first copy pass, lets further copies wait for the same answer, and replays the answer later.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import (
+    KEY_ANSWER_GONE,
+    KEY_CONFLICT,
+    KEY_EXPIRED,
+    KEY_NOT_OWNED,
+    KEY_SEALED,
+    OWNER_LOST,
+    ErrorCode,
+)
+from gooseberrydock.exchanges import Run
+from gooseberrydock.messages import Answer
+from gooseberrydock.owner_register import Identity
+from gooseberrydock.ownership import KeyDecision, KeyRight, OwnershipController
+from gooseberrydock.run_records import RecordState, RunRecord, RunRecords, Waiter
+
+_MAX_HELD: Final = 1_000
+
+
+@attrs.frozen
+class Proceed:
+    """Let the call pass to admission; its key is recorded as running."""
+
+
+@attrs.frozen
+class Seal:
+    """See to it that the key never runs, and refuse with the code that the call carries."""
+
+
+@attrs.frozen
+class Wait:
+    """Keep the call; it is answered with another copy, or decided about later."""
+
+
+@attrs.frozen
+class Replay:
+    """Answer with what was recorded."""
+
+    answer: Answer
+
+
+@attrs.frozen
+class Refuse:
+    """Refuse the call; ``owner`` names the node that may decide, where it is known."""
+
+    code: ErrorCode
+    owner: str = ""
+
+
+Verdict = Proceed | Seal | Wait | Replay | Refuse
+
+
+@attrs.define
+class KeyedRuns:
+    """Apply ownership and records to calls that may not be repeated."""
+
+    _ownership: OwnershipController
+    _wall_ms: Callable[[], Millis]
+    _records: RunRecords = attrs.field(factory=RunRecords)
+    _held: list[Run] = attrs.field(factory=list)
+
+    @property
+    def ownership(self) -> OwnershipController:
+        """Return the ownership controller."""
+        return self._ownership
+
+    @property
+    def record_count(self) -> int:
+        """Return the number of keys remembered."""
+        return len(self._records)
+
+    @property
+    def held_count(self) -> int:
+        """Return the number of calls that wait until their key can be decided about."""
+        return len(self._held)
+
+    def judge(self, run: Run, is_live: Callable[[Identity], bool]) -> Verdict:
+        """Decide about a call."""
+        key = run.call.context.idempotency_key
+        decision = self._ownership.decide(self._wall_ms(), key)
+        if decision.right is KeyRight.OWN:
+            return self._judge_own(run, key)
+        if decision.right is KeyRight.UNDECIDED and len(self._held) < _MAX_HELD:
+            self._held.append(run)
+            return Wait()
+        return _refusal(decision, is_live)
+
+    def take_held(self) -> list[Run]:
+        """Return the held calls, to be judged anew."""
+        held, self._held = self._held, []
+        return held
+
+    def drop_held(self, run: Run) -> bool:
+        """Stop holding a call; say whether it was held."""
+        if run not in self._held:
+            return False
+        self._held.remove(run)
+        return True
+
+    def has_waiters(self, run: Run) -> bool:
+        """Say whether other calls wait for this run's answer."""
+        record = self._records.find(run.call.context.idempotency_key)
+        return record is not None and record.run_id == run.run_id and bool(record.waiters)
+
+    def seal(self, run: Run) -> list[Waiter]:
+        """Record that a call's key never runs; return who waits for it."""
+        record = self._records.seal(run.call.context.idempotency_key, run.fingerprint)
+        return _take_waiters(record)
+
+    def finish(self, run: Run, answer: Answer) -> list[Waiter]:
+        """Record the answer of a run; return who waits for it."""
+        return _take_waiters(self._records.finish(run.call.context.idempotency_key, answer))
+
+    def purge(self) -> None:
+        """Forget keys that are too old."""
+        self._records.purge(self._wall_ms())
+
+    def _judge_own(self, run: Run, key: str) -> Verdict:
+        record = self._records.find(key)
+        if record is None:
+            if run.call.context.seal_code:
+                return Seal()
+            self._records.begin(key, run.fingerprint, run.run_id)
+            return Proceed()
+        if record.fingerprint != run.fingerprint:
+            return Refuse(KEY_CONFLICT)
+        if record.state is RecordState.SEALED:
+            return Refuse(KEY_SEALED)
+        if record.state is RecordState.DONE:
+            return Replay(record.answer) if record.answer else Refuse(KEY_ANSWER_GONE)
+        call = run.call
+        record.waiters.append(Waiter(run.link_id, call.call_id, call.context.credit))
+        return Wait()
+
+
+def _refusal(decision: KeyDecision, is_live: Callable[[Identity], bool]) -> Refuse:
+    if decision.right is KeyRight.EXPIRED:
+        return Refuse(KEY_EXPIRED)
+    owner = decision.owner
+    if owner is None:
+        return Refuse(KEY_NOT_OWNED)
+    if decision.right is KeyRight.OTHER and not is_live(owner):
+        return Refuse(OWNER_LOST, owner.node_id)
+    return Refuse(KEY_NOT_OWNED, owner.node_id)
+
+
+def _take_waiters(record: RunRecord) -> list[Waiter]:
+    waiters, record.waiters = record.waiters, []
+    return waiters
--- a/gooseberrydock/load.py
+++ b/gooseberrydock/load.py
@@ -1,7 +1,8 @@
 """Open-loop load: callers that arrive whether or not earlier ones were answered.
 
-Each whole request is sent with one idempotency key. An impatient caller sends it again after a
-refusal or after its own timeout, up to a number of times. All randomness comes from one seed.
+A whole request is sent with an idempotency key. An impatient caller sends it again after a
+refusal or after its own timeout, up to a number of times: with a new key after "not run", since
+then a new request is safe, and with the same key otherwise. All randomness comes from one seed.
 """
 
 import random
@@ -26,6 +27,7 @@
     header_value,
 )
 from gooseberrydock.members import Address
+from gooseberrydock.outcomes import Outcome
 
 _SECONDS_PER_MINUTE: Final = 60.0
 _NO_ANSWER: Final = "no-answer"
@@ -130,7 +132,7 @@
     async def _send_whole(self, service_class: ServiceClass, arrived_s: float) -> None:
         """Send one request until it succeeds or the caller has had enough."""
         self._in_flight += 1
-        key = keys.create_key(system_clock().wall_ms(), self._random)
+        key = self._new_key()
         caller = f"caller-{self._random.randrange(self._plan.callers)}"
         attempts, status, outcome, code = 0, 0, _NO_ANSWER, ""
         while attempts <= self._plan.resends:
@@ -138,6 +140,8 @@
             status, outcome, code = await self._send_once(service_class, key, caller)
             if 200 <= status < 300:
                 break
+            if outcome == Outcome.NOT_RUN.label:
+                key = self._new_key()
             pause_ms = self._plan.resend_pause_ms * self._random.uniform(0.5, 1.5)
             await trio.sleep(pause_ms / MS_PER_SECOND)
         self._in_flight -= 1
@@ -148,6 +152,9 @@
         )
         self._records.append(record)
 
+    def _new_key(self) -> str:
+        return keys.create_key(system_clock().wall_ms(), self._random)
+
     async def _send_once(
         self, service_class: ServiceClass, key: str, caller: str
     ) -> tuple[int, str, str]:
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -18,6 +18,8 @@
     ``credit`` is the number of extra dispatches that this call and all below it may spend.
     ``pays_for_calls`` is true below a repeated attempt, where even declared calls cost credit.
     ``is_suspect`` marks a request that was in flight when a target crashed.
+    ``seal_code`` is not zero where the call is refused with that error code, and its key's owner
+    is only to see to it that the key never runs.
     ``path_index`` is the position of the call on its class's path, or ``UNDECLARED_STEP``.
     """
 
@@ -33,6 +35,7 @@
     path_index: int
     depth: int
     is_suspect: bool
+    seal_code: int
 
 
 @attrs.frozen
@@ -150,6 +153,28 @@
     is_reply: bool
 
 
+@attrs.frozen
+class OwnerBeat:
+    """Tell another member of the same service what this one knows of the owners' register.
+
+    ``echo`` is the last token received from the other member. ``confirms`` says that the sender
+    knows of no planned epoch after the one in ``version``.
+    """
+
+    incarnation: int
+    token: int
+    echo: int
+    version: int
+    confirms: bool
+
+
+@attrs.frozen
+class OwnerRegister:
+    """Hand another member of the same service an encoded register."""
+
+    payload: bytes
+
+
 PeerMessage = (
     Call
     | Answer
@@ -161,4 +186,6 @@
     | MemberSyncRequest
     | MemberSync
     | Alive
+    | OwnerBeat
+    | OwnerRegister
 )
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -44,6 +44,7 @@
 from gooseberrydock.membership import GossipSend, create_membership
 from gooseberrydock.node_core import NodeCore, create_node_core
 from gooseberrydock.options import NodeOptions
+from gooseberrydock.owner_loop import OwnerLoop
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 from gooseberrydock.store_client import StoreClient, create_store_client
 from gooseberrydock.store_watch import StoreWatch
@@ -81,6 +82,7 @@
     _store: StoreClient | None
     _core: NodeCore = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
+    _owner_loop: OwnerLoop = attrs.field(init=False)
     _connections: dict[int, HttpConnection] = attrs.field(factory=dict)
     _announced_at: Millis = 0.0
     _fetched_at: Millis = -_FETCH_INTERVAL_MS
@@ -108,6 +110,15 @@
             key=self._options.cluster_key,
         )
 
+    @_owner_loop.default
+    def _create_owner_loop(self) -> OwnerLoop:
+        return OwnerLoop(self._core, self._clock, self._nursery, self._store, self._links.send)
+
+    @property
+    def owner_loop(self) -> OwnerLoop:
+        """Return the loop of key ownership."""
+        return self._owner_loop
+
     @property
     def core(self) -> NodeCore:
         """Return the decision core."""
@@ -243,6 +254,14 @@
             records = self._core.membership.records_in(message.wants)
             link.send(messages.MemberSync(records, ()))
 
+    def on_owner_beat(self, message: messages.OwnerBeat, link: PeerLink) -> None:
+        """Take in a beat of another member of the own service."""
+        self._owner_loop.on_beat(link.node_id, message)
+
+    def on_owner_register(self, message: messages.OwnerRegister, link: PeerLink) -> None:
+        """Take in the owners' register from another member of the own service."""
+        self._owner_loop.on_register(link.node_id, message)
+
     def on_link_lost(
         self, link: PeerLink, unsent: list[int], sent: list[int], code: ErrorCode
     ) -> None:
@@ -422,6 +441,16 @@
     link.send(messages.MemberSync(membership.records_in(buckets), buckets))
 
 
+@_take_in.register
+def _take_in_owner_beat(message: messages.OwnerBeat, node: Node, link: PeerLink) -> None:
+    node.on_owner_beat(message, link)
+
+
+@_take_in.register
+def _take_in_owner_register(message: messages.OwnerRegister, node: Node, link: PeerLink) -> None:
+    node.on_owner_register(message, link)
+
+
 @_take_in.register
 def _take_in_sync(message: messages.MemberSync, node: Node, link: PeerLink) -> None:
     node.on_member_sync(message, link)
@@ -486,6 +515,7 @@
     nursery.start_soon(node.listeners["admin"].serve, admin.serve)
     nursery.start_soon(node.gossip.serve, node.on_gossip)
     nursery.start_soon(node.run_call_timers)
+    nursery.start_soon(node.owner_loop.run)
     nursery.start_soon(node.run_gossip_timers)
     nursery.start_soon(node.run_member_sync)
     nursery.start_soon(node.collect_garbage)
--- a/gooseberrydock/node_core.py
+++ b/gooseberrydock/node_core.py
@@ -33,9 +33,12 @@
 )
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.inbound import InboundController
+from gooseberrydock.keyed_runs import KeyedRuns
 from gooseberrydock.members import Member, MemberState
 from gooseberrydock.membership import MembershipController
 from gooseberrydock.outbound import OutboundController
+from gooseberrydock.owner_register import Identity, identity_of
+from gooseberrydock.ownership import Action, OwnershipController, create_ownership
 from gooseberrydock.quarantine import QuarantineController
 from gooseberrydock.routing import RoutingController, create_routing
 from gooseberrydock.stats import NodeStats
@@ -62,6 +65,7 @@
     _path_limits: PathLimits
     _inbound: InboundController
     _outbound: OutboundController
+    _ownership: OwnershipController
     _started_at: Millis
     _exchange_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
@@ -95,6 +99,11 @@
         """Return the controller of the requests that start here."""
         return self._outbound
 
+    @property
+    def ownership(self) -> OwnershipController:
+        """Return the controller of key ownership."""
+        return self._ownership
+
     @property
     def quarantine(self) -> QuarantineController:
         """Return the quarantine controller."""
@@ -213,6 +222,31 @@
         me = self._membership.me
         return messages.Leaving(me.node_id, me.incarnation)
 
+    def is_member_live(self, identity: Identity) -> bool:
+        """Say whether this incarnation of a node is believed to run."""
+        me = self._membership.me
+        if identity == identity_of(me):
+            return True
+        member = self._membership.members.get(identity.node_id)
+        if member is None or member.incarnation != identity.incarnation:
+            return False
+        return member.state is not MemberState.DEAD
+
+    def tick_ownership(self, now_ms: Millis) -> list[Action]:
+        """Run the timers of key ownership; return what the shell has to do."""
+        wall_ms = self._clock.wall_ms()
+        service = self._inbound.service
+        self._ownership.set_needed(bool(service) and self._has_keyed_class(service))
+        owners = {identity_of(m) for m in self._routing.members_of(service)}
+        self._ownership.set_live(wall_ms, frozenset(owners))
+        actions = self._ownership.tick(wall_ms)
+        self._inbound.judge_held(now_ms)
+        return actions
+
+    def _has_keyed_class(self, service: str) -> bool:
+        classes = self._configuration.current.classes
+        return any(not item.is_idempotent and service in item.services for item in classes)
+
     def apply_member_changes(self, now_ms: Millis) -> list[Member]:
         """Let routing follow the member table; return the changed records."""
         is_late = now_ms - self._started_at > _JOIN_GRACE_MS
@@ -314,6 +348,7 @@
     routing = create_routing(me.failure_domain, seed)
     stats, board, quarantine = NodeStats(), CutBoard(), QuarantineController()
     path_limits = PathLimits()
+    ownership = create_ownership(identity_of(me))
     inbound = InboundController(
         effects=loopback,
         on_run_cancelled=lambda run_id: holder[0].outbound.on_run_cancelled(run_id),
@@ -323,6 +358,8 @@
         stats=stats,
         random=generator,
         node_id=me.node_id,
+        keyed=KeyedRuns(ownership, clock.wall_ms),
+        is_live=lambda identity: holder[0].is_member_live(identity),
     )
     entry_chain = FilterChain(
         (
@@ -357,6 +394,7 @@
         path_limits=path_limits,
         inbound=inbound,
         outbound=outbound,
+        ownership=ownership,
         started_at=clock.now_ms(),
     )
     holder.append(core)
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -19,7 +19,9 @@
 from gooseberrydock.effects import Effects
 from gooseberrydock.errorcodes import (
     CREDIT_EXHAUSTED,
+    DEADLINE_EXPIRED,
     KEY_CONFLICT,
+    KEY_NOT_OWNED,
     NO_TARGET,
     NODE_LEAVING,
     PEER_LOST,
@@ -45,6 +47,7 @@
     header_value,
     problem_response,
 )
+from gooseberrydock.members import Member
 from gooseberrydock.messages import Answer, Call, CallContext, Cancel
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.ranks import MAX_RANK
@@ -59,6 +62,7 @@
         NODE_LEAVING.number,
         PEER_UNREACHABLE.number,
         TARGET_UNREACHABLE.number,
+        KEY_NOT_OWNED.number,
     )
 )
 _SHED_CODES: Final = frozenset((SHED_AT_TARGET.number, TARGET_SHED.number))
@@ -66,6 +70,16 @@
 _REPEATABLE_CODES: Final = frozenset(
     (PEER_LOST.number, PEER_SILENT.number, TARGET_LOST.number, TARGET_TRUNCATED.number)
 )
+_LINK_CODES: Final = frozenset((PEER_LOST.number, PEER_SILENT.number))
+_UNDECIDED_CODES: Final = frozenset(
+    (
+        KEY_NOT_OWNED.number,
+        NO_TARGET.number,
+        NODE_LEAVING.number,
+        PEER_UNREACHABLE.number,
+    )
+)
+"""Refusals that say nothing about the key of a request that may not be repeated."""
 _CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
 _SERVER_ERROR: Final = 500
 
@@ -115,7 +129,7 @@
         chain = self._chain_of(exchange)
         refusal = chain.admit(now_ms, exchange)
         if refusal is not None:
-            self._refuse(exchange, refusal)
+            self._refuse_or_seal(now_ms, exchange, refusal)
             return
         self._note_key(exchange)
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
@@ -143,7 +157,7 @@
         if answer.outcome is Outcome.NOT_RUN:
             self._after_not_run(now_ms, exchange, attempt, _failure_of(answer))
         elif answer.outcome is Outcome.UNKNOWN and answer.code in _REPEATABLE_CODES:
-            self._after_unknown(now_ms, exchange, _failure_of(answer))
+            self._after_unknown(now_ms, exchange, attempt.dispatch, _failure_of(answer))
         else:
             self._answer_from_target(exchange, answer)
 
@@ -178,6 +192,19 @@
             if exchange is not None:
                 self._expire(now_ms, exchange)
 
+    def _refuse_or_seal(self, now_ms: Millis, exchange: Exchange, refusal: Refusal) -> None:
+        """Refuse a request; where its key was perhaps sent before, let the key's owner confirm.
+
+        Without the owner nobody can say that an earlier attempt did not run.
+        """
+        is_certain = exchange.is_idempotent or exchange.is_first_attempt
+        if is_certain or not exchange.idempotency_key or refusal.code is DEADLINE_EXPIRED:
+            self._refuse(exchange, refusal)
+            return
+        exchange.seal_code = refusal.code.number
+        heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
+        self._dispatch(now_ms, exchange, Dispatch(0, pays_for_calls=True))
+
     def _join(self, exchange: Exchange) -> bool:
         """Let a caller's re-send wait for the attempt in flight with the same key."""
         key = header_value(exchange.request.headers, KEY_HEADER)
@@ -201,7 +228,7 @@
 
     def _dispatch(self, now_ms: Millis, exchange: Exchange, terms: Dispatch) -> None:
         """Send an attempt to a chosen target's node."""
-        member = self._routing.choose(now_ms, exchange.service, frozenset(exchange.tried))
+        member = self._choose(now_ms, exchange)
         if member is None:
             exchange.pool.give_back(terms.credit)
             self._refuse(exchange, Refusal(NO_TARGET, exchange.service))
@@ -215,6 +242,15 @@
         call = _create_call(now_ms, call_id, exchange, terms)
         self._effects.send_to_peer(member.node_id, call)
 
+    def _choose(self, now_ms: Millis, exchange: Exchange) -> Member | None:
+        """Return the target's node for an attempt; keys go to their owner."""
+        excluded = frozenset(exchange.tried)
+        if exchange.is_idempotent:
+            return self._routing.choose(now_ms, exchange.service, excluded)
+        if exchange.owner_hint:
+            return self._routing.member_of(exchange.service, exchange.owner_hint)
+        return self._routing.choose_owner(exchange.service, exchange.idempotency_key, excluded)
+
     def _end_attempt(self, exchange: Exchange, attempt: Attempt) -> None:
         del self._by_call[attempt.call_id]
         exchange.attempt = None
@@ -234,25 +270,43 @@
         self, now_ms: Millis, exchange: Exchange, attempt: Attempt, failure: _Failure
     ) -> None:
         """Move a call that did not run to another target, or pass on the refusal."""
+        if not exchange.is_idempotent and failure.code is KEY_NOT_OWNED:
+            is_new = failure.peer not in exchange.tried
+            exchange.owner_hint = failure.peer if is_new else ""
         if self._may_move(now_ms, exchange, failure.code.number):
             exchange.reroutes += 1
             self._stats.moves += 1
             self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
             return
-        self._answer_problem(exchange, failure.code, failure.step, failure.peer)
+        is_decided = failure.code.number not in _UNDECIDED_CODES
+        self._answer_problem(
+            exchange, failure.code, failure.step, failure.peer, is_decided=is_decided
+        )
 
     def _may_move(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
         if code not in _MOVABLE_CODES or now_ms >= exchange.deadline_at:
             return False
+        if not exchange.is_idempotent and code not in _UNDECIDED_CODES:
+            return False
         limit = _MAX_MOVES_AFTER_SHED if code in _SHED_CODES else defaults.MAX_REROUTES
         others = [
             m for m in self._routing.members_of(exchange.service) if m.node_id not in exchange.tried
         ]
         return exchange.reroutes < limit and bool(others)
 
-    def _after_unknown(self, now_ms: Millis, exchange: Exchange, failure: _Failure) -> None:
-        """Repeat an idempotent call whose outcome is unknown, or pass on the failure."""
+    def _after_unknown(
+        self, now_ms: Millis, exchange: Exchange, dispatch: Dispatch, failure: _Failure
+    ) -> None:
+        """Repeat a call whose outcome is unknown where that is safe, or pass on the failure.
+
+        A call that may not be repeated is sent to its key's owner again, which joins it to the
+        first copy or replays the answer.
+        """
         exchange.has_unknown_attempt = True
+        if self._may_ask_owner(now_ms, exchange, failure.code.number):
+            exchange.reroutes += 1
+            self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(dispatch))
+            return
         exchange.is_suspect = exchange.is_suspect or failure.code.number in _CRASH_CODES
         terms = self._repeat_terms(now_ms, exchange)
         if terms is None:
@@ -261,6 +315,12 @@
         self._stats.repeats += 1
         self._dispatch(now_ms, exchange, terms)
 
+    def _may_ask_owner(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
+        if exchange.is_idempotent or code not in _LINK_CODES or now_ms >= exchange.deadline_at:
+            return False
+        exchange.tried.clear()
+        return exchange.reroutes < defaults.MAX_REROUTES
+
     def _repeat_terms(self, now_ms: Millis, exchange: Exchange) -> Dispatch | None:
         """Return the terms for repeating a call, or None where it must not be repeated."""
         if not exchange.is_idempotent or now_ms >= exchange.deadline_at:
@@ -295,7 +355,7 @@
             exchange.pool.give_back(attempt.dispatch.credit)
             self._after_not_run(now_ms, exchange, attempt, failure)
         else:
-            self._after_unknown(now_ms, exchange, failure)
+            self._after_unknown(now_ms, exchange, attempt.dispatch, failure)
 
     def _expire(self, now_ms: Millis, exchange: Exchange) -> None:
         """Answer an exchange whose deadline passed, and cancel its attempt."""
@@ -326,17 +386,24 @@
         self._answer_problem(exchange, refusal.code, step.value, "", refusal.detail)
 
     def _answer_problem(
-        self, exchange: Exchange, code: ErrorCode, step: str, peer: str, detail: str = ""
+        self,
+        exchange: Exchange,
+        code: ErrorCode,
+        step: str,
+        peer: str,
+        detail: str = "",
+        is_decided: bool = False,
     ) -> None:
-        """Answer with a problem; after an attempt of unknown outcome it cannot be "not run"."""
-        outcome = Outcome.UNKNOWN if exchange.has_unknown_attempt else code.outcome
+        """Answer with a problem; ``is_decided`` says that the key's owner decided it."""
+        outcome = _provable_outcome(exchange, code, is_decided)
         response = problem_response(code, outcome, step, peer, detail)
         self._finish(exchange, response, outcome, code.number)
 
     def _answer_from_target(self, exchange: Exchange, answer: Answer) -> None:
         """Pass on what the target answered, or the problem that its node reports."""
         if answer.code:
-            self._answer_problem(exchange, error_code(answer.code), answer.step, answer.peer)
+            code = error_code(answer.code)
+            self._answer_problem(exchange, code, answer.step, answer.peer, is_decided=True)
             return
         if answer.outcome is Outcome.DONE and answer.status < _SERVER_ERROR:
             self._bucket(exchange).on_success()
@@ -367,6 +434,23 @@
             del self._by_key[key]
 
 
+def _provable_outcome(exchange: Exchange, code: ErrorCode, is_decided: bool) -> Outcome:
+    """Return the outcome that can be proved; "not run" is said only where it is certain.
+
+    For a request that may not be repeated only the key's owner can say that no copy ran, unless
+    this is the first attempt and nothing of it can have arrived anywhere.
+    """
+    if code.outcome is not Outcome.NOT_RUN:
+        return code.outcome
+    if not exchange.is_idempotent and is_decided:
+        return Outcome.NOT_RUN
+    if exchange.has_unknown_attempt:
+        return Outcome.UNKNOWN
+    if not exchange.is_idempotent and not exchange.is_first_attempt:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
+
+
 def _failure_of(answer: Answer) -> _Failure:
     return _Failure(error_code(answer.code), answer.step, answer.peer)
 
@@ -400,6 +484,7 @@
         path_index=exchange.path_index,
         depth=exchange.depth,
         is_suspect=exchange.is_suspect,
+        seal_code=exchange.seal_code,
     )
     request = exchange.request
     return Call(
--- /dev/null
+++ b/gooseberrydock/owner_loop.py
@@ -0,0 +1,90 @@
+"""The loop that keeps a node in step with the owners' register of its service."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import trio
+
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.messages import OwnerBeat, OwnerRegister, PeerMessage
+from gooseberrydock.node_core import NodeCore
+from gooseberrydock.owner_register import (
+    REGISTER_KEY_PREFIX,
+    Identity,
+    decode_register,
+    encode_register,
+)
+from gooseberrydock.ownership import Action, ReadRegister, SendBeat, SendRegister, SwapRegister
+from gooseberrydock.store_client import StoreClient
+
+_TICK_MS: Final[Millis] = 100.0
+
+
+@attrs.define(eq=False)
+class OwnerLoop:
+    """Carry out what the ownership controller asks for."""
+
+    _core: NodeCore
+    _clock: Clock
+    _nursery: trio.Nursery
+    _store: StoreClient | None
+    _send: Callable[[str, PeerMessage], None]
+
+    async def run(self) -> None:
+        """Run the controller's timers."""
+        while True:
+            self._carry_out(self._core.tick_ownership(self._clock.now_ms()))
+            await trio.sleep(_TICK_MS / MS_PER_SECOND)
+
+    def on_beat(self, node_id: str, beat: OwnerBeat) -> None:
+        """Take in another member's beat."""
+        sender = Identity(node_id, beat.incarnation)
+        self._carry_out(self._core.ownership.on_beat(self._clock.wall_ms(), sender, beat))
+
+    def on_register(self, node_id: str, message: OwnerRegister) -> None:
+        """Take in a register that another member passed on."""
+        register = decode_register(message.payload, node_id)
+        actions = self._core.ownership.on_register_from_peer(self._clock.wall_ms(), register)
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendBeat):
+                self._send(action.node_id, action.beat)
+            elif isinstance(action, SendRegister):
+                self._send(action.node_id, OwnerRegister(encode_register(action.register)))
+            elif self._store is None:
+                self._core.ownership.on_read_failed(self._clock.wall_ms())
+            elif isinstance(action, ReadRegister):
+                self._nursery.start_soon(self._read, self._store)
+            else:
+                self._nursery.start_soon(self._swap, self._store, action)
+
+    async def _read(self, store: StoreClient) -> None:
+        began_ms = self._clock.wall_ms()
+        try:
+            stored = await store.read(self._key)
+            register = decode_register(stored.value, "store") if stored.value else None
+        except GooseberrydockError:
+            self._core.ownership.on_read_failed(self._clock.wall_ms())
+            return
+        wall_ms = self._clock.wall_ms()
+        actions = self._core.ownership.on_read(wall_ms, began_ms, register, stored.modify_index)
+        self._carry_out(actions)
+
+    async def _swap(self, store: StoreClient, action: SwapRegister) -> None:
+        payload = encode_register(action.register)
+        try:
+            is_done = await store.swap(self._key, payload, action.modify_index)
+        except GooseberrydockError:
+            # The swap may have taken effect; the next read shows it.
+            self._core.ownership.on_read_failed(self._clock.wall_ms())
+            return
+        wall_ms = self._clock.wall_ms()
+        self._carry_out(self._core.ownership.on_swapped(wall_ms, action.register, is_done))
+
+    @property
+    def _key(self) -> str:
+        return REGISTER_KEY_PREFIX + self._core.inbound.service
--- a/gooseberrydock/routing.py
+++ b/gooseberrydock/routing.py
@@ -15,6 +15,7 @@
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Member
 from gooseberrydock.messages import LoadReport
+from gooseberrydock.owner_register import key_score
 
 _DOMAIN_TOLERANCE = 1.25
 """How much worse a candidate of the same failure domain may look and still be chosen."""
@@ -98,6 +99,17 @@
             return candidates[0]
         return self._better_of_two(now_ms, candidates)
 
+    def choose_owner(self, service: str, key: str, excluded: frozenset[str]) -> Member | None:
+        """Return the node that probably owns a key; a wrong guess is corrected by its answer."""
+        candidates = [m for m in self.members_of(service) if m.node_id not in excluded]
+        if not candidates:
+            return None
+        return max(candidates, key=lambda member: key_score(member.node_id, key))
+
+    def member_of(self, service: str, node_id: str) -> Member | None:
+        """Return a usable member of a service by its id."""
+        return self._members.get(service, {}).get(node_id)
+
     def _without_ejected(
         self, now_ms: Millis, service: str, candidates: list[Member]
     ) -> list[Member]:
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -28,6 +28,8 @@
 TAG_MEMBER_SYNC_REQUEST: Final = 8
 TAG_MEMBER_SYNC: Final = 9
 TAG_ALIVE: Final = 10
+TAG_OWNER_BEAT: Final = 11
+TAG_OWNER_REGISTER: Final = 12
 
 
 class _ShapeError(ValueError):
@@ -90,6 +92,7 @@
         context.path_index,
         context.depth,
         context.is_suspect,
+        context.seal_code,
     ]
 
 
@@ -154,6 +157,23 @@
     return [TAG_ALIVE, message.token, message.is_reply]
 
 
+@_to_array.register
+def _beat_to_array(message: messages.OwnerBeat) -> list[Any]:
+    return [
+        TAG_OWNER_BEAT,
+        message.incarnation,
+        message.token,
+        message.echo,
+        message.version,
+        message.confirms,
+    ]
+
+
+@_to_array.register
+def _register_to_array(message: messages.OwnerRegister) -> list[Any]:
+    return [TAG_OWNER_REGISTER, message.payload]
+
+
 def _check_shape(array: list[Any], shape: tuple[type, ...]) -> None:
     """Check that the fields after the tag have exactly these types."""
     if len(array) != len(shape) + 1:
@@ -201,13 +221,14 @@
     int,
     int,
     bool,
+    int,
 )
 
 
 def _to_call(array: list[Any]) -> messages.Call:
     _check_shape(array, _CALL_SHAPE)
     _check_not_negative(array[1], array[10], array[11], array[12], array[18])
-    context = messages.CallContext(*array[8:20])
+    context = messages.CallContext(*array[8:21])
     return messages.Call(
         array[1],
         array[2],
@@ -295,6 +316,16 @@
     return messages.Alive(*array[1:])
 
 
+def _to_beat(array: list[Any]) -> messages.OwnerBeat:
+    _check_shape(array, (int, int, int, int, bool))
+    return messages.OwnerBeat(*array[1:])
+
+
+def _to_register(array: list[Any]) -> messages.OwnerRegister:
+    _check_shape(array, (bytes,))
+    return messages.OwnerRegister(*array[1:])
+
+
 def _all_of(expected: type, values: list[Any]) -> tuple[Any, ...]:
     if any(type(value) is not expected for value in values):
         raise _ShapeError(f"a list holds more than {expected.__name__}")
@@ -312,4 +343,6 @@
     TAG_MEMBER_SYNC_REQUEST: _to_sync_request,
     TAG_MEMBER_SYNC: _to_sync,
     TAG_ALIVE: _to_alive,
+    TAG_OWNER_BEAT: _to_beat,
+    TAG_OWNER_REGISTER: _to_register,
 }
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,387 @@
+"""Stateful property: a key runs at most once, whatever happens to nodes, links and the store."""
+
+import random
+import unittest
+from unittest import mock
+
+import attrs
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
+
+from gooseberrydock import keys, ownership
+from gooseberrydock.messages import OwnerBeat
+from gooseberrydock.owner_register import Identity, Register, decode_register, encode_register
+from gooseberrydock.ownership import (
+    Action,
+    KeyRight,
+    OwnershipController,
+    ReadRegister,
+    SendBeat,
+    SendRegister,
+    SwapRegister,
+    create_ownership,
+)
+
+_NODES = ("a", "b", "c")
+_START_MS = 1_000_000.0
+_STEP_MS = 100
+
+
+@attrs.define(eq=False)
+class _Process:
+    """One incarnation of a node, with the records that die with it."""
+
+    identity: Identity
+    skew_ms: float
+    controller: OwnershipController
+    is_paused: bool = False
+    ran: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class _Message:
+    """A message on its way between two processes."""
+
+    sender: _Process
+    node_id: str
+    body: OwnerBeat | bytes
+
+
+@attrs.define(eq=False)
+class _StoreCall:
+    """A call to the store: sent, then applied, then answered; any step may be late or lost."""
+
+    process: _Process
+    action: ReadRegister | SwapRegister
+    began_ms: float
+    is_applied: bool = False
+    is_done: bool = False
+    found: bytes | None = None
+    index: int = 0
+
+
+@attrs.define(eq=False)
+class World:
+    """Processes, links and a store on one virtual clock."""
+
+    now_ms: float = _START_MS
+    processes: list[_Process] = attrs.field(factory=list)
+    messages: list[_Message] = attrs.field(factory=list)
+    calls: list[_StoreCall] = attrs.field(factory=list)
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+    stored: bytes | None = None
+    index: int = 0
+    is_store_down: bool = False
+    runs: dict[str, int] = attrs.field(factory=dict)
+    incarnations: int = 0
+
+    def start(self, node_id: str, skew_ms: float) -> None:
+        """Start a new incarnation of a node; an older one may still be there, paused."""
+        self.incarnations += 1
+        identity = Identity(node_id, self.incarnations)
+        process = _Process(identity, skew_ms, create_ownership(identity))
+        process.controller.set_needed(True)
+        self.processes.append(process)
+
+    def newest(self, node_id: str) -> _Process:
+        """Return a node's newest incarnation."""
+        return [p for p in self.processes if p.identity.node_id == node_id][-1]
+
+    def wall(self, process: _Process) -> float:
+        """Return a process's own wall clock."""
+        return self.now_ms + process.skew_ms
+
+    def view_all(self) -> None:
+        """Let every process see the newest incarnation of every node."""
+        live = frozenset(self.newest(node_id).identity for node_id in _NODES)
+        for process in self.processes:
+            process.controller.set_live(self.wall(process), live)
+
+    def perform(self, process: _Process, actions: list[Action]) -> None:
+        """Put what a controller asks for on its way."""
+        for action in actions:
+            if isinstance(action, SendBeat):
+                self.messages.append(_Message(process, action.node_id, action.beat))
+            elif isinstance(action, SendRegister):
+                body = encode_register(action.register)
+                self.messages.append(_Message(process, action.node_id, body))
+            else:
+                self.calls.append(_StoreCall(process, action, self.wall(process)))
+
+    def tick(self) -> None:
+        """Run the timers of all processes that are not paused."""
+        for process in self.processes:
+            if not process.is_paused:
+                self.perform(process, process.controller.tick(self.wall(process)))
+
+    def deliver(self, message: _Message) -> None:
+        """Deliver a message to the newest incarnation, unless the link is cut."""
+        receiver = self.newest(message.node_id)
+        if receiver.is_paused:
+            return
+        self.messages.remove(message)
+        sender = message.sender.identity
+        if (sender.node_id, message.node_id) in self.cuts:
+            return
+        wall_ms = self.wall(receiver)
+        if isinstance(message.body, OwnerBeat):
+            self.perform(receiver, receiver.controller.on_beat(wall_ms, sender, message.body))
+        else:
+            register = decode_register(message.body, "")
+            actions = receiver.controller.on_register_from_peer(wall_ms, register)
+            self.perform(receiver, actions)
+
+    def apply_call(self, call: _StoreCall) -> None:
+        """Let a call take effect in the store."""
+        if call.is_applied or self.is_store_down:
+            return
+        call.is_applied = True
+        if isinstance(call.action, SwapRegister):
+            call.is_done = call.action.modify_index == self.index
+            if call.is_done:
+                self.stored = encode_register(call.action.register)
+                self.index += 1
+        call.found, call.index = self.stored, self.index
+
+    def answer_call(self, call: _StoreCall, is_lost: bool) -> None:
+        """End a call; a lost one may or may not have taken effect."""
+        if call.process.is_paused:
+            return
+        self.calls.remove(call)
+        controller, wall_ms = call.process.controller, self.wall(call.process)
+        if is_lost or not call.is_applied:
+            controller.on_read_failed(wall_ms)
+            if not call.is_applied:
+                # The request itself may still arrive at the store, much later.
+                self.calls.append(attrs.evolve(call, process=_NOBODY))
+            return
+        if isinstance(call.action, SwapRegister):
+            actions = controller.on_swapped(wall_ms, call.action.register, call.is_done)
+        else:
+            register = decode_register(call.found, "") if call.found else None
+            actions = controller.on_read(wall_ms, call.began_ms, register, call.index)
+        self.perform(call.process, actions)
+
+    def settle(self, steps: int) -> None:
+        """Let time pass while everything that is not cut, paused or down works."""
+        for _ in range(steps):
+            self.now_ms += _STEP_MS
+            self.tick()
+            for _ in range(3):
+                for message in list(self.messages):
+                    self.deliver(message)
+                for call in list(self.calls):
+                    self.apply_call(call)
+                    if call.is_applied and call.process is not _NOBODY:
+                        self.answer_call(call, is_lost=False)
+
+    def attempt(self, process: _Process, key: str) -> KeyRight:
+        """Let a process run a key if it may."""
+        right = process.controller.decide(self.wall(process), key).right
+        if right is KeyRight.OWN and key not in process.ran:
+            process.ran.add(key)
+            self.runs[key] = self.runs.get(key, 0) + 1
+        return right
+
+
+_NOBODY = _Process(Identity("nobody", 0), 0.0, create_ownership(Identity("nobody", 0)), True)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Pause, cut, drop, reorder, restart, replace and re-send at will."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.keys: list[str] = []
+        self.random = random.Random(3)
+
+    @initialize(skews=st.lists(st.integers(-240, 240), min_size=3, max_size=3))
+    def start(self, skews: list[int]) -> None:
+        for node_id, skew in zip(_NODES, skews, strict=True):
+            self.world.start(node_id, skew)
+        self.world.view_all()
+        self.world.settle(40)
+
+    @rule(steps=st.integers(1, 60))
+    def settle(self, steps: int) -> None:
+        self.world.settle(steps)
+
+    @rule(duration=st.integers(1, 5_000))
+    def pass_time(self, duration: int) -> None:
+        self.world.now_ms += duration
+        self.world.tick()
+
+    @rule(data=st.data())
+    def handle_some_message(self, data: st.DataObject) -> None:
+        if self.world.messages:
+            message = data.draw(st.sampled_from(self.world.messages))
+            if data.draw(st.booleans()):
+                self.world.deliver(message)
+            else:
+                self.world.messages.remove(message)
+
+    @rule(data=st.data(), is_lost=st.booleans())
+    def handle_some_store_call(self, data: st.DataObject, is_lost: bool) -> None:
+        if self.world.calls:
+            call = data.draw(st.sampled_from(self.world.calls))
+            self.world.apply_call(call)
+            if call.process is not _NOBODY and data.draw(st.booleans()):
+                self.world.answer_call(call, is_lost)
+
+    @rule(is_down=st.booleans())
+    def switch_store(self, is_down: bool) -> None:
+        self.world.is_store_down = is_down
+
+    @rule(node_id=st.sampled_from(_NODES), is_paused=st.booleans())
+    def pause(self, node_id: str, is_paused: bool) -> None:
+        for process in self.world.processes:
+            if process.identity.node_id == node_id:
+                process.is_paused = is_paused
+
+    @rule(node_id=st.sampled_from(_NODES), skew=st.integers(-240, 240), dies=st.booleans())
+    def replace(self, node_id: str, skew: int, dies: bool) -> None:
+        """Start a new incarnation; the old one dies, or is only paused and may come back."""
+        old = self.world.newest(node_id)
+        if dies:
+            self.world.processes.remove(old)
+        old.is_paused = True
+        self.world.start(node_id, skew)
+        self.world.view_all()
+
+    @rule(sender=st.sampled_from(_NODES), receiver=st.sampled_from(_NODES), is_cut=st.booleans())
+    def cut(self, sender: str, receiver: str, is_cut: bool) -> None:
+        if is_cut:
+            self.world.cuts.add((sender, receiver))
+        else:
+            self.world.cuts.discard((sender, receiver))
+
+    @rule(node_id=st.sampled_from(_NODES), seen=st.sets(st.sampled_from(_NODES)))
+    def misjudge(self, node_id: str, seen: set[str]) -> None:
+        """Give one process a view of the members that may be wrong."""
+        process = self.world.newest(node_id)
+        live = frozenset(self.world.newest(name).identity for name in seen | {node_id})
+        process.controller.set_live(self.world.wall(process), live)
+
+    @rule(age=st.integers(-300, 3_000), count=st.integers(1, 6))
+    def send_keys(self, age: int, count: int) -> None:
+        for _ in range(count):
+            self.keys.append(keys.create_key(self.world.now_ms - age, self.random))
+        self.send_again()
+
+    @rule(node_id=st.sampled_from(_NODES), steps=st.integers(20, 80), count=st.integers(1, 6))
+    def come_back(self, node_id: str, steps: int, count: int) -> None:
+        """Pause a node for a while, and wake it to keys that were made meanwhile."""
+        self.pause(node_id, True)
+        self.world.settle(steps)
+        self.send_keys(0, count)
+        self.pause(node_id, False)
+        self.send_again()
+
+    @rule()
+    def send_again(self) -> None:
+        """Send every key to every process that is not paused."""
+        for process in self.world.processes:
+            if not process.is_paused:
+                for key in self.keys:
+                    self.world.attempt(process, key)
+        for key, count in self.world.runs.items():
+            assert count == 1, f"{key} ran {count} times"
+
+
+_SETTINGS = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    suppress_health_check=list(HealthCheck),
+)
+_WITHOUT_SHRINKING = settings(_SETTINGS, phases=[Phase.generate])
+
+
+class OwnershipTest(unittest.TestCase):
+    """At most once always; able to decide as soon as things work again."""
+
+    def _settled(self) -> World:
+        world = World()
+        for node_id in _NODES:
+            world.start(node_id, 0.0)
+        world.view_all()
+        world.settle(50)
+        return world
+
+    def _rights(self, world: World, count: int = 30) -> list[set[KeyRight]]:
+        generator = random.Random(5)
+        made = [keys.create_key(world.now_ms, generator) for _ in range(count)]
+        running = [p for p in world.processes if not p.is_paused]
+        return [{world.attempt(process, key) for process in running} for key in made]
+
+    def test_a_key_runs_at_most_once(self) -> None:
+        run_state_machine_as_test(OwnershipMachine, settings=_SETTINGS)
+
+    def test_the_machine_finds_the_fault_when_the_fence_is_taken_out(self) -> None:
+        with mock.patch.object(ownership, "SKEW_MS", -8_000.0), self.assertRaises(AssertionError):
+            run_state_machine_as_test(OwnershipMachine, settings=_WITHOUT_SHRINKING)
+
+    def test_every_new_key_has_one_owner(self) -> None:
+        world = self._settled()
+        self.assertTrue(all(KeyRight.OWN in rights for rights in self._rights(world)))
+        self.assertEqual(set(world.runs.values()), {1})
+
+    def test_ownership_stands_still_while_the_store_is_down(self) -> None:
+        world = self._settled()
+        world.is_store_down = True
+        world.settle(600)
+        self.assertTrue(all(KeyRight.OWN in rights for rights in self._rights(world)))
+
+    def test_a_lost_owner_is_replaced_in_bounded_time(self) -> None:
+        world = self._settled()
+        world.newest("a").is_paused = True
+        world.settle(70)
+        self.assertTrue(all(KeyRight.OWN in rights for rights in self._rights(world)))
+
+    def test_a_lone_member_stops_when_cut_off_from_all(self) -> None:
+        world = self._settled()
+        lone = world.newest("a")
+        for other in ("b", "c"):
+            world.cuts |= {("a", other), (other, "a")}
+        world.is_store_down = True
+        world.settle(50)
+        generator = random.Random(5)
+        for _ in range(20):
+            key = keys.create_key(world.now_ms, generator)
+            self.assertIsNot(world.attempt(lone, key), KeyRight.OWN)
+
+    def test_a_delayed_activation_does_not_reach_back(self) -> None:
+        """The answer to the activating swap is lost and it lands seconds late."""
+        world = self._settled()
+        late: list[_StoreCall] = []
+        live = frozenset(world.newest(name).identity for name in ("b", "c"))
+        for name in ("b", "c"):
+            world.newest(name).controller.set_live(world.now_ms, live)
+        for _ in range(80):
+            world.now_ms += _STEP_MS
+            world.tick()
+            for message in list(world.messages):
+                world.deliver(message)
+            for call in list(world.calls):
+                if isinstance(call.action, SwapRegister) and _activates(call.action.register):
+                    world.calls.remove(call)
+                    late.append(call)
+                    call.process.controller.on_read_failed(world.wall(call.process))
+                    continue
+                world.apply_call(call)
+                world.answer_call(call, is_lost=False)
+            self._rights(world, 4)
+        self.assertTrue(late)
+        world.apply_call(late[0])
+        world.settle(40)
+        self._rights(world)
+        self.assertEqual(set(world.runs.values()), {1})
+
+
+def _activates(register: Register) -> bool:
+    return register.pending is None and len(register.epochs) > 1
