--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -264,7 +264,7 @@
 
 def _load_with_triggers(plan: LoadPlan, triggers: list[Trigger]) -> LoadResult:
     results: list[LoadResult] = []
-    thread = threading.Thread(target=lambda: results.append(trio.run(run_load, plan)))
+    thread = threading.Thread(target=lambda: results.append(trio.run(run_load, plan)), daemon=True)
     started = time.monotonic()
     thread.start()
     for trigger in triggers:
--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -4,12 +4,16 @@
 is set to the rank at which the offered calls of the last second match what the target completes.
 While none stands and slots are idle, it rises in growing steps; while the slots are just busy, it
 stays. It is reported on every answer, so that entries shed before any work is done.
+
+The most important priority has a longer queue, and the level reaches into it only after a queue
+stood for a while although nothing else passed: a burst of important calls is not an overload.
 """
 
 import heapq
 import itertools
 from collections import deque
 from collections.abc import Iterator
+from typing import Final
 
 import attrs
 
@@ -20,6 +24,9 @@
 from gooseberrydock.messages import LoadReport
 from gooseberrydock.ranks import MAX_RANK
 
+IMPORTANT_BELOW: Final = 1.0
+"""Ranks below this are of the most important priority."""
+
 
 @attrs.frozen
 class Waiting:
@@ -61,6 +68,7 @@
 
     _level: float = MAX_RANK
     _step: float = defaults.CUT_STEP_MIN
+    _windows_at_floor: int = 0
     _offered: deque[tuple[Millis, float]] = attrs.field(
         factory=lambda: deque(maxlen=defaults.RANK_SAMPLES)
     )
@@ -98,7 +106,15 @@
         if fitting >= len(ranks):
             return
         ranks.sort()
-        self._level = min(self._level, ranks[int(fitting)])
+        self._level = min(self._level, self._above_floor(ranks[int(fitting)]))
+
+    def _above_floor(self, level: float) -> float:
+        """Keep the level above the most important priority at first."""
+        if level >= IMPORTANT_BELOW:
+            self._windows_at_floor = 0
+            return level
+        self._windows_at_floor += 1
+        return IMPORTANT_BELOW if self._windows_at_floor < defaults.FLOOR_WINDOWS else level
 
     def _recent_ranks(self, now_ms: Millis) -> list[float]:
         while self._offered and now_ms - self._offered[0][0] > MS_PER_SECOND:
@@ -107,6 +123,7 @@
 
     def _raise(self) -> None:
         """Raise the level in growing steps, so that recovery takes a second or two."""
+        self._windows_at_floor = 0
         if self._level >= MAX_RANK:
             return
         self._level = min(MAX_RANK, self._level + self._step)
@@ -163,6 +180,13 @@
         ratio = defaults.QUEUE_TO_LIMIT_RATIO
         return max(defaults.MIN_QUEUE_LENGTH, int(self._limit.limit * ratio))
 
+    def _queue_room(self, rank: float) -> int:
+        """Return the length at which the queue is full for a call of this rank."""
+        if rank >= IMPORTANT_BELOW or not self._service_ms:
+            return self.max_queue
+        by_wait = defaults.IMPORTANT_WAIT_MS * self._limit.limit / self._service_ms
+        return max(self.max_queue, int(by_wait))
+
     def offer(
         self, now_ms: Millis, ticket: int, rank: float, deadline_at: Millis
     ) -> list[Decision]:
@@ -250,7 +274,7 @@
 
     def _enqueue(self, waiting: Waiting) -> list[Decision]:
         decisions: list[Decision] = []
-        if len(self._queued) >= self.max_queue:
+        if len(self._queued) >= self._queue_room(waiting.rank):
             self._window_shed += 1
             worst = max(self._queued.values(), key=lambda item: item.rank)
             if worst.rank <= waiting.rank:
--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -37,6 +37,9 @@
 RANK_SAMPLES: Final = 512
 QUEUE_TO_LIMIT_RATIO: Final = 1.0
 MIN_QUEUE_LENGTH: Final = 4
+IMPORTANT_WAIT_MS: Final = 1_000.0
+"""How long a call of the most important priority may have to wait."""
+FLOOR_WINDOWS: Final = 20
 CUT_STEP_MIN: Final = 0.05
 CUT_STEP_MAX: Final = 1.0
 CUT_STEP_GROWTH: Final = 1.6
@@ -89,4 +92,6 @@
 # Leaving.
 LEAVING_LINGER_MS: Final = 2_500.0
 """How long a leaving node still answers, so that every peer has heard of it."""
+MAX_RELEASE_MS: Final = 5_000.0
+"""How long a leaving node waits until other nodes own all new keys."""
 MAX_STOP_MS: Final = 30_000.0
--- a/gooseberrydock/effects.py
+++ b/gooseberrydock/effects.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
-from gooseberrydock.messages import Answer, PeerMessage
+from gooseberrydock.messages import Answer, CrashNotice, PeerMessage
 
 
 class Effects(Protocol):
@@ -30,3 +30,6 @@
 
     def cancel_on_target(self, run_id: int) -> None:
         """Stop waiting for a request and let the target notice."""
+
+    def report_crash_suspects(self, notice: CrashNotice) -> None:
+        """Tell other nodes about suspects, and find out whether the target died."""
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -192,13 +192,15 @@
     _quarantine: QuarantineController
 
     def admit(self, now_ms: Millis, exchange: Exchange) -> Refusal | None:
-        """Refuse a convicted fingerprint."""
-        if not self._quarantine.convicted:
+        """Refuse a convicted fingerprint, and mark a suspect."""
+        if self._quarantine.is_empty:
             return None
         request = attrs.evolve(exchange.request, path=exchange.target_path)
         fingerprint = request_fingerprint(exchange.service, request)
         if self._quarantine.is_convicted(now_ms, fingerprint):
             return Refusal(QUARANTINED)
+        if self._quarantine.is_suspect(now_ms, fingerprint):
+            exchange.is_suspect = True
         return None
 
 
--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -39,6 +39,7 @@
     _on_request: "RequestHandler"
     _on_gone: "GoneHandler"
     _max_body: int
+    _is_closing: Callable[[], bool]
     _serial: int = attrs.field(factory=lambda: next(_SERIALS))
     _h11: h11.Connection = attrs.field(init=False)
     _head: h11.Request | None = None
@@ -179,6 +180,8 @@
             *response.headers,
             (b"content-length", str(len(response.body)).encode()),
         ]
+        if self._is_closing():
+            headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._h11.send(head) or b""
         is_bodyless = self._head_method == b"HEAD"
@@ -195,8 +198,8 @@
         """Answer an invalid request and close the connection."""
         response = problem_response(code, code.outcome, Step.ENTRY.value, "", detail)
         try:
-            headers = [*response.headers, (b"connection", b"close")]
-            self._send(attrs.evolve(response, headers=headers))
+            self._is_closing = lambda: True
+            self._send(response)
         except h11.LocalProtocolError:
             # The failure came after an answer had begun, so that none can be sent any more.
             pass
@@ -211,11 +214,20 @@
     """Do nothing when a caller closes its connection."""
 
 
+def never_closing() -> bool:
+    """Say that connections are kept open."""
+    return False
+
+
 async def serve_http(
     stream: Stream,
     on_request: RequestHandler,
     on_gone: GoneHandler = ignore_gone,
     max_body: int = defaults.MAX_BODY_BYTES,
+    is_closing: Callable[[], bool] = never_closing,
 ) -> None:
-    """Serve HTTP on one accepted stream until it ends."""
-    await HttpConnection(stream, on_request, on_gone, max_body).run()
+    """Serve HTTP on one accepted stream until it ends.
+
+    While ``is_closing`` says so, each answer asks the caller to open a new connection.
+    """
+    await HttpConnection(stream, on_request, on_gone, max_body, is_closing).run()
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -55,7 +55,7 @@
     header_value,
 )
 from gooseberrydock.keyed_runs import KeyedRuns, Proceed, Refuse, Replay, Wait
-from gooseberrydock.messages import Answer, Call, CutReport, LoadReport
+from gooseberrydock.messages import Answer, Call, CrashNotice, CutReport, LoadReport
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.owner_register import Identity
 from gooseberrydock.quarantine import QuarantineController, request_fingerprint
@@ -86,6 +86,7 @@
     _runs: dict[int, Run] = attrs.field(factory=dict)
     _by_call: dict[tuple[str, int], Run] = attrs.field(factory=dict)
     _by_token: dict[str, Run] = attrs.field(factory=dict)
+    _waiting_suspects: list[Run] = attrs.field(factory=list)
     _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
     _run_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
@@ -167,8 +168,12 @@
         if code is not None or self._admission is None:
             self._refuse_unstarted(now_ms, run, code or NO_TARGET)
             return
-        self._runs[run.run_id] = run
         self._by_call[(run.link_id, run.call.call_id)] = run
+        if not self._quarantine.may_run(now_ms, run.fingerprint):
+            self._waiting_suspects.append(run)
+            return
+        self._quarantine.on_admitted(now_ms, run.fingerprint)
+        self._runs[run.run_id] = run
         heapq.heappush(self._deadlines, (run.deadline_at, run.run_id))
         rank = run.call.context.rank
         decisions = self._admission.offer(now_ms, run.run_id, rank, run.deadline_at)
@@ -228,7 +233,7 @@
         if run is None:
             return
         if code.number in _CRASH_CODES:
-            self._note_crash(now_ms)
+            self._note_loss(now_ms, run)
         if code.outcome is Outcome.NOT_RUN:
             self._refuse_unstarted(now_ms, run, code)
         else:
@@ -236,6 +241,21 @@
             self._answer_run(run, self._answer_of_code(now_ms, run, code))
         self._release(now_ms, run, was_overload=False)
 
+    def on_crash_checked(self, now_ms: Millis, is_reachable: bool) -> list[int]:
+        """Take in whether the target still accepts connections; return convicted fingerprints."""
+        convicted = self._quarantine.on_checked(now_ms, is_dead=not is_reachable)
+        self._stats.crashes += 0 if is_reachable else 1
+        if convicted:
+            self._effects.report_crash_suspects(CrashNotice((), tuple(convicted)))
+        return convicted
+
+    def _admit_waiting_suspect(self, now_ms: Millis) -> None:
+        """Let the next suspect have its turn, now that none runs."""
+        waiting, self._waiting_suspects = self._waiting_suspects, []
+        for run in waiting:
+            if self._by_call.get((run.link_id, run.call.call_id)) is run:
+                self._admit(now_ms, run)
+
     def judge_held(self, now_ms: Millis) -> None:
         """Judge anew the calls whose key could not be decided about."""
         for run in self._keyed.take_held():
@@ -253,6 +273,8 @@
                 self._expire(now_ms, run)
         if self._admission is not None:
             self._carry_out(now_ms, self._admission.tick(now_ms))
+        if self._waiting_suspects:
+            self._admit_waiting_suspect(now_ms)
         self.judge_held(now_ms)
         self._keyed.purge()
 
@@ -286,8 +308,6 @@
             self._quarantine.suspect(now_ms, run.fingerprint)
         if self._quarantine.is_convicted(now_ms, run.fingerprint):
             return QUARANTINED
-        if not self._quarantine.may_run(now_ms, run.fingerprint):
-            return QUARANTINED
         return None
 
     def _carry_out(self, now_ms: Millis, decisions: list[Decision]) -> None:
@@ -303,7 +323,6 @@
     def _start(self, now_ms: Millis, run: Run) -> None:
         run.started_at = now_ms
         self._by_token[run.token] = run
-        self._quarantine.on_start(now_ms, run.fingerprint)
         self._stats.runs[run.call.operation] += 1
         self._effects.run_on_target(run.run_id, _request_for_target(now_ms, run))
 
@@ -331,15 +350,15 @@
         self._carry_out(now_ms, self._admission.release(now_ms, service_ms, was_overload))
 
     def _end(self, run: Run) -> None:
-        self._runs.pop(run.run_id, None)
+        if self._runs.pop(run.run_id, None) is not None:
+            self._quarantine.on_ended(run.fingerprint)
         self._by_call.pop((run.link_id, run.call.call_id), None)
         self._by_token.pop(run.token, None)
 
-    def _note_crash(self, now_ms: Millis) -> None:
-        """Put under suspicion all that ran on the target when it died."""
-        in_flight = [run.fingerprint for run in self._runs.values() if run.has_started]
-        self._stats.crashes += 1
-        self._quarantine.on_crash(now_ms, in_flight)
+    def _note_loss(self, now_ms: Millis, run: Run) -> None:
+        """Suspect a request whose connection was lost, and tell other nodes before it returns."""
+        self._quarantine.on_lost(now_ms, run.fingerprint)
+        self._effects.report_crash_suspects(CrashNotice((run.fingerprint,), ()))
 
     def _did_target_shed(self, run: Run, response: HttpResponse) -> bool:
         """Say whether the target refused before doing any work, by its own statement.
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -153,6 +153,14 @@
     is_reply: bool
 
 
+@attrs.frozen
+class CrashNotice:
+    """Tell other nodes which request fingerprints may crash targets, and which surely do."""
+
+    suspects: tuple[int, ...]
+    convicted: tuple[int, ...]
+
+
 @attrs.frozen
 class OwnerBeat:
     """Tell another member of the same service what this one knows of the owners' register.
@@ -186,6 +194,7 @@
     | MemberSyncRequest
     | MemberSync
     | Alive
+    | CrashNotice
     | OwnerBeat
     | OwnerRegister
 )
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -23,6 +23,7 @@
     NODE_STARTED,
     NODE_STOPPED,
     NODE_STOPPING,
+    REQUEST_CONVICTED,
     STOP_TIMED_OUT,
     TARGET_ANNOUNCED,
     TARGET_WITHDRAWN,
@@ -62,6 +63,8 @@
 _JOIN_RETRY_MS: Final[Millis] = 1_000.0
 _FETCH_INTERVAL_MS: Final[Millis] = 200.0
 _STOP_CHECK_MS: Final[Millis] = 20.0
+_CRASH_CHECK_MS: Final[Millis] = 50.0
+"""How long losses are collected, since a dying target's connections end one after the other."""
 _GC_PAUSE_MS: Final[Millis] = 1_000.0
 _FULL_GC_EVERY: Final = 30
 _SEED_BITS: Final = 64
@@ -86,6 +89,7 @@
     _connections: dict[int, HttpConnection] = attrs.field(factory=dict)
     _announced_at: Millis = 0.0
     _fetched_at: Millis = -_FETCH_INTERVAL_MS
+    _is_checking_crash: bool = False
     _stop_asked: trio.Event = attrs.field(factory=trio.Event)
 
     @_core.default
@@ -177,16 +181,40 @@
         """Give up a request to the local target."""
         self._target.cancel(run_id)
 
+    def report_crash_suspects(self, notice: messages.CrashNotice) -> None:
+        """Tell the other nodes of the service, and all nodes with a link, about suspects."""
+        siblings = self._core.routing.members_of(self._core.inbound.service)
+        known = {link.node_id for link in self._links.open_links}
+        known |= {member.node_id for member in siblings}
+        for node_id in known - {self._core.node_id}:
+            self._links.send(node_id, notice)
+        if notice.suspects and not self._is_checking_crash:
+            self._is_checking_crash = True
+            self._nursery.start_soon(self._check_crash)
+
+    async def _check_crash(self) -> None:
+        """Find out whether the target died or only a connection was lost."""
+        await trio.sleep(_CRASH_CHECK_MS / MS_PER_SECOND)
+        is_reachable = await self._target.is_reachable()
+        self._is_checking_crash = False
+        for fingerprint in self._core.on_crash_checked(self._clock.now_ms(), is_reachable):
+            log(REQUEST_CONVICTED, fingerprint=f"{fingerprint:016x}")
+
     # Callers and the local target.
 
     async def serve_entry(self, stream: Stream) -> None:
         """Serve one caller's connection."""
-        await serve_http(stream, self._on_entry_request, self._on_gone, self._max_body)
+        await serve_http(
+            stream, self._on_entry_request, self._on_gone, self._max_body, self._is_leaving
+        )
 
     async def serve_local(self, stream: Stream) -> None:
         """Serve one connection of the local target."""
         await serve_http(stream, self._on_local_request, self._on_gone, self._max_body)
 
+    def _is_leaving(self) -> bool:
+        return self._core.inbound.is_leaving
+
     @property
     def _max_body(self) -> int:
         return self._options.max_body_bytes
@@ -254,6 +282,10 @@
             records = self._core.membership.records_in(message.wants)
             link.send(messages.MemberSync(records, ()))
 
+    def on_crash_notice(self, message: messages.CrashNotice) -> None:
+        """Take in which requests crashed a target elsewhere."""
+        self._core.on_crash_notice(self._clock.now_ms(), message)
+
     def on_owner_beat(self, message: messages.OwnerBeat, link: PeerLink) -> None:
         """Take in a beat of another member of the own service."""
         self._owner_loop.on_beat(link.node_id, message)
@@ -392,10 +424,12 @@
         """Leave, let every call in flight end, and stop the process."""
         await self._stop_asked.wait()
         log(NODE_STOPPING, in_flight=self._core.outbound.in_flight)
-        now_ms = self._clock.now_ms()
-        self._links.broadcast(self._core.leave(now_ms))
+        if self._core.inbound.is_leaving:
+            return
+        self._links.broadcast(self._core.leave(self._clock.now_ms()))
         self._gossip.send(self._core.membership.announce_self())
         await trio.sleep(defaults.LEAVING_LINGER_MS / MS_PER_SECOND)
+        await self._wait_for_release()
         self._listeners["entry"].close()
         with trio.move_on_after(self._options.stop_timeout_ms / MS_PER_SECOND) as scope:
             while self._core.is_busy:
@@ -405,6 +439,12 @@
         log(NODE_STOPPED)
         self._nursery.cancel_scope.cancel()
 
+    async def _wait_for_release(self) -> None:
+        """Wait until other nodes own all new keys; without the store that may not come."""
+        with trio.move_on_after(defaults.MAX_RELEASE_MS / MS_PER_SECOND):
+            while not self._core.ownership.is_released(self._clock.wall_ms()):
+                await trio.sleep(_STOP_CHECK_MS / MS_PER_SECOND)
+
     def _check_announcement(self, now_ms: Millis) -> None:
         """Withdraw a target that stopped announcing itself."""
         me = self._core.membership.me
@@ -441,6 +481,11 @@
     link.send(messages.MemberSync(membership.records_in(buckets), buckets))
 
 
+@_take_in.register
+def _take_in_crash_notice(message: messages.CrashNotice, node: Node, link: PeerLink) -> None:
+    node.on_crash_notice(message)
+
+
 @_take_in.register
 def _take_in_owner_beat(message: messages.OwnerBeat, node: Node, link: PeerLink) -> None:
     node.on_owner_beat(message, link)
--- a/gooseberrydock/node_core.py
+++ b/gooseberrydock/node_core.py
@@ -195,6 +195,17 @@
         """Take in that the local target gave no whole answer."""
         self._inbound.on_target_failed(now_ms, run_id, code)
 
+    def on_crash_checked(self, now_ms: Millis, is_reachable: bool) -> list[int]:
+        """Take in whether the local target still accepts connections after a loss."""
+        return self._inbound.on_crash_checked(now_ms, is_reachable)
+
+    def on_crash_notice(self, now_ms: Millis, notice: messages.CrashNotice) -> None:
+        """Take in which requests crashed a target elsewhere."""
+        for fingerprint in notice.suspects:
+            self._quarantine.suspect(now_ms, fingerprint)
+        for fingerprint in notice.convicted:
+            self._quarantine.convict(now_ms, fingerprint)
+
     def on_announcement(self, now_ms: Millis, service: str, slots: int, is_cold: bool) -> None:
         """Take in the local target's announcement and tell the other nodes."""
         self._inbound.announce(service, slots)
@@ -335,6 +346,10 @@
         """Cancel a request on the local target."""
         self._outer.cancel_on_target(run_id)
 
+    def report_crash_suspects(self, notice: messages.CrashNotice) -> None:
+        """Tell other nodes about suspects."""
+        self._outer.report_crash_suspects(notice)
+
 
 def create_node_core(
     effects: Effects, clock: Clock, membership: MembershipController, seed: int
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -116,6 +116,10 @@
         """Return the number of exchanges not answered yet."""
         return len(self._exchanges)
 
+    def attempts(self) -> list[Attempt]:
+        """Return the attempts that are not answered."""
+        return [item.attempt for item in self._exchanges.values() if item.attempt is not None]
+
     @property
     def buckets(self) -> dict[str, RetryBucket]:
         """Return the retry buckets by service class."""
--- a/gooseberrydock/ownership.py
+++ b/gooseberrydock/ownership.py
@@ -169,6 +169,14 @@
             return KeyDecision(KeyRight.UNDECIDED, owner)
         return KeyDecision(KeyRight.OWN if owner == self._me else KeyRight.OTHER, owner)
 
+    def is_released(self, wall_ms: Millis) -> bool:
+        """Say whether no key made from now on belongs to this node."""
+        register = self._register
+        if not self._is_needed or register is None:
+            return True
+        is_out = self._me not in register.current.members and register.pending is None
+        return is_out and wall_ms >= register.current.from_ms + SKEW_MS
+
     def tick(self, wall_ms: Millis) -> list[Action]:
         """Send beats and follow the register when it is time."""
         if not self._is_needed:
--- a/gooseberrydock/quarantine.py
+++ b/gooseberrydock/quarantine.py
@@ -2,8 +2,9 @@
 
 When a target dies, the fingerprints of all that ran on it become suspects. A suspect runs only
 on a target where no other suspect runs, so that the next crash convicts one request and not its
-neighbours. A fingerprint that was in flight alone at a crash, or in flight at a second crash,
-is refused everywhere for a time; convictions spread to the other nodes of the service.
+neighbours. A fingerprint that was in flight alone at a crash, or was a suspect already, is refused
+everywhere for a time. Suspects and convictions are told to the other nodes at once, so that one
+request, sent again and again, kills at most two targets of a service.
 """
 
 import attrs
@@ -34,45 +35,69 @@
     _suspects: dict[int, Millis] = attrs.field(factory=dict)
     _convicted: dict[int, Millis] = attrs.field(factory=dict)
     _running_suspects: set[int] = attrs.field(factory=set)
+    _lost: dict[int, bool] = attrs.field(factory=dict)
 
     @property
     def convicted(self) -> dict[int, Millis]:
         """Return the convicted fingerprints and when their time ends."""
         return dict(self._convicted)
 
+    @property
+    def is_empty(self) -> bool:
+        """Say whether no fingerprint is suspected or convicted."""
+        return not self._suspects and not self._convicted
+
     def is_convicted(self, now_ms: Millis, fingerprint: int) -> bool:
         """Say whether requests with this fingerprint are refused."""
         return bool(self._convicted) and self._convicted.get(fingerprint, -1.0) > now_ms
 
     def may_run(self, now_ms: Millis, fingerprint: int) -> bool:
         """Say whether a request may run now; a second suspect must wait its turn."""
-        if not self._is_suspect(now_ms, fingerprint):
+        if not self.is_suspect(now_ms, fingerprint):
             return True
         return not self._running_suspects
 
-    def on_start(self, now_ms: Millis, fingerprint: int) -> None:
-        """Note that a request starts on the target."""
-        if self._is_suspect(now_ms, fingerprint):
+    def on_admitted(self, now_ms: Millis, fingerprint: int) -> None:
+        """Note that a request may run on the target from now on."""
+        if self.is_suspect(now_ms, fingerprint):
             self._running_suspects.add(fingerprint)
 
-    def on_finish(self, fingerprint: int) -> None:
-        """Note that a request ended without a crash, which clears it of suspicion."""
-        if not self._suspects:
-            return
+    def on_ended(self, fingerprint: int) -> None:
+        """Note that a request no longer runs, however it ended."""
         self._running_suspects.discard(fingerprint)
+
+    def on_finish(self, fingerprint: int) -> None:
+        """Note that the target answered a request, which clears it of suspicion."""
         self._suspects.pop(fingerprint, None)
 
-    def on_crash(self, now_ms: Millis, in_flight: list[int]) -> list[int]:
-        """Note a crash of the target; return the fingerprints that it convicts."""
-        unique = set(in_flight)
-        old_suspects = {item for item in unique if self._is_suspect(now_ms, item)}
-        newly_convicted = old_suspects if old_suspects else (unique if len(unique) == 1 else set())
-        for fingerprint in newly_convicted:
+    def is_suspect(self, now_ms: Millis, fingerprint: int) -> bool:
+        """Say whether requests with this fingerprint run only one at a time."""
+        return bool(self._suspects) and self._suspects.get(fingerprint, -1.0) > now_ms
+
+    def on_lost(self, now_ms: Millis, fingerprint: int) -> None:
+        """Note that a request lost its connection to the target, which may have died of it."""
+        self._lost[fingerprint] = self.is_suspect(now_ms, fingerprint)
+        self._running_suspects.discard(fingerprint)
+        self.suspect(now_ms, fingerprint)
+
+    def on_checked(self, now_ms: Millis, is_dead: bool) -> list[int]:
+        """Take in whether the target died with the lost requests; return whom that convicts.
+
+        Requests that were suspects before are convicted; a request that was alone needs no
+        second proof. If the target lives, only connections were lost and nobody is to blame.
+        """
+        lost, self._lost = self._lost, {}
+        if not is_dead:
+            for fingerprint, was_suspect in lost.items():
+                if not was_suspect:
+                    self._suspects.pop(fingerprint, None)
+            return []
+        convicted = [item for item, was_suspect in lost.items() if was_suspect]
+        if not convicted and len(lost) == 1:
+            convicted = list(lost)
+        for fingerprint in convicted:
             self.convict(now_ms, fingerprint)
-        for fingerprint in unique - newly_convicted:
-            self.suspect(now_ms, fingerprint)
-        self._running_suspects -= unique
-        return sorted(newly_convicted)
+        return convicted
 
     def convict(self, now_ms: Millis, fingerprint: int) -> None:
         """Refuse a fingerprint for a time."""
@@ -86,9 +111,6 @@
             _make_room(self._suspects)
             self._suspects[fingerprint] = now_ms + SUSPECT_MS
 
-    def _is_suspect(self, now_ms: Millis, fingerprint: int) -> bool:
-        return bool(self._suspects) and self._suspects.get(fingerprint, -1.0) > now_ms
-
 
 def _make_room(entries: dict[int, Millis]) -> None:
     """Drop the oldest entry of a full table."""
--- a/gooseberrydock/target_client.py
+++ b/gooseberrydock/target_client.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from gooseberrydock import defaults
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, ErrorCode
 from gooseberrydock.errors import GooseberrydockError, Step
@@ -14,6 +15,7 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address, parse_address
 from gooseberrydock.node_core import NodeCore
+from gooseberrydock.stream import connect
 
 ANNOUNCE_PATH = "/_gooseberrydock/announce"
 LEAVE_PATH = "/_gooseberrydock/leave"
@@ -88,6 +90,16 @@
 
         self._pending[run_id] = pool.start(request, on_response, on_failure)
 
+    async def is_reachable(self) -> bool:
+        """Say whether the target accepts a new connection."""
+        if self._pool is None:
+            return False
+        stream = await connect(self._pool.address, self._nursery, defaults.CONNECT_TIMEOUT_MS)
+        if stream is None:
+            return False
+        stream.close()
+        return True
+
     def cancel(self, run_id: int) -> None:
         """Give up a request by closing its connection, which the target notices."""
         pending = self._pending.pop(run_id, None)
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -30,6 +30,7 @@
 TAG_ALIVE: Final = 10
 TAG_OWNER_BEAT: Final = 11
 TAG_OWNER_REGISTER: Final = 12
+TAG_CRASH_NOTICE: Final = 13
 
 
 class _ShapeError(ValueError):
@@ -157,6 +158,11 @@
     return [TAG_ALIVE, message.token, message.is_reply]
 
 
+@_to_array.register
+def _notice_to_array(message: messages.CrashNotice) -> list[Any]:
+    return [TAG_CRASH_NOTICE, list(message.suspects), list(message.convicted)]
+
+
 @_to_array.register
 def _beat_to_array(message: messages.OwnerBeat) -> list[Any]:
     return [
@@ -316,6 +322,11 @@
     return messages.Alive(*array[1:])
 
 
+def _to_notice(array: list[Any]) -> messages.CrashNotice:
+    _check_shape(array, (list, list))
+    return messages.CrashNotice(_all_of(int, array[1]), _all_of(int, array[2]))
+
+
 def _to_beat(array: list[Any]) -> messages.OwnerBeat:
     _check_shape(array, (int, int, int, int, bool))
     return messages.OwnerBeat(*array[1:])
@@ -343,6 +354,7 @@
     TAG_MEMBER_SYNC_REQUEST: _to_sync_request,
     TAG_MEMBER_SYNC: _to_sync,
     TAG_ALIVE: _to_alive,
+    TAG_CRASH_NOTICE: _to_notice,
     TAG_OWNER_BEAT: _to_beat,
     TAG_OWNER_REGISTER: _to_register,
 }
--- /dev/null
+++ b/tests/fabric.py
@@ -0,0 +1,231 @@
+"""Node cores joined by in-memory links on a manual clock: the effects of a node, faked.
+
+Targets are faked too: each run is kept until a test answers it, or is answered at once.
+"""
+
+import random
+
+import attrs
+
+from gooseberrydock import wire
+from gooseberrydock.clock import ManualTime, manual_clock
+from gooseberrydock.configuration import Configuration, ServiceClass, encode_configuration
+from gooseberrydock.errorcodes import PEER_LOST, ErrorCode
+from gooseberrydock.exchanges import Source
+from gooseberrydock.http_messages import (
+    CONTEXT_HEADER,
+    OUTCOME_HEADER,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    header_value,
+)
+from gooseberrydock.members import Address, Member, MemberState
+from gooseberrydock.membership import create_membership
+from gooseberrydock.messages import Answer, Call, CrashNotice, PeerMessage
+from gooseberrydock.node_core import NodeCore, create_node_core
+from gooseberrydock.owner_register import first_register, identity_of
+
+WALL_START_MS = 1_700_000_000_000.0
+_ADDRESS = Address("127.0.0.1", 1)
+
+
+@attrs.define(eq=False)
+class Letter:
+    """A message on its way."""
+
+    sender: str
+    receiver: str
+    link_id: str
+    data: bytes
+
+
+@attrs.define(eq=False)
+class FakeNode:
+    """One node's core, the effects it asked for, and its fake target."""
+
+    fabric: "Fabric"
+    member: Member
+    core: NodeCore = attrs.field(init=False)
+    responses: dict[int, list[HttpResponse]] = attrs.field(factory=dict)
+    runs: dict[int, HttpRequest] = attrs.field(factory=dict)
+    started: list[HttpRequest] = attrs.field(factory=list)
+    notices: list[CrashNotice] = attrs.field(factory=list)
+
+    @core.default
+    def _create_core(self) -> NodeCore:
+        membership = create_membership(attrs.evolve(self.member, service="", slots=0), 1)
+        clock = manual_clock(self.fabric.time)
+        return create_node_core(self, clock, membership, 1)
+
+    @property
+    def node_id(self) -> str:
+        """Return the node's id."""
+        return self.member.node_id
+
+    def answer_caller(self, exchange_id: int, response: HttpResponse) -> None:
+        """Keep the answer."""
+        self.responses.setdefault(exchange_id, []).append(response)
+
+    def send_to_peer(self, node_id: str, message: PeerMessage) -> None:
+        """Put a message on its way."""
+        link_id = f"{self.node_id}>{node_id}"
+        self.fabric.letters.append(Letter(self.node_id, node_id, link_id, wire.encode(message)))
+
+    def answer_peer(self, link_id: str, answer: Answer) -> None:
+        """Put an answer on its way back."""
+        caller = link_id.split(">")[0]
+        letter = Letter(self.node_id, caller, link_id, wire.encode(answer))
+        self.fabric.letters.append(letter)
+
+    def run_on_target(self, run_id: int, request: HttpRequest) -> None:
+        """Keep a run until the test ends it."""
+        self.runs[run_id] = request
+        self.started.append(request)
+
+    def cancel_on_target(self, run_id: int) -> None:
+        """Forget a run; what it did stays done."""
+        self.runs.pop(run_id, None)
+
+    def report_crash_suspects(self, notice: CrashNotice) -> None:
+        """Tell all other nodes at once."""
+        self.notices.append(notice)
+        for node in self.fabric.nodes.values():
+            if node is not self:
+                node.core.on_crash_notice(self.fabric.now_ms, notice)
+
+    def request(self, path: str, headers: Headers | None = None, body: bytes = b"") -> int:
+        """Let a caller send a request; return its exchange id."""
+        exchange_id = self.core.new_exchange_id()
+        request = HttpRequest("POST", path, headers or [], body)
+        self.core.on_request(self.fabric.now_ms, exchange_id, Source.ENTRY, request, "caller")
+        return exchange_id
+
+    def call_from_target(self, run: HttpRequest, path: str, body: bytes = b"") -> int:
+        """Let the target call another service while it works on a run."""
+        exchange_id = self.core.new_exchange_id()
+        context = header_value(run.headers, CONTEXT_HEADER).encode()
+        request = HttpRequest("POST", path, [(CONTEXT_HEADER, context)], body)
+        self.core.on_request(self.fabric.now_ms, exchange_id, Source.LOCAL, request, "")
+        return exchange_id
+
+    def finish_run(self, run_id: int, status: int = 200, body: bytes = b"") -> None:
+        """Let the target answer a run."""
+        self.runs.pop(run_id)
+        self.core.on_target_answer(self.fabric.now_ms, run_id, HttpResponse(status, [], body))
+
+    def fail_run(self, run_id: int, code: ErrorCode) -> None:
+        """Let a run end without a whole answer."""
+        self.runs.pop(run_id)
+        self.core.on_target_failed(self.fabric.now_ms, run_id, code)
+
+    def finish_all(self) -> None:
+        """Let the target answer every run with the run's own body."""
+        for run_id, request in list(self.runs.items()):
+            self.finish_run(run_id, body=b"echo:" + request.body)
+
+    def outcome(self, exchange_id: int) -> str:
+        """Return the outcome that the caller was told, or an empty string."""
+        responses = self.responses.get(exchange_id)
+        return header_value(responses[0].headers, OUTCOME_HEADER) if responses else ""
+
+
+@attrs.define(eq=False)
+class Fabric:
+    """Hold the nodes, the clock and the messages on their way."""
+
+    time: ManualTime = attrs.field(factory=lambda: ManualTime(WALL_START_MS))
+    nodes: dict[str, FakeNode] = attrs.field(factory=dict)
+    letters: list[Letter] = attrs.field(factory=list)
+    generator: random.Random = attrs.field(factory=lambda: random.Random(9))
+
+    @property
+    def now_ms(self) -> float:
+        """Return the manual time."""
+        return self.time.value_ms
+
+    def add(self, node_id: str, service: str, slots: int = 4) -> FakeNode:
+        """Add a node with a target."""
+        member = Member(
+            node_id, 1, 0, MemberState.ALIVE, _ADDRESS, _ADDRESS, "r", "d", service, slots
+        )
+        node = FakeNode(self, member)
+        self.nodes[node_id] = node
+        return node
+
+    def start(self, *classes: ServiceClass) -> None:
+        """Let all nodes know each other, a configuration, and who owns which keys."""
+        payload = encode_configuration(Configuration(1, "w", "test", classes))
+        for node in self.nodes.values():
+            node.core.on_configuration(payload)
+            if node.member.service:
+                node.core.on_announcement(
+                    self.now_ms, node.member.service, node.member.slots, False
+                )
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                me = other.core.membership.me
+                if other is not node:
+                    node.core.membership.on_record(self.now_ms, me, other.node_id)
+            node.core.apply_member_changes(self.now_ms)
+        self._give_ownership()
+
+    def _give_ownership(self) -> None:
+        """Let the members of each service own keys, as a read of the store would."""
+        for node in self.nodes.values():
+            service = node.member.service
+            siblings = [n for n in self.nodes.values() if n.member.service == service]
+            members = frozenset(identity_of(n.core.membership.me) for n in siblings)
+            register = first_register(self.now_ms - 1_000.0, members)
+            controller = node.core.ownership
+            controller.on_read(self.now_ms, self.now_ms + 3_600_000.0, register, 1)
+
+    def deliver(self, letter: Letter) -> None:
+        """Deliver a message."""
+        self.letters.remove(letter)
+        receiver = self.nodes.get(letter.receiver)
+        if receiver is not None:
+            message = wire.decode(letter.data, letter.sender)
+            receiver.core.on_peer_message(message, self.now_ms, letter.sender, letter.link_id)
+
+    def lose(self, letter: Letter) -> None:
+        """Lose a message together with its link, as TCP does."""
+        self.cut_link(letter.link_id)
+
+    def cut_link(self, link_id: str) -> None:
+        """Close a link: what is on its way is lost, and both sides notice."""
+        caller, callee = link_id.split(">")
+        self.letters = [item for item in self.letters if item.link_id != link_id]
+        calls = self._calls_due(caller, callee)
+        if caller in self.nodes:
+            self.nodes[caller].core.on_link_lost(self.now_ms, link_id, calls, PEER_LOST)
+        if callee in self.nodes:
+            self.nodes[callee].core.on_link_lost(self.now_ms, link_id, [], PEER_LOST)
+
+    def _calls_due(self, caller: str, callee: str) -> list[int]:
+        if caller not in self.nodes:
+            return []
+        attempts = self.nodes[caller].core.outbound.attempts()
+        return [attempt.call_id for attempt in attempts if attempt.node_id == callee]
+
+    def deliver_all(self) -> None:
+        """Deliver everything, in order, until nothing is on its way."""
+        while self.letters:
+            self.deliver(self.letters[0])
+
+    def work(self) -> None:
+        """Deliver everything and let all targets answer, until nothing happens any more."""
+        while self.letters or any(node.runs for node in self.nodes.values()):
+            self.deliver_all()
+            for node in self.nodes.values():
+                node.finish_all()
+
+    def tick(self, duration_ms: float) -> None:
+        """Let time pass for all nodes."""
+        self.time.advance(duration_ms)
+        for node in self.nodes.values():
+            node.core.tick(self.now_ms)
+
+    def calls_on_the_way(self) -> list[Letter]:
+        """Return the letters that carry calls."""
+        return [item for item in self.letters if isinstance(wire.decode(item.data, ""), Call)]
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,301 @@
+"""Calls through node cores: right answers, true refusals, at most one run, cancelled work."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock import keys
+from gooseberrydock.configuration import CallStep, ServiceClass
+from gooseberrydock.errorcodes import (
+    CREDIT_EXHAUSTED,
+    KEY_SEALED,
+    NO_SERVICE_CLASS,
+    NODE_LEAVING,
+    QUARANTINED,
+    SHED_AT_TARGET,
+    TARGET_LOST,
+    UNKNOWN_CONTEXT,
+)
+from gooseberrydock.http_messages import (
+    CODE_HEADER,
+    KEY_HEADER,
+    Headers,
+    HttpRequest,
+    header_value,
+)
+from gooseberrydock.messages import CutReport
+from tests.fabric import Fabric, FakeNode
+
+LOOKUP = ServiceClass("lookup", 4, (CallStep("shop", "look"), CallStep("stock", "see")), 60.0)
+BOOKING = ServiceClass("booking", 0, (CallStep("shop", "book"),), 60.0, is_idempotent=False)
+
+
+def create_fabric() -> Fabric:
+    """Make two entries without a target, three shops and one stock."""
+    fabric = Fabric()
+    fabric.add("entry-1", "")
+    fabric.add("entry-2", "")
+    for index in range(3):
+        fabric.add(f"shop-{index}", "shop")
+    fabric.add("stock-0", "stock")
+    fabric.start(LOOKUP, BOOKING)
+    return fabric
+
+
+def code_of(node: FakeNode, exchange_id: int) -> int:
+    """Return the error code that a caller was told."""
+    return int(header_value(node.responses[exchange_id][0].headers, CODE_HEADER) or 0)
+
+
+def new_key(fabric: Fabric) -> Headers:
+    """Make the header of a new key."""
+    return [(KEY_HEADER, keys.create_key(fabric.now_ms, fabric.generator).encode())]
+
+
+class CallTest(unittest.TestCase):
+    """Single cases."""
+
+    def setUp(self) -> None:
+        self.fabric = create_fabric()
+        self.entry = self.fabric.nodes["entry-1"]
+        self.other = self.fabric.nodes["entry-2"]
+        self.shops = [self.fabric.nodes[f"shop-{index}"] for index in range(3)]
+
+    def _running(self) -> list[tuple[FakeNode, int]]:
+        return [(shop, run_id) for shop in self.shops for run_id in shop.runs]
+
+    def test_whole_answer_comes_back(self) -> None:
+        exchange = self.entry.request("/shop/look", body=b"pan")
+        self.fabric.work()
+        self.assertEqual(self.entry.responses[exchange][0].body, b"echo:pan")
+        self.assertEqual(self.entry.outcome(exchange), "done")
+
+    def test_refusals_before_anything_ran(self) -> None:
+        cases = [("/nowhere/op", NO_SERVICE_CLASS), ("/shop/unknown", NO_SERVICE_CLASS)]
+        for path, code in cases:
+            with self.subTest(path=path):
+                exchange = self.entry.request(path)
+                self.assertEqual(code_of(self.entry, exchange), code.number)
+                self.assertEqual(self.entry.outcome(exchange), "not-run")
+
+    def test_call_without_context_is_refused(self) -> None:
+        shop = self.shops[0]
+        stray = HttpRequest("POST", "/", [], b"")
+        exchange = shop.call_from_target(stray, "/stock/see")
+        self.assertEqual(code_of(shop, exchange), UNKNOWN_CONTEXT.number)
+
+    def test_target_that_repeats_its_call_runs_out_of_credit(self) -> None:
+        self.entry.request("/shop/look")
+        self.fabric.deliver_all()
+        shop, run_id = self._running()[0]
+        codes = []
+        for _ in range(12):
+            exchange = shop.call_from_target(shop.runs[run_id], "/stock/see")
+            self.fabric.deliver_all()
+            self.fabric.nodes["stock-0"].finish_all()
+            self.fabric.deliver_all()
+            codes.append(code_of(shop, exchange))
+        kept_at_entry = LOOKUP.subtree_size(0)
+        allowed = 1 + LOOKUP.retry_allowance - kept_at_entry
+        self.assertEqual(codes[:allowed], [0] * allowed)
+        self.assertEqual(set(codes[allowed:]), {CREDIT_EXHAUSTED.number})
+
+    def test_lookup_moves_on_from_a_leaving_target(self) -> None:
+        exchange = self.entry.request("/shop/look")
+        receiver = self.fabric.nodes[self.fabric.letters[0].receiver]
+        receiver.core.leave(self.fabric.now_ms)
+        self.fabric.work()
+        self.assertEqual(self.entry.outcome(exchange), "done")
+        self.assertEqual(receiver.started, [])
+        self.assertNotEqual(code_of(self.entry, exchange), NODE_LEAVING.number)
+
+    def test_lookup_is_repeated_after_a_lost_link_and_answered_once(self) -> None:
+        exchange = self.entry.request("/shop/look", body=b"x")
+        self.fabric.deliver_all()
+        shop, _ = self._running()[0]
+        self.fabric.cut_link(f"entry-1>{shop.node_id}")
+        self.fabric.work()
+        self.assertEqual([r.status for r in self.entry.responses[exchange]], [200])
+
+    def test_late_answer_of_a_given_up_call_is_dropped(self) -> None:
+        exchange = self.entry.request("/shop/look")
+        self.fabric.deliver_all()
+        shop, run_id = self._running()[0]
+        self.fabric.time.advance(6_000)
+        self.entry.core.tick(self.fabric.now_ms)
+        self.assertEqual(self.entry.outcome(exchange), "unknown")
+        shop.finish_run(run_id, body=b"late")
+        later = self.entry.request("/shop/look", body=b"new")
+        self.fabric.work()
+        self.assertEqual(self.entry.responses[later][0].body, b"echo:new")
+        self.assertEqual(len(self.entry.responses[exchange]), 1)
+
+    def test_caller_that_goes_away_cancels_the_work_down_the_chain(self) -> None:
+        exchange = self.entry.request("/shop/look")
+        self.fabric.deliver_all()
+        shop, run_id = self._running()[0]
+        shop.call_from_target(shop.runs[run_id], "/stock/see")
+        self.fabric.deliver_all()
+        self.assertEqual(len(self.fabric.nodes["stock-0"].runs), 1)
+        self.entry.core.on_caller_gone(exchange)
+        self.fabric.deliver_all()
+        self.assertEqual(self._running(), [])
+        self.assertEqual(self.fabric.nodes["stock-0"].runs, {})
+
+    def test_entry_sheds_for_a_service_deep_on_the_path(self) -> None:
+        board = self.entry.core.board
+        board.observe(self.fabric.now_ms, (CutReport("stock", 1.0),))
+        refused = sum(
+            self.entry.outcome(self.entry.request("/shop/look")) == "not-run" for _ in range(100)
+        )
+        self.assertGreaterEqual(refused, 90)
+        booked = self.entry.request("/shop/book")
+        self.fabric.work()
+        self.assertEqual(self.entry.outcome(booked), "done")
+
+    def test_request_that_crashes_targets_kills_at_most_two(self) -> None:
+        killed: set[str] = set()
+        for attempt in range(6):
+            entry = self.entry if attempt % 2 else self.other
+            exchange = entry.request("/shop/look", body=b"bad")
+            innocent = self.entry.request("/shop/look", body=b"good %d" % attempt)
+            for _ in range(4):
+                self.fabric.deliver_all()
+                for shop in self.shops:
+                    self._crash_if_hit(shop, killed)
+            self.fabric.work()
+            for _ in range(10):
+                self.fabric.tick(20.0)
+                self.fabric.work()
+            self.assertEqual(self.entry.outcome(innocent), "done")
+        self.assertLessEqual(len(killed), 2)
+        self.assertEqual(code_of(entry, exchange), QUARANTINED.number)
+
+    def _crash_if_hit(self, shop: FakeNode, killed: set[str]) -> None:
+        if not any(run.body == b"bad" for run in shop.runs.values()):
+            return
+        killed.add(shop.node_id)
+        for run_id in list(shop.runs):
+            shop.fail_run(run_id, TARGET_LOST)
+        shop.core.on_crash_checked(self.fabric.now_ms, is_reachable=False)
+
+    def test_lost_connection_alone_convicts_nobody(self) -> None:
+        self.entry.request("/shop/look", body=b"fine")
+        self.fabric.deliver_all()
+        shop, run_id = self._running()[0]
+        shop.fail_run(run_id, TARGET_LOST)
+        shop.core.on_crash_checked(self.fabric.now_ms, is_reachable=True)
+        self.assertEqual(shop.core.quarantine.convicted, {})
+
+
+class BookingTest(unittest.TestCase):
+    """Requests that may not be repeated."""
+
+    def setUp(self) -> None:
+        self.fabric = create_fabric()
+        self.entries = [self.fabric.nodes["entry-1"], self.fabric.nodes["entry-2"]]
+        self.shops = [self.fabric.nodes[f"shop-{index}"] for index in range(3)]
+
+    def _runs(self) -> int:
+        return sum(len(shop.started) for shop in self.shops)
+
+    def test_copies_through_two_entries_run_once_and_get_the_same_answer(self) -> None:
+        headers = new_key(self.fabric)
+        sent = [(entry, entry.request("/shop/book", headers, b"x")) for entry in self.entries]
+        self.fabric.work()
+        later = self.entries[1].request("/shop/book", headers, b"x")
+        self.fabric.work()
+        for entry, exchange in [*sent, (self.entries[1], later)]:
+            self.assertEqual(entry.responses[exchange][0].body, b"echo:x")
+        self.assertEqual(self._runs(), 1)
+
+    def test_a_key_of_another_request_is_refused(self) -> None:
+        headers = new_key(self.fabric)
+        self.entries[0].request("/shop/book", headers, b"x")
+        self.fabric.work()
+        exchange = self.entries[1].request("/shop/book", headers, b"y")
+        self.fabric.work()
+        self.assertEqual(self.entries[1].responses[exchange][0].status, 422)
+        self.assertEqual(self._runs(), 1)
+
+    def test_refused_key_is_sealed(self) -> None:
+        headers = new_key(self.fabric)
+        for shop in self.shops:
+            shop.core.inbound.admission.limit.announce(1)  # type: ignore[union-attr]
+        fillers = [self.entries[0].request("/shop/book") for _ in range(60)]
+        self.fabric.deliver_all()
+        exchange = self.entries[1].request("/shop/book", headers, b"x")
+        self.fabric.deliver_all()
+        self.assertEqual(code_of(self.entries[1], exchange), SHED_AT_TARGET.number)
+        self.assertEqual(self.entries[1].outcome(exchange), "not-run")
+        self.fabric.work()
+        again = self.entries[0].request("/shop/book", headers, b"x")
+        self.fabric.work()
+        self.assertEqual(code_of(self.entries[0], again), KEY_SEALED.number)
+        self.assertTrue(all(self.entries[0].outcome(item) for item in fillers))
+
+    def test_entry_that_sheds_a_resent_key_asks_its_owner(self) -> None:
+        headers = new_key(self.fabric)
+        first = self.entries[0].request("/shop/book", headers, b"x")
+        self.fabric.deliver_all()
+        board = self.entries[1].core.board
+        board.observe(self.fabric.now_ms, (CutReport("shop", 0.0),))
+        second = self.entries[1].request("/shop/book", headers, b"x")
+        self.fabric.work()
+        self.assertEqual(self.entries[0].outcome(first), "done")
+        self.assertEqual(self.entries[1].outcome(second), "done")
+        board.observe(self.fabric.now_ms, (CutReport("shop", 0.0),) * 20)
+        fresh = self.entries[1].request("/shop/book", new_key(self.fabric), b"z")
+        self.fabric.work()
+        self.assertEqual(self.entries[1].outcome(fresh), "not-run")
+        self.assertEqual(self._runs(), 1)
+
+    @given(st.data())
+    def test_not_run_is_true_and_nothing_runs_twice(self, data: st.DataObject) -> None:
+        """Any order of deliveries, lost links, ends of runs, cancellations and re-sends."""
+        self.setUp()
+        headers = new_key(self.fabric)
+        sent: list[tuple[FakeNode, int]] = []
+        for _ in range(data.draw(st.integers(5, 25))):
+            self._act(data, headers, sent)
+        self.fabric.work()
+        self.fabric.tick(10_000.0)
+        self.fabric.work()
+        outcomes = [entry.outcome(exchange) for entry, exchange in sent]
+        self.assertLessEqual(self._runs(), 1)
+        if "not-run" in outcomes:
+            self.assertEqual(self._runs(), 0)
+        for entry, exchange in sent:
+            if entry.outcome(exchange) == "done":
+                self.assertEqual(entry.responses[exchange][0].body, b"echo:x")
+            self.assertLessEqual(len(entry.responses.get(exchange, [])), 1)
+
+    def _act(self, data: st.DataObject, headers: Headers, sent: list[tuple[FakeNode, int]]) -> None:
+        action = data.draw(
+            st.sampled_from(["send", "deliver", "lose", "finish", "die", "gone", "shed", "wait"])
+        )
+        letters = self.fabric.letters
+        if action == "send":
+            entry = data.draw(st.sampled_from(self.entries))
+            sent.append((entry, entry.request("/shop/book", headers, b"x")))
+        elif action in ("deliver", "lose") and letters:
+            letter = data.draw(st.sampled_from(letters))
+            first = next(item for item in letters if item.link_id == letter.link_id)
+            (self.fabric.deliver if action == "deliver" else self.fabric.lose)(first)
+        elif action in ("finish", "die"):
+            for shop in self.shops:
+                for run_id in list(shop.runs):
+                    if action == "finish":
+                        shop.finish_run(run_id, body=b"echo:x")
+                    else:
+                        shop.fail_run(run_id, TARGET_LOST)
+        elif action == "gone" and sent:
+            entry, exchange = data.draw(st.sampled_from(sent))
+            entry.core.on_caller_gone(exchange)
+        elif action == "shed":
+            level = data.draw(st.sampled_from([0.0, 10.0]))
+            board = data.draw(st.sampled_from(self.entries)).core.board
+            board.observe(self.fabric.now_ms, (CutReport("shop", level),) * 20)
+        elif action == "wait":
+            self.fabric.tick(data.draw(st.sampled_from([10.0, 1_000.0, 6_000.0])))
