--- /dev/null
+++ b/tests/test_sheet.py
@@ -0,0 +1,68 @@
+"""The morning sheet: errors with line and column, all or nothing."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock.configuration import CallStep, ServiceClass
+from gooseberrydock.sheet import difference, parse_sheet, render_sheet
+
+_HEADER = "service_class,priority,expected_per_minute,call_path,deadline_ms,idempotent\n"
+_GOOD = "booking,0,100,shop/book > stock/take*2,4000,no\n"
+
+ERROR_CASES = [
+    ("", 1, 0, "missing"),
+    (_HEADER, 1, 0, "no rows"),
+    ("service_class,priority,expected_per_minute,call_path,colour\n", 1, 5, "not a known column"),
+    (_HEADER + _GOOD + _GOOD, 3, 1, "already stands in line 2"),
+    (_HEADER + "booking,ten,100,shop/book,,\n", 2, 2, "not a number"),
+    (_HEADER + "booking,10,100,shop/book,,\n", 2, 2, "not between"),
+    (_HEADER + "booking,1.5,100,shop/book,,\n", 2, 2, "not a whole number"),
+    (_HEADER + "booking,0,-1,shop/book,,\n", 2, 3, "not between"),
+    (_HEADER + "booking,0,nan,shop/book,,\n", 2, 3, "not between"),
+    (_HEADER + "booking,0,100,shop,,\n", 2, 4, "is not service/operation"),
+    (_HEADER + "booking,0,100,shop/book > ,,\n", 2, 4, "is not service/operation"),
+    (_HEADER + "booking,0,100,shop/book,,perhaps\n", 2, 6, "neither yes nor no"),
+    (_HEADER + "booking,0,100,shop/book\n", 2, 0, "4 cells instead of 6"),
+    (_HEADER + "Big Booking,0,100,shop/book,,\n", 2, 1, "is not a name"),
+    (_HEADER + '"booking,0\n', 2, 0, "not valid CSV"),
+]
+
+
+class SheetTest(unittest.TestCase):
+    """Parsing, rendering and comparing."""
+
+    def test_errors_name_line_and_column(self) -> None:
+        for text, line, column, words in ERROR_CASES:
+            with self.subTest(text=text):
+                sheet = parse_sheet(text)
+                self.assertFalse(sheet.is_valid)
+                self.assertEqual(sheet.classes, ())
+                found = [(e.line, e.column) for e in sheet.errors if words in str(e)]
+                self.assertIn((line, column), found, [str(e) for e in sheet.errors])
+
+    def test_one_bad_row_refuses_all(self) -> None:
+        sheet = parse_sheet(_HEADER + _GOOD + "other,x,1,shop/look,,\n")
+        self.assertEqual((sheet.classes, len(sheet.errors)), ((), 1))
+
+    def test_good_row(self) -> None:
+        parsed = parse_sheet("\ufeff" + _HEADER + _GOOD).classes[0]
+        path = (CallStep("shop", "book"), CallStep("stock", "take", 2))
+        expected = ServiceClass("booking", 0, path, 100.0, 4000.0, is_idempotent=False)
+        self.assertEqual(parsed, expected)
+        self.assertEqual(parse_sheet(render_sheet((parsed,))).classes, (parsed,))
+
+    def test_difference_lists_every_change(self) -> None:
+        old = ServiceClass("a", 0, (CallStep("s", "o"),), 1.0)
+        new = ServiceClass("a", 1, (CallStep("s", "o"),), 1.0)
+        other = ServiceClass("b", 2, (CallStep("s", "p"),), 1.0)
+        self.assertEqual(difference((old,), (old,)), [])
+        self.assertEqual(difference((old,), (new,)), ["~ a: priority 0 -> 1"])
+        self.assertEqual(difference((old,), (other,)), ["- a", "+ b: priority 2, s/p"])
+
+    @given(st.text(max_size=200))
+    def test_any_text_gives_classes_or_errors(self, text: str) -> None:
+        for candidate in (text, _HEADER + text, _HEADER + _GOOD + text):
+            sheet = parse_sheet(candidate)
+            self.assertNotEqual(bool(sheet.classes), bool(sheet.errors))
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,162 @@
+"""Bytes from outside: round trips of valid messages, coded errors for everything else."""
+
+import unittest
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock import messages, wire
+from gooseberrydock.configuration import decode_configuration, encode_configuration
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.gossip import Gossip, GossipKind, Update, decode_gossip, encode_gossip
+from gooseberrydock.members import Address, Member, MemberState, decode_member, encode_member
+from gooseberrydock.outcomes import Outcome
+from gooseberrydock.owner_register import decode_register
+from gooseberrydock.target_client import parse_announcement
+
+_NUMBERS = st.integers(0, 2**40)
+_TEXTS = st.text(max_size=12)
+_HEADERS = st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=8)), max_size=3)
+_FLOATS = st.floats(0, 1e9)
+_CONTEXTS = st.builds(
+    messages.CallContext,
+    request_id=_TEXTS,
+    class_name=_TEXTS,
+    rank=_FLOATS,
+    remaining_ms=_FLOATS,
+    credit=_NUMBERS,
+    pays_for_calls=st.booleans(),
+    idempotency_key=_TEXTS,
+    is_idempotent=st.booleans(),
+    caller=_TEXTS,
+    path_index=st.integers(-1, 16),
+    depth=_NUMBERS,
+    is_suspect=st.booleans(),
+    seal_code=_NUMBERS,
+)
+_CALLS = st.builds(
+    messages.Call,
+    call_id=_NUMBERS,
+    service=_TEXTS,
+    operation=_TEXTS,
+    method=_TEXTS,
+    path=_TEXTS,
+    headers=_HEADERS,
+    body=st.binary(max_size=30),
+    context=_CONTEXTS,
+)
+_ANSWERS = st.builds(
+    messages.Answer,
+    call_id=_NUMBERS,
+    outcome=st.sampled_from(Outcome),
+    code=_NUMBERS,
+    status=st.integers(100, 599),
+    headers=_HEADERS,
+    body=st.binary(max_size=30),
+    credit=_NUMBERS,
+    load=st.builds(messages.LoadReport, in_flight=_NUMBERS, queued=_NUMBERS, limit=_NUMBERS),
+    cuts=st.lists(st.builds(messages.CutReport, service=_TEXTS, level=_FLOATS)).map(tuple),
+    step=_TEXTS,
+    peer=_TEXTS,
+)
+_OTHERS = st.one_of(
+    st.builds(messages.Cancel, call_id=_NUMBERS),
+    st.builds(messages.Alive, token=_NUMBERS, is_reply=st.booleans()),
+    st.builds(messages.Leaving, node_id=_TEXTS, incarnation=_NUMBERS),
+    st.builds(
+        messages.CrashNotice,
+        suspects=st.lists(_NUMBERS).map(tuple),
+        convicted=st.lists(_NUMBERS).map(tuple),
+    ),
+    st.builds(messages.ConfigurationPush, generation=_NUMBERS, payload=st.binary(max_size=9)),
+    st.builds(messages.MemberSyncRequest, digests=st.lists(_NUMBERS).map(tuple)),
+)
+_PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=20) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=20,
+)
+_MEMBER = Member(
+    "n", 3, 2, MemberState.ALIVE, Address("::1", 1), Address("::1", 2), "r", "d", "s", 4
+)
+_KEY = b"a shared key of the cluster"
+
+
+class WireTest(unittest.TestCase):
+    """Messages between nodes."""
+
+    @given(st.one_of(_CALLS, _ANSWERS, _OTHERS))
+    def test_round_trip(self, message: messages.PeerMessage) -> None:
+        self.assertEqual(wire.decode(wire.encode(message), "p"), message)
+
+    @given(st.one_of(st.binary(max_size=60), _PLAIN.map(cbor2.dumps)))
+    def test_foreign_bytes_give_a_coded_error(self, data: bytes) -> None:
+        for decode in (
+            lambda: wire.decode(data, "p"),
+            lambda: decode_gossip(data, b"", "p"),
+            lambda: decode_member(data),
+            lambda: decode_configuration(data),
+            lambda: decode_register(data, "store"),
+            lambda: parse_announcement(data),
+        ):
+            with self.assertRaises(GooseberrydockError):
+                decode()
+
+    @given(_CALLS, st.integers(1, 20), _PLAIN)
+    def test_call_with_one_foreign_field(
+        self, call: messages.Call, index: int, value: object
+    ) -> None:
+        array = cbor2.loads(wire.encode(call))
+        array[index] = value
+        try:
+            decoded = wire.decode(cbor2.dumps(array), "p")
+        except GooseberrydockError:
+            return
+        self.assertEqual(wire.decode(wire.encode(decoded), "p"), decoded)
+
+    @given(_CALLS, st.data())
+    def test_cut_off_bytes_give_a_coded_error(
+        self, call: messages.Call, data: st.DataObject
+    ) -> None:
+        encoded = wire.encode(call)
+        length = data.draw(st.integers(0, len(encoded) - 1))
+        with self.assertRaises(GooseberrydockError):
+            wire.decode(encoded[:length], "p")
+
+
+class GossipTest(unittest.TestCase):
+    """Datagrams."""
+
+    def test_round_trip_and_authentication(self) -> None:
+        gossip = Gossip(GossipKind.PING, 1, "a", "b", 7, (Update(_MEMBER, "c"),))
+        data = encode_gossip(gossip, _KEY)
+        self.assertEqual(decode_gossip(data, _KEY, ""), gossip)
+        for wrong in (data[:-1], b"x" + data[1:], data + b"x", encode_gossip(gossip, b"")):
+            with self.subTest(wrong=wrong), self.assertRaises(GooseberrydockError):
+                decode_gossip(wrong, _KEY, "")
+
+    def test_datagram_stays_within_its_limit(self) -> None:
+        updates = tuple(Update(_MEMBER, "c") for _ in range(200))
+        data = encode_gossip(Gossip(GossipKind.ACK, 1, "a", "b", 7, updates), _KEY)
+        self.assertLessEqual(len(data), 1_400)
+        self.assertGreater(len(decode_gossip(data, _KEY, "").updates), 5)
+
+    def test_member_round_trip(self) -> None:
+        self.assertEqual(decode_member(encode_member(_MEMBER)), _MEMBER)
+
+
+class ConfigurationPayloadTest(unittest.TestCase):
+    """The stored configuration."""
+
+    def test_hostile_compression_is_refused(self) -> None:
+        import zlib
+
+        with self.assertRaises(GooseberrydockError):
+            decode_configuration(zlib.compress(b" " * 50_000_000))
+
+    def test_empty_configuration_round_trip(self) -> None:
+        from gooseberrydock.configuration import empty_configuration
+
+        empty = empty_configuration()
+        self.assertEqual(decode_configuration(encode_configuration(empty)), empty)
