--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -123,7 +123,7 @@
             self.start_node(member)
         for member in self.members:
             self.start_target(member)
-        self._wait_until_joined()
+        self.wait_until_joined()
 
     def _start_baseline(self) -> None:
         """Start targets that call each other without nodes."""
@@ -227,7 +227,7 @@
             time.sleep(_POLL_S)
         raise RuntimeError(f"nothing listens on {address}")
 
-    def _wait_until_joined(self) -> None:
+    def wait_until_joined(self) -> None:
         """Wait until every node knows every target."""
         deadline = time.monotonic() + _START_TIMEOUT_S
         while not all(self._has_joined(member) for member in self.members):
--- /dev/null
+++ b/bench/group.py
@@ -0,0 +1,126 @@
+"""Many membership controllers in one process on a virtual clock.
+
+Only the real controllers run: datagrams are handed over after a fixed delay, some are lost, and
+nothing else of a node exists.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from gooseberrydock import defaults
+from gooseberrydock.gossip import Gossip, encode_gossip
+from gooseberrydock.members import Address, Member, MemberState
+from gooseberrydock.membership import GossipSend, MembershipController, create_membership
+
+TICK_MS = 100.0
+DELAY_MS = 2.0
+_KEY = b"a key for measuring sizes"
+_DOMAINS = 9
+_REGIONS = 3
+_MEMBERS_PER_SERVICE = 6
+
+
+@attrs.define(eq=False)
+class Group:
+    """Hold the controllers and the datagrams between them."""
+
+    size: int
+    loss: float
+    seed: int
+    now_ms: float = 0.0
+    controllers: dict[str, MembershipController] = attrs.field(factory=dict)
+    silent: set[str] = attrs.field(factory=set)
+    is_cut: Callable[[str, str], bool] = attrs.field(default=lambda a, b: False)
+    bytes_sent: int = 0
+    datagrams: int = 0
+    deaths: list[tuple[float, str, str]] = attrs.field(factory=list)
+    _queue: list[tuple[float, int, str, str, Gossip]] = attrs.field(factory=list)
+    _order: Iterator[int] = attrs.field(factory=itertools.count)
+    _random: random.Random = attrs.field(init=False)
+    _ticks: list[tuple[float, str]] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self._random = random.Random(self.seed)
+        members = [create_member(index) for index in range(self.size)]
+        for member in members:
+            self.controllers[member.node_id] = create_membership(
+                member, self._random.getrandbits(64)
+            )
+        self._introduce(members)
+        for node_id in self.controllers:
+            self._ticks.append((self._random.uniform(0, TICK_MS), node_id))
+        heapq.heapify(self._ticks)
+
+    def _introduce(self, members: list[Member]) -> None:
+        """Let all know each other, as after a quiet hour."""
+        for controller in self.controllers.values():
+            for member in members:
+                controller.on_record(0.0, member, member.node_id)
+            controller.take_changes()
+            controller.forget_broadcasts()
+
+    def run_until(self, end_ms: float) -> None:
+        """Let time pass."""
+        while self._ticks[0][0] <= end_ms:
+            at_ms, node_id = heapq.heappop(self._ticks)
+            self._deliver_until(at_ms)
+            self.now_ms = at_ms
+            heapq.heappush(self._ticks, (at_ms + TICK_MS, node_id))
+            if node_id not in self.silent:
+                self.send(node_id, self.controllers[node_id].tick(at_ms))
+                self._note_deaths(node_id)
+        self._deliver_until(end_ms)
+        self.now_ms = end_ms
+
+    def _deliver_until(self, end_ms: float) -> None:
+        while self._queue and self._queue[0][0] <= end_ms:
+            at_ms, _, sender, receiver, gossip = heapq.heappop(self._queue)
+            if receiver in self.silent or self.is_cut(sender, receiver):
+                continue
+            address = address_of(sender)
+            sends = self.controllers[receiver].on_gossip(at_ms, gossip, address)
+            self.now_ms = at_ms
+            self.send(receiver, sends)
+            self._note_deaths(receiver)
+
+    def send(self, sender: str, sends: list[GossipSend]) -> None:
+        """Put datagrams on their way; some are lost."""
+        for item in sends:
+            self.datagrams += 1
+            self.bytes_sent += len(encode_gossip(item.gossip, _KEY))
+            if self._random.random() >= self.loss:
+                at_ms = self.now_ms + DELAY_MS
+                receiver = item.address.host
+                entry = (at_ms, next(self._order), sender, receiver, item.gossip)
+                heapq.heappush(self._queue, entry)
+
+    def _note_deaths(self, observer: str) -> None:
+        for member in self.controllers[observer].take_changes():
+            if member.state is MemberState.DEAD:
+                self.deaths.append((self.now_ms, observer, member.node_id))
+
+
+def create_member(index: int) -> Member:
+    """Make the record of one of many members."""
+    name = f"node-{index:05d}"
+    return Member(
+        node_id=name,
+        incarnation=1_790_000_000_000 + index,
+        version=1,
+        state=MemberState.ALIVE,
+        peer_address=address_of(name),
+        gossip_address=address_of(name),
+        region=f"region-{index % _REGIONS}",
+        failure_domain=f"domain-{index % _DOMAINS}",
+        service=f"service-{index // _MEMBERS_PER_SERVICE}",
+        slots=100,
+    )
+
+
+def address_of(node_id: str) -> Address:
+    """Return the address that stands for a node in the group."""
+    return Address(node_id, defaults.MAX_DATAGRAM_BYTES)
--- a/gooseberrydock/admin.py
+++ b/gooseberrydock/admin.py
@@ -129,6 +129,8 @@
             "crashes": stats.crashes,
             "gossip_bytes_sent": node.gossip.bytes_sent,
             "gossip_bytes_received": node.gossip.bytes_received,
+            "link_bytes_sent": node.links.bytes_sent,
+            "link_bytes_received": node.links.bytes_received,
             "store_calls": node.store.calls if node.store else 0,
         },
     }
--- a/gooseberrydock/configuration.py
+++ b/gooseberrydock/configuration.py
@@ -93,6 +93,8 @@
     history: tuple[HistoryEntry, ...] = ()
     _by_name: dict[str, ServiceClass] = attrs.field(init=False, eq=False, repr=False)
     _by_entry: dict[tuple[str, str], ServiceClass] = attrs.field(init=False, eq=False, repr=False)
+    keyed_services: frozenset[str] = attrs.field(init=False, eq=False, repr=False)
+    """The services on the path of a class that may not be repeated."""
 
     @_by_name.default
     def _index_by_name(self) -> dict[str, ServiceClass]:
@@ -105,6 +107,11 @@
             index.setdefault((item.entry.service, item.entry.operation), item)
         return index
 
+    @keyed_services.default
+    def _collect_keyed_services(self) -> frozenset[str]:
+        keyed = [item.services for item in self.classes if not item.is_idempotent]
+        return frozenset[str]().union(*keyed)
+
     def class_named(self, name: str) -> ServiceClass | None:
         """Return the class of this name."""
         return self._by_name.get(name)
--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -76,7 +76,9 @@
 PIGGYBACK_UPDATES: Final = 6
 DISSEMINATION_FACTOR: Final = 3.0
 MIN_REPETITIONS: Final = 6
-DEAD_MEMBER_HOLD_MS: Final = 600_000.0
+DEAD_MEMBER_HOLD_MS: Final = 7_200_000.0
+"""How long a member believed dead is remembered and now and then probed; a cut between regions
+may last an hour."""
 MEMBER_SYNC_FIRST_MS: Final = 1_000.0
 MEMBER_SYNC_PERIOD_MS: Final = 30_000.0
 
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -227,19 +227,27 @@
             self.connection.abort()
 
 
-async def fetch(pool: ClientPool, request: HttpRequest, timeout_s: float) -> HttpResponse | None:
-    """Send one request and wait for its answer; return None where none came in time."""
+async def fetch_or_fail(
+    pool: ClientPool, request: HttpRequest, timeout_s: float
+) -> HttpResponse | ErrorCode | None:
+    """Send one request and wait for its answer or failure; return None where neither came."""
     done = trio.Event()
-    answers: list[HttpResponse] = []
+    results: list[HttpResponse | ErrorCode] = []
 
-    def on_response(response: HttpResponse) -> None:
-        answers.append(response)
+    def note(result: HttpResponse | ErrorCode) -> None:
+        results.append(result)
         done.set()
 
-    pending = pool.start(request, on_response, lambda code: done.set())
+    pending = pool.start(request, note, note)
     with trio.move_on_after(timeout_s):
         await done.wait()
-    if not answers:
+    if not results:
         pending.abort()
         return None
-    return answers[0]
+    return results[0]
+
+
+async def fetch(pool: ClientPool, request: HttpRequest, timeout_s: float) -> HttpResponse | None:
+    """Send one request and wait for its answer; return None where none came in time."""
+    result = await fetch_or_fail(pool, request, timeout_s)
+    return result if isinstance(result, HttpResponse) else None
--- a/gooseberrydock/load.py
+++ b/gooseberrydock/load.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import threading
 from collections import Counter
 from typing import Final
 
@@ -15,7 +16,8 @@
 from gooseberrydock import keys
 from gooseberrydock.clock import MS_PER_SECOND, Millis, system_clock
 from gooseberrydock.configuration import ServiceClass
-from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.errorcodes import TARGET_UNREACHABLE
+from gooseberrydock.http_client import ClientPool, fetch, fetch_or_fail
 from gooseberrydock.http_messages import (
     CALLER_HEADER,
     CLASS_HEADER,
@@ -24,6 +26,7 @@
     OUTCOME_HEADER,
     Headers,
     HttpRequest,
+    HttpResponse,
     header_value,
 )
 from gooseberrydock.members import Address
@@ -62,6 +65,8 @@
     resend_pause_ms: Millis
     callers: int
     seed: int
+    avoids_closed_entries: bool = False
+    """Callers turn to another entry where one accepts no connection."""
     entries_by_service: dict[str, tuple[Address, ...]] = attrs.field(factory=dict)
     """Baselines only: where no node routes, callers must know each service's own entries."""
 
@@ -100,6 +105,7 @@
     _records: list[RequestRecord] = attrs.field(factory=list)
     _in_flight: int = 0
     _not_sent: int = 0
+    _stop: threading.Event | None = None
 
     @property
     def records(self) -> list[RequestRecord]:
@@ -117,7 +123,7 @@
         async with trio.open_nursery() as requests:
             while True:
                 arrival_s += self._random.expovariate(self._plan.rate_at(arrival_s))
-                if arrival_s >= self._plan.duration_s:
+                if arrival_s >= self._plan.duration_s or self._is_stopped():
                     break
                 await trio.sleep_until(self._started_at + arrival_s)
                 if self._in_flight >= _MAX_IN_FLIGHT:
@@ -125,6 +131,9 @@
                     continue
                 requests.start_soon(self._send_whole, self._choose_class(), arrival_s)
 
+    def _is_stopped(self) -> bool:
+        return self._stop is not None and self._stop.is_set()
+
     def _choose_class(self) -> ServiceClass:
         weights = [item.expected_per_minute for item in self._plan.classes]
         return self._random.choices(self._plan.classes, weights)[0]
@@ -152,6 +161,18 @@
         )
         self._records.append(record)
 
+    async def _fetch(self, pools: list[ClientPool], request: HttpRequest) -> HttpResponse | None:
+        """Send to a random entry; where it accepts no connection, perhaps to another."""
+        timeout_s = self._plan.patience_ms / MS_PER_SECOND
+        order = self._random.sample(pools, len(pools))
+        if not self._plan.avoids_closed_entries:
+            return await fetch(order[0], request, timeout_s)
+        for pool in order:
+            result = await fetch_or_fail(pool, request, timeout_s)
+            if result is not TARGET_UNREACHABLE:
+                return result if isinstance(result, HttpResponse) else None
+        return None
+
     def _new_key(self) -> str:
         return keys.create_key(system_clock().wall_ms(), self._random)
 
@@ -167,8 +188,7 @@
         ]
         request = HttpRequest("POST", f"/{entry.service}/{entry.operation}", headers, key.encode())
         pools = self._pools.get(entry.service) or self._pools[_ANY_SERVICE]
-        pool = self._random.choice(pools)
-        response = await fetch(pool, request, self._plan.patience_ms / MS_PER_SECOND)
+        response = await self._fetch(pools, request)
         if response is None:
             return 0, _NO_ANSWER, ""
         outcome = header_value(response.headers, OUTCOME_HEADER)
@@ -183,8 +203,8 @@
     not_sent: int
 
 
-async def run_load(plan: LoadPlan) -> LoadResult:
-    """Carry out a plan."""
+async def run_load(plan: LoadPlan, stop: threading.Event | None = None) -> LoadResult:
+    """Carry out a plan; ``stop`` ends the arrivals early."""
     async with trio.open_nursery() as nursery:
         generator = LoadGenerator(
             plan,
@@ -192,6 +212,7 @@
             random.Random(plan.seed),
             _create_pools(plan, nursery),
             trio.current_time(),
+            stop=stop,
         )
         await generator.run()
         nursery.cancel_scope.cancel()
--- a/gooseberrydock/membership.py
+++ b/gooseberrydock/membership.py
@@ -82,6 +82,11 @@
     _next_period_at: Millis = 0.0
     _last_tick_at: Millis = 0.0
     _generation: int = 0
+    _digests: list[int] = attrs.field(factory=lambda: [0] * _SYNC_BUCKETS)
+    _checksums: dict[str, int] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._note_digest(self._me)
 
     @property
     def me(self) -> Member:
@@ -117,6 +122,7 @@
         """Change this node's own record and spread the change."""
         version = self._me.version + 1
         self._me = attrs.evolve(self._me, version=version, **changes)  # type: ignore[arg-type]
+        self._note_digest(self._me)
         self._broadcast(Update(self._me, self._me.node_id))
         self._changes.append(self._me)
 
@@ -129,6 +135,10 @@
         """Tell a few members of a change of this node's own record at once."""
         return self._to_random_members(defaults.CONFIGURATION_FANOUT)
 
+    def forget_broadcasts(self) -> None:
+        """Pass on no more of what is known so far, as after a long quiet time."""
+        self._broadcasts.clear()
+
     def join(self, address: Address) -> GossipSend:
         """Make a first ping to an address known from settings or from the store."""
         self._broadcast(Update(self._me, self._me.node_id))
@@ -171,10 +181,7 @@
 
     def digests(self) -> tuple[int, ...]:
         """Return a digest of each bucket of the member table."""
-        digests = [0] * _SYNC_BUCKETS
-        for member in [*self._members.values(), self._me]:
-            digests[_bucket_of(member.node_id)] ^= zlib.crc32(encode_member(member))
-        return tuple(digests)
+        return tuple(self._digests)
 
     def records_in(self, buckets: tuple[int, ...]) -> tuple[bytes, ...]:
         """Return the encoded records in these buckets."""
@@ -191,6 +198,7 @@
 
     def _accept(self, now_ms: Millis, member: Member, reporter: str) -> None:
         self._members[member.node_id] = member
+        self._note_digest(member)
         self._suspicions.pop(member.node_id, None)
         self._dead_since.pop(member.node_id, None)
         if member.state is MemberState.SUSPECT:
@@ -200,6 +208,18 @@
         self._broadcast(Update(member, reporter))
         self._changes.append(member)
 
+    def _note_digest(self, member: Member) -> None:
+        """Bring the digest of a member's bucket up to date with its record."""
+        checksum = zlib.crc32(encode_member(member))
+        bucket = _bucket_of(member.node_id)
+        self._digests[bucket] ^= self._checksums.get(member.node_id, 0) ^ checksum
+        self._checksums[member.node_id] = checksum
+
+    def _forget(self, node_id: str) -> None:
+        """Drop a member and its share of the digest."""
+        del self._members[node_id]
+        self._digests[_bucket_of(node_id)] ^= self._checksums.pop(node_id)
+
     def _refute(self, member: Member) -> None:
         """Answer a claim that this node is suspect or dead with a newer record."""
         if member.order <= self._me.order:
@@ -289,7 +309,7 @@
         for node_id, since in list(self._dead_since.items()):
             if now_ms - since > defaults.DEAD_MEMBER_HOLD_MS:
                 del self._dead_since[node_id]
-                del self._members[node_id]
+                self._forget(node_id)
         for sequence, relay in list(self._relays.items()):
             if now_ms > relay.expires_at:
                 del self._relays[sequence]
--- a/gooseberrydock/metrics.py
+++ b/gooseberrydock/metrics.py
@@ -47,6 +47,8 @@
         "crashes": (stats.crashes, "Deaths of the local target with calls in flight"),
         "gossip_bytes_sent": (node.gossip.bytes_sent, "Bytes of gossip sent"),
         "gossip_bytes_received": (node.gossip.bytes_received, "Bytes of gossip received"),
+        "link_bytes_sent": (node.links.bytes_sent, "Bytes sent on links to peers"),
+        "link_bytes_received": (node.links.bytes_received, "Bytes received on links to peers"),
         "store_calls": (node.store.calls if node.store else 0, "Calls to the key-value service"),
     }
     for name, (value, text) in values.items():
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -90,6 +90,7 @@
     _announced_at: Millis = 0.0
     _fetched_at: Millis = -_FETCH_INTERVAL_MS
     _is_checking_crash: bool = False
+    _leave_requests: list[HttpConnection] = attrs.field(factory=list)
     _stop_asked: trio.Event = attrs.field(factory=trio.Event)
 
     @_core.default
@@ -227,8 +228,8 @@
         if request.path == ANNOUNCE_PATH:
             connection.respond(self._on_announcement(request))
         elif request.path == LEAVE_PATH:
+            self._leave_requests.append(connection)
             self.ask_stop()
-            connection.respond(_EMPTY_RESPONSE)
         else:
             self._start_exchange(connection, Source.LOCAL, request, "")
 
@@ -421,7 +422,10 @@
                 self.ask_stop()
 
     async def stop_when_asked(self) -> None:
-        """Leave, let every call in flight end, and stop the process."""
+        """Leave, let every call in flight end, and stop the process.
+
+        A target that asked to leave is answered last, when it gets no more work.
+        """
         await self._stop_asked.wait()
         log(NODE_STOPPING, in_flight=self._core.outbound.in_flight)
         if self._core.inbound.is_leaving:
@@ -436,6 +440,8 @@
                 await trio.sleep(_STOP_CHECK_MS / MS_PER_SECOND)
         if scope.cancelled_caught:
             log(STOP_TIMED_OUT, in_flight=self._core.outbound.in_flight)
+        for connection in self._leave_requests:
+            connection.respond(_EMPTY_RESPONSE)
         log(NODE_STOPPED)
         self._nursery.cancel_scope.cancel()
 
--- a/gooseberrydock/node_core.py
+++ b/gooseberrydock/node_core.py
@@ -247,17 +247,13 @@
         """Run the timers of key ownership; return what the shell has to do."""
         wall_ms = self._clock.wall_ms()
         service = self._inbound.service
-        self._ownership.set_needed(bool(service) and self._has_keyed_class(service))
+        self._ownership.set_needed(service in self._configuration.current.keyed_services)
         owners = {identity_of(m) for m in self._routing.members_of(service)}
         self._ownership.set_live(wall_ms, frozenset(owners))
         actions = self._ownership.tick(wall_ms)
         self._inbound.judge_held(now_ms)
         return actions
 
-    def _has_keyed_class(self, service: str) -> bool:
-        classes = self._configuration.current.classes
-        return any(not item.is_idempotent and service in item.services for item in classes)
-
     def apply_member_changes(self, now_ms: Millis) -> list[Member]:
         """Let routing follow the member table; return the changed records."""
         is_late = now_ms - self._started_at > _JOIN_GRACE_MS
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -158,6 +158,7 @@
         if not data:
             return False
         self._heard_at = self._links.clock.now_ms()
+        self._links.bytes_received += len(data)
         try:
             protocol.receive_data(data)
             for event in protocol.events_received():
@@ -270,6 +271,7 @@
         if self._protocol is None or self._stream is None:
             return
         for data in self._protocol.data_to_send():
+            self._links.bytes_sent += len(data)
             self._stream.send(data)
 
     def _refuse(self, code: ErrorCode, detail: str) -> None:
@@ -297,6 +299,8 @@
     _by_node: dict[str, PeerLink] = attrs.field(factory=dict)
     _by_id: dict[str, PeerLink] = attrs.field(factory=dict)
     _serials: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+    bytes_sent: int = 0
+    bytes_received: int = 0
 
     @property
     def open_links(self) -> list[PeerLink]:
--- a/gooseberrydock/routing.py
+++ b/gooseberrydock/routing.py
@@ -60,6 +60,7 @@
     _random: random.Random
     _members: dict[str, dict[str, Member]] = attrs.field(factory=dict)
     _evidence: dict[str, TargetEvidence] = attrs.field(factory=dict)
+    _service_of: dict[str, str] = attrs.field(factory=dict)
 
     def members_of(self, service: str) -> list[Member]:
         """Return the usable members of a service."""
@@ -71,9 +72,9 @@
 
     def on_member(self, now_ms: Millis, member: Member, is_late_joiner: bool) -> None:
         """Take in a changed member record; a late joiner gets slow start."""
-        self._drop_from_other_services(member)
+        self._drop_from_other_service(member)
         if not member.is_usable:
-            self._members.get(member.service, {}).pop(member.node_id, None)
+            self._members.setdefault(member.service, {}).pop(member.node_id, None)
             self._evidence.pop(member.node_id, None)
             return
         self._members.setdefault(member.service, {})[member.node_id] = member
@@ -84,10 +85,12 @@
             evidence.load = LoadReport(0, 0, max(1, member.slots))
             self._evidence[member.node_id] = evidence
 
-    def _drop_from_other_services(self, member: Member) -> None:
-        for service, members in self._members.items():
-            if service != member.service:
-                members.pop(member.node_id, None)
+    def _drop_from_other_service(self, member: Member) -> None:
+        """Forget under which other service a node was known."""
+        previous = self._service_of.get(member.node_id, member.service)
+        if previous != member.service:
+            self._members[previous].pop(member.node_id, None)
+        self._service_of[member.node_id] = member.service
 
     def choose(self, now_ms: Millis, service: str, excluded: frozenset[str]) -> Member | None:
         """Return the target for one call, or None where there is none."""
--- a/gooseberrydock/standin_target.py
+++ b/gooseberrydock/standin_target.py
@@ -44,7 +44,7 @@
 _CRASH_STATUS: Final = 3
 _ANNOUNCE_PERIOD_S: Final = 1.0
 _DRAIN_CHECK_S: Final = 0.05
-_LEAVE_SPREAD_S: Final = 3.0
+_LEAVE_TIMEOUT_S: Final = 45.0
 _COLD_FACTOR: Final = 3.0
 _DIRECT_TIMEOUT_S: Final = 2.0
 _DEFAULT_DEADLINE_MS: Final[Millis] = 5_000.0
@@ -293,11 +293,11 @@
             self._reported_load = load
 
     async def drain_on_signal(self) -> None:
-        """On SIGTERM tell the node to leave, finish all work, and stop."""
+        """On SIGTERM ask the node to leave, wait until it sends no more work, and stop."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                await fetch(self._node, HttpRequest("POST", LEAVE_PATH, [], b""), 1.0)
-                await trio.sleep(_LEAVE_SPREAD_S)
+                leave = HttpRequest("POST", LEAVE_PATH, [], b"")
+                await fetch(self._node, leave, _LEAVE_TIMEOUT_S)
                 while self.in_flight:
                     await trio.sleep(_DRAIN_CHECK_S)
                 self._nursery.cancel_scope.cancel()
