Tell completed, overloaded and abandoned runs apart

Cause, found by reading: a cancelled run counted as a completion with its cut-off time, a timeout did not lower the limit, cancelling a suspect cleared it, and calls held for their key did not count as in flight at a stop.

Change: runs end as completed, overloaded or abandoned; a cancelled suspect stays a suspect; everything not answered counts as in flight.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,246 @@
+"""Slopes for docs/CAPACITY.md: what control costs a node, by the size of the fleet.
+
+Real nodes run without targets or calls at several sizes; bytes, processor time, memory and store
+calls are read after they have settled. One member table is then filled to the full size in this
+process. All figures are printed with the extrapolation they lead to.
+"""
+
+import argparse
+import gc
+import json
+import random
+import resource
+import statistics
+import time
+import tracemalloc
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+
+from bench.fleet import Fleet, FleetShape, ServiceShape, fetch_json, running_fleet
+from bench.group import address_of, create_member
+from bench.latency import cpu_seconds, pid_of
+from gooseberrydock.configuration import (
+    CallStep,
+    Configuration,
+    ServiceClass,
+    decode_configuration,
+    encode_configuration,
+)
+from gooseberrydock.gossip import Gossip, GossipKind, Update, decode_gossip, encode_gossip
+from gooseberrydock.members import MemberState
+from gooseberrydock.membership import MembershipController, create_membership
+from gooseberrydock.routing import create_routing
+from gooseberrydock.sheet import render_sheet
+
+TARGET_MEMBERS: Final = 4_700
+TARGET_SERVICES: Final = 760
+CLASSES_PER_SERVICE: Final = 1
+_SETTLE_S: Final = 20.0
+_WATCH_S: Final = 20.0
+_BYTES_PER_MB: Final = 1024 * 1024
+_UDP_IP_HEADER: Final = 28
+_PER_SERVICE: Final = 6
+
+
+@attrs.frozen
+class NodeCost:
+    """Hold the medians over all nodes of one fleet."""
+
+    nodes: int
+    sent_per_s: float
+    received_per_s: float
+    cpu_share: float
+    rss_mb: float
+    store_calls_per_s: float
+    in_force_s: float
+
+
+def measure_fleet(nodes: int) -> NodeCost:
+    """Run real nodes without calls and read what control costs."""
+    services = max(1, nodes // _PER_SERVICE)
+    per_service = nodes // services
+    shape = FleetShape(
+        f"capacity-{nodes}",
+        ("d1", "d2", "d3"),
+        tuple(ServiceShape(f"s{index}", per_service, 10, 1.0) for index in range(services)),
+    )
+    out = Path("out")
+    with running_fleet(shape, out, has_targets=False) as fleet:
+        sheet = out / "capacity.csv"
+        sheet.write_text(render_sheet(_classes(services)), encoding="utf-8")
+        in_force_s = _apply_and_wait(fleet, sheet)
+        time.sleep(_SETTLE_S)
+        return _watch(fleet, in_force_s)
+
+
+def _apply_and_wait(fleet: Fleet, sheet: Path) -> float:
+    """Apply a sheet and return how long the last node took to have it in force."""
+    fleet.ctl("sheet", "apply", str(sheet), "--store", fleet.store)
+    started = time.monotonic()
+    waiting = list(fleet.members)
+    while waiting:
+        waiting = [m for m in waiting if _generation(m.admin) < 1]
+        if time.monotonic() - started > _SETTLE_S:
+            raise RuntimeError(f"{len(waiting)} nodes do not have the configuration")
+    return time.monotonic() - started
+
+
+def _generation(admin: str) -> int:
+    return int(fetch_json(f"http://{admin}/status")["generation"])
+
+
+def _watch(fleet: Fleet, in_force_s: float) -> NodeCost:
+    before = [_counters(fleet, index) for index in range(len(fleet.members))]
+    store_before = _store_calls(fleet)
+    started = time.monotonic()
+    time.sleep(_WATCH_S)
+    elapsed = time.monotonic() - started
+    after = [_counters(fleet, index) for index in range(len(fleet.members))]
+    store_calls = _store_calls(fleet) - store_before
+    deltas = [
+        {name: end[name] - start[name] for name in end}
+        for start, end in zip(before, after, strict=True)
+    ]
+    return NodeCost(
+        nodes=len(fleet.members),
+        sent_per_s=statistics.median(item["sent"] for item in deltas) / elapsed,
+        received_per_s=statistics.median(item["received"] for item in deltas) / elapsed,
+        cpu_share=statistics.median(item["cpu"] for item in deltas) / elapsed,
+        rss_mb=statistics.median(item["rss"] for item in after),
+        store_calls_per_s=store_calls / elapsed,
+        in_force_s=in_force_s,
+    )
+
+
+def _counters(fleet: Fleet, index: int) -> dict[str, float]:
+    member = fleet.members[index]
+    pid = pid_of(member)
+    cpu = cpu_seconds(pid)
+    counters = fleet.state(member)["counters"]
+    return {
+        "cpu": cpu,
+        "sent": counters["gossip_bytes_sent"] + counters["link_bytes_sent"],
+        "received": counters["gossip_bytes_received"] + counters["link_bytes_received"],
+        "rss": _rss_mb(pid),
+    }
+
+
+def _rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def _store_calls(fleet: Fleet) -> int:
+    counters = fetch_json(f"http://{fleet.store}/_counters")
+    return sum(int(value) for value in counters.values())
+
+
+def _classes(services: int) -> tuple[ServiceClass, ...]:
+    """Make a class for each service, with call paths as deep as the target's."""
+    classes = []
+    for index in range(services * CLASSES_PER_SERVICE):
+        depth = 1 + index % 7
+        path = tuple(
+            CallStep(f"s{(index + step) % services}", f"operation-{step}") for step in range(depth)
+        )
+        is_idempotent = index % 4 != 0
+        classes.append(
+            ServiceClass(f"class-{index}", index % 10, path, 600.0, is_idempotent=is_idempotent)
+        )
+    return tuple(classes)
+
+
+def measure_full_table() -> dict[str, float]:
+    """Fill one member table and one routing table to the full size."""
+    gc.collect()
+    tracemalloc.start()
+    members = [create_member(index) for index in range(TARGET_MEMBERS)]
+    controller = create_membership(members[0], 1)
+    routing = create_routing("domain-0", 1)
+    for member in members[1:]:
+        controller.on_record(0.0, member, member.node_id)
+    for member in controller.take_changes():
+        routing.on_member(0.0, member, is_late_joiner=False)
+    table_mb = tracemalloc.get_traced_memory()[0] / _BYTES_PER_MB
+    tracemalloc.stop()
+    controller.forget_broadcasts()
+    result = {"table_mb": table_mb}
+    result.update(_time_gossip(controller))
+    result["sync_all_kb"] = sum(len(r) for r in controller.records_in(tuple(range(32)))) / 1024
+    return result
+
+
+def _time_gossip(controller: MembershipController) -> dict[str, float]:
+    """Time a second of gossip at the full size: timers, probes, answers, one change."""
+    key = b"a key for measuring times"
+    generator = random.Random(4)
+    names = list(controller.members)
+    seconds = 300
+    started = time.process_time()
+    sent = 0
+    for second in range(seconds):
+        now_ms = second * 1000.0
+        for tick in range(10):
+            for item in controller.tick(now_ms + tick * 100):
+                data = encode_gossip(item.gossip, key)
+                sent += len(data) + _UDP_IP_HEADER
+                ack = Gossip(GossipKind.ACK, item.gossip.sequence, item.gossip.subject, "", 1, ())
+                controller.on_gossip(now_ms, ack, item.address)
+        subject = controller.members[generator.choice(names)]
+        changed = attrs.evolve(subject, version=subject.version + 1, state=MemberState.ALIVE)
+        ping = Gossip(GossipKind.PING, second, subject.node_id, "", 1, (Update(changed, "x"),))
+        decoded = decode_gossip(encode_gossip(ping, key), key, "")
+        for item in controller.on_gossip(now_ms, decoded, address_of(subject.node_id)):
+            sent += len(encode_gossip(item.gossip, key)) + _UDP_IP_HEADER
+    used = time.process_time() - started
+    return {"gossip_cpu_share": used / seconds, "gossip_sent_per_s": sent / seconds}
+
+
+def measure_configuration() -> dict[str, float]:
+    """Measure a configuration of the full number of services."""
+    configuration = Configuration(1, "w", "a", _classes(TARGET_SERVICES))
+    payload = encode_configuration(configuration)
+    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    started = time.process_time()
+    decode_configuration(payload)
+    used_ms = (time.process_time() - started) * 1000
+    grown_mb = (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024
+    return {
+        "payload_kb": len(payload) / 1024,
+        "decode_ms": used_ms,
+        "decode_grown_mb": grown_mb,
+        "bytes_per_s_at_1600_a_day": len(payload) * 2 * 1_600 / 86_400,
+    }
+
+
+def main() -> None:
+    """Measure, print and keep the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("sizes", nargs="*", type=int, help="numbers of nodes to run")
+    sizes = parser.parse_args().sizes or [3, 12, 48, 96]
+    header = ("nodes", "sent B/s", "recv B/s", "cpu", "rss MB", "store calls/s", "in force s")
+    print("".join(f"{name:>15}" for name in header))
+    rows: list[dict[str, Any]] = []
+    for size in sizes:
+        cost = measure_fleet(size)
+        rows.append(attrs.asdict(cost))
+        print(
+            f"{cost.nodes:>15}{cost.sent_per_s:>15.0f}{cost.received_per_s:>15.0f}"
+            f"{cost.cpu_share:>15.2%}{cost.rss_mb:>15.1f}{cost.store_calls_per_s:>15.2f}"
+            f"{cost.in_force_s:>15.2f}",
+            flush=True,
+        )
+    table = measure_full_table()
+    configuration = measure_configuration()
+    for name, value in {**table, **configuration}.items():
+        print(f"{name:>28} {value:.4g}")
+    result = {"fleets": rows, "table": table, "configuration": configuration}
+    Path("out/capacity.json").write_text(json.dumps(result, indent=2), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -24,6 +25,7 @@
 _START_TIMEOUT_S: Final = 20.0
 _STOP_TIMEOUT_S: Final = 10.0
 _POLL_S: Final = 0.05
+_ANNOUNCE_S: Final = 2.0
 _PORTS: Final = itertools.cycle(range(20_000, 32_000))
 
 
@@ -103,6 +105,7 @@
     shape: FleetShape
     log_path: Path
     mode: Mode = Mode.CONTROLLED
+    has_targets: bool = True
     store: str = ""
     members: list[Member] = attrs.field(factory=list)
     _processes: list["subprocess.Popen[bytes]"] = attrs.field(factory=list)
@@ -122,9 +125,23 @@
         for member in self.members:
             self.start_node(member)
         for member in self.members:
-            self.start_target(member)
+            if self.has_targets:
+                self.start_target(member)
+            else:
+                self._pretend_target(member)
         self.wait_until_joined()
 
+    def _pretend_target(self, member: Member) -> None:
+        """Announce a target that never gets a call, again and again from this process."""
+        self.wait_for_port(member.local)
+        fields = {
+            "service": member.service.name,
+            "address": member.target,
+            "slots": member.service.slots,
+        }
+        url = f"http://{member.local}/_gooseberrydock/announce"
+        threading.Thread(target=_announce_for_long, args=(url, fields), daemon=True).start()
+
     def _start_baseline(self) -> None:
         """Start targets that call each other without nodes."""
         for member in self.members:
@@ -245,6 +262,17 @@
         return has_own_target and len(with_target) == len(self.members) - 1
 
 
+def _announce_for_long(url: str, fields: dict[str, Any]) -> None:
+    """Send the same announcement every two seconds until the node is gone."""
+    while True:
+        try:
+            request = urllib.request.Request(url, json.dumps(fields).encode(), method="POST")
+            urllib.request.urlopen(request, timeout=5.0).close()
+        except OSError:
+            return
+        time.sleep(_ANNOUNCE_S)
+
+
 def _plan_member(service: ServiceShape, index: int, domain: str) -> Member:
     ports = free_ports(6)
     entry, local, peer, gossip, admin, target = (f"{HOST}:{port}" for port in ports)
@@ -262,11 +290,14 @@
 
 @contextmanager
 def running_fleet(
-    shape: FleetShape, out_dir: Path, mode: Mode = Mode.CONTROLLED
+    shape: FleetShape,
+    out_dir: Path,
+    mode: Mode = Mode.CONTROLLED,
+    has_targets: bool = True,
 ) -> Iterator[Fleet]:
     """Run a fleet for the length of a with block."""
     out_dir.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(shape, out_dir / f"{shape.name}.log", mode)
+    fleet = Fleet(shape, out_dir / f"{shape.name}.log", mode, has_targets)
     try:
         fleet.start()
         yield fleet
--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -9,6 +9,7 @@
 stood for a while although nothing else passed: a burst of important calls is not an overload.
 """
 
+import enum
 import heapq
 import itertools
 from collections import deque
@@ -28,6 +29,14 @@
 """Ranks below this are of the most important priority."""
 
 
+class RunEnd(enum.Enum):
+    """Say how a run ended, as far as the target's capacity is concerned."""
+
+    COMPLETED = "completed"
+    OVERLOADED = "overloaded"
+    ABANDONED = "abandoned"
+
+
 @attrs.frozen
 class Waiting:
     """Hold one queued call."""
@@ -200,11 +209,11 @@
             return [Shed(ticket, SHED_AT_TARGET)]
         return self._enqueue(Waiting(ticket, rank, deadline_at))
 
-    def release(self, now_ms: Millis, service_ms: Millis, was_overload: bool) -> list[Decision]:
+    def release(self, now_ms: Millis, service_ms: Millis, end: RunEnd) -> list[Decision]:
         """Take back the slot of a finished call and start those that may follow."""
-        if was_overload:
+        if end is RunEnd.OVERLOADED:
             self._limit.on_overload(now_ms)
-        else:
+        elif end is RunEnd.COMPLETED:
             self._limit.on_success(self._in_flight)
             self._observe_service_time(service_ms)
             self._window_completed += 1
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -18,6 +18,7 @@
     AdmissionController,
     Decision,
     Queued,
+    RunEnd,
     Shed,
     Started,
     create_admission,
@@ -92,8 +93,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of calls that run or wait."""
-        return len(self._runs)
+        """Return the number of calls that run or wait, for whatever reason."""
+        return len(self._by_call)
 
     @property
     def service(self) -> str:
@@ -187,7 +188,7 @@
         if not run.call.context.is_idempotent:
             self._cancel_keyed(now_ms, run)
         elif run.has_started:
-            self._stop_run(now_ms, run)
+            self._stop_run(now_ms, run, RunEnd.ABANDONED)
         else:
             self._cancel_unstarted(now_ms, run)
 
@@ -225,7 +226,7 @@
         else:
             self._end(run)
             self._answer_run(run, self._answer_of_response(now_ms, run, response))
-        self._release(now_ms, run, was_overload=did_shed)
+        self._release(now_ms, run, RunEnd.OVERLOADED if did_shed else RunEnd.COMPLETED)
 
     def on_target_failed(self, now_ms: Millis, run_id: int, code: ErrorCode) -> None:
         """Take in that a run got no whole answer from the target."""
@@ -239,7 +240,7 @@
         else:
             self._end(run)
             self._answer_run(run, self._answer_of_code(now_ms, run, code))
-        self._release(now_ms, run, was_overload=False)
+        self._release(now_ms, run, RunEnd.ABANDONED)
 
     def on_crash_checked(self, now_ms: Millis, is_reachable: bool) -> list[int]:
         """Take in whether the target still accepts connections; return convicted fingerprints."""
@@ -329,25 +330,24 @@
     def _expire(self, now_ms: Millis, run: Run) -> None:
         if run.has_started:
             self._answer_run(run, self._answer_of_code(now_ms, run, TARGET_TIMEOUT))
-            self._stop_run(now_ms, run)
+            self._stop_run(now_ms, run, RunEnd.OVERLOADED)
             return
         if self._admission is not None:
             self._admission.cancel(run.run_id)
         self._refuse_unstarted(now_ms, run, DEADLINE_EXPIRED)
 
-    def _stop_run(self, now_ms: Millis, run: Run) -> None:
+    def _stop_run(self, now_ms: Millis, run: Run, end: RunEnd) -> None:
         """Stop waiting for the target, and cancel the calls that the run made."""
         self._effects.cancel_on_target(run.run_id)
         self._end(run)
-        self._quarantine.on_finish(run.fingerprint)
         self._on_run_cancelled(run.run_id)
-        self._release(now_ms, run, was_overload=False)
+        self._release(now_ms, run, end)
 
-    def _release(self, now_ms: Millis, run: Run, was_overload: bool) -> None:
+    def _release(self, now_ms: Millis, run: Run, end: RunEnd) -> None:
         if self._admission is None or not run.has_started:
             return
         service_ms = now_ms - run.started_at
-        self._carry_out(now_ms, self._admission.release(now_ms, service_ms, was_overload))
+        self._carry_out(now_ms, self._admission.release(now_ms, service_ms, end))
 
     def _end(self, run: Run) -> None:
         if self._runs.pop(run.run_id, None) is not None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,6 +10,7 @@
     AdmissionController,
     Decision,
     Queued,
+    RunEnd,
     Shed,
     Started,
     create_admission,
@@ -27,7 +28,7 @@
         admission = create_admission(2)
         decisions = [admission.offer(0.0, ticket, 1.0, _FAR)[0] for ticket in range(3)]
         self.assertEqual(decisions, [Started(0), Started(1), Queued(2)])
-        self.assertEqual(admission.release(5.0, 5.0, False), [Started(2)])
+        self.assertEqual(admission.release(5.0, 5.0, RunEnd.COMPLETED), [Started(2)])
 
     def test_better_call_pushes_the_worst_out_of_a_full_queue(self) -> None:
         admission = create_admission(1)
@@ -44,7 +45,7 @@
         admission = create_admission(1)
         admission.offer(0.0, 0, 1.0, _FAR)
         admission.offer(0.0, 1, 1.0, 10.0)
-        self.assertIsInstance(admission.release(20.0, 20.0, False)[0], Shed)
+        self.assertIsInstance(admission.release(20.0, 20.0, RunEnd.COMPLETED)[0], Shed)
         self.assertEqual(admission.in_flight, 0)
 
     @given(st.lists(st.floats(0, MAX_RANK, exclude_max=True), min_size=1, max_size=60))
@@ -98,7 +99,7 @@
         done = sum(end <= now for end in self._ends)
         self._ends = [end for end in self._ends if end > now]
         for _ in range(done):
-            self._note(now, self.admission.release(now, _SERVICE_MS, False))
+            self._note(now, self.admission.release(now, _SERVICE_MS, RunEnd.COMPLETED))
 
     def _note(self, now: int, decisions: list[Decision]) -> None:
         for decision in decisions:
