Split the node module by purpose

Change: node (effects and sockets), node_tasks (timers), node_stop (graceful stop), node_run (start-up), peer_dispatch (messages of peers). Behaviour as it was.

--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -1,36 +1,26 @@
-"""The node process: sockets, tasks and timers around the decision core."""
+"""The node: sockets around the decision core, which it serves as the core's effects."""
 
-import gc
-import itertools
 import random
-import signal
-from functools import partial, singledispatch
 from typing import Final
 
 import attrs
 import trio
 
-from gooseberrydock import defaults, messages
-from gooseberrydock.admin import AdminEndpoint
-from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis, system_clock
+from gooseberrydock import messages
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_REFUSED,
     MEMBER_CHANGED,
-    NODE_STARTED,
-    NODE_STOPPED,
-    NODE_STOPPING,
     REQUEST_CONVICTED,
-    STOP_TIMED_OUT,
     TARGET_ANNOUNCED,
     TARGET_WITHDRAWN,
 )
 from gooseberrydock.exchanges import Source
 from gooseberrydock.gossip import Gossip
-from gooseberrydock.gossip_socket import GossipSocket, bind_gossip
-from gooseberrydock.http_client import ClientPool
+from gooseberrydock.gossip_socket import GossipSocket
 from gooseberrydock.http_messages import (
     CALLER_HEADER,
     HttpRequest,
@@ -43,12 +33,13 @@
 from gooseberrydock.members import Address, Member, MemberState, decode_member
 from gooseberrydock.membership import GossipSend, create_membership
 from gooseberrydock.node_core import NodeCore, create_node_core
+from gooseberrydock.node_stop import GracefulStop
 from gooseberrydock.options import NodeOptions
 from gooseberrydock.owner_loop import OwnerLoop
+from gooseberrydock.peer_dispatch import take_in
 from gooseberrydock.peer_links import PeerLink, PeerLinks
-from gooseberrydock.store_client import StoreClient, create_store_client
-from gooseberrydock.store_watch import StoreWatch
-from gooseberrydock.stream import Listener, Stream, listen
+from gooseberrydock.store_client import StoreClient
+from gooseberrydock.stream import Listener, Stream
 from gooseberrydock.target_client import (
     ANNOUNCE_PATH,
     ANNOUNCEMENT_LIFETIME_MS,
@@ -58,15 +49,9 @@
 )
 from gooseberrydock.watchers import is_watcher
 
-_GOSSIP_TICK_MS: Final[Millis] = 100.0
-_JOIN_RETRY_MS: Final[Millis] = 1_000.0
-_JOIN_TRIES_BY_SETTINGS: Final = 3
 _FETCH_INTERVAL_MS: Final[Millis] = 200.0
-_STOP_CHECK_MS: Final[Millis] = 20.0
 _CRASH_CHECK_MS: Final[Millis] = 50.0
 """How long losses are collected, since a dying target's connections end one after the other."""
-_GC_PAUSE_MS: Final[Millis] = 1_000.0
-_FULL_GC_EVERY: Final = 30
 _SEED_BITS: Final = 64
 _EMPTY_RESPONSE: Final = HttpResponse(204, [], b"")
 
@@ -86,12 +71,11 @@
     _core: NodeCore = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
     _owner_loop: OwnerLoop = attrs.field(init=False)
+    _stop: GracefulStop = attrs.field(init=False)
     _connections: dict[int, HttpConnection] = attrs.field(factory=dict)
     _announced_at: Millis = 0.0
     _fetched_at: Millis = -_FETCH_INTERVAL_MS
     _is_checking_crash: bool = False
-    _leave_requests: list[HttpConnection] = attrs.field(factory=list)
-    _stop_asked: trio.Event = attrs.field(factory=trio.Event)
 
     @_core.default
     def _create_core(self) -> NodeCore:
@@ -119,6 +103,22 @@
     def _create_owner_loop(self) -> OwnerLoop:
         return OwnerLoop(self._core, self._clock, self._nursery, self._store, self._links.send)
 
+    @_stop.default
+    def _create_stop(self) -> GracefulStop:
+        return GracefulStop(
+            core=self._core,
+            clock=self._clock,
+            links=self._links,
+            gossip=self._gossip,
+            entry=self._listeners["entry"],
+            timeout_ms=self._options.stop_timeout_ms,
+        )
+
+    @property
+    def stop(self) -> GracefulStop:
+        """Return the graceful stop, to ask for it or to run it."""
+        return self._stop
+
     @property
     def owner_loop(self) -> OwnerLoop:
         """Return the loop of key ownership."""
@@ -209,17 +209,6 @@
             stream, self._on_entry_request, self._on_gone, self._max_body, self._is_leaving
         )
 
-    async def serve_entries(self) -> None:
-        """Accept callers once there is a configuration, or after a while without one.
-
-        Callers find a starting node closed and turn to another; a node that stays without
-        configuration refuses openly.
-        """
-        with trio.move_on_after(defaults.ENTRY_WAIT_MS / MS_PER_SECOND):
-            while not self._core.is_ready_for_callers:
-                await trio.sleep(_STOP_CHECK_MS / MS_PER_SECOND)
-        await self._listeners["entry"].serve(self.serve_entry)
-
     async def serve_local(self, stream: Stream) -> None:
         """Serve one connection of the local target."""
         await serve_http(stream, self._on_local_request, self._on_gone, self._max_body)
@@ -239,8 +228,7 @@
         if request.path == ANNOUNCE_PATH:
             connection.respond(self._on_announcement(request))
         elif request.path == LEAVE_PATH:
-            self._leave_requests.append(connection)
-            self.ask_stop()
+            self._stop.ask(connection)
         else:
             self._start_exchange(connection, Source.LOCAL, request, "")
 
@@ -277,7 +265,7 @@
 
     def on_link_message(self, link: PeerLink, message: messages.PeerMessage) -> None:
         """Take in a message of a peer."""
-        _take_in(message, self, link)
+        take_in(message, self, link)
 
     def on_call_message(self, message: messages.PeerMessage, link: PeerLink) -> None:
         """Hand a message about calls to the core."""
@@ -326,11 +314,11 @@
         now_ms = self._clock.now_ms()
         is_first = not self._core.membership.members
         sends = self._core.membership.on_gossip(now_ms, gossip, address)
-        self._note_member_changes(now_ms)
+        self.note_member_changes(now_ms)
         if gossip.generation > self._core.configuration.generation:
             self._fetch_configuration(now_ms, gossip.sender)
         if is_first and self._core.membership.members:
-            self._sync_with(gossip.sender)
+            self.sync_with(gossip.sender)
         return sends
 
     def take_configuration(self, payload: bytes) -> None:
@@ -360,12 +348,14 @@
         generation = self._core.configuration.generation
         self._links.send(node_id, messages.ConfigurationRequest(generation))
 
-    def _sync_with(self, node_id: str) -> None:
+    def sync_with(self, node_id: str) -> None:
+        """Ask a member for the records in which its table differs."""
         if node_id in self._core.membership.members:
             digests = self._core.membership.digests()
             self._links.send(node_id, messages.MemberSyncRequest(digests))
 
-    def _note_member_changes(self, now_ms: Millis) -> None:
+    def note_member_changes(self, now_ms: Millis) -> None:
+        """Let routing follow the member table, and log what changed."""
         for member in self._core.apply_member_changes(now_ms):
             log(
                 MEMBER_CHANGED,
@@ -374,97 +364,7 @@
                 service=member.service,
             )
 
-    # Tasks.
-
-    async def run_call_timers(self) -> None:
-        """Run the timers of calls: often while calls are in flight, seldom otherwise."""
-        while True:
-            now_ms = self._clock.now_ms()
-            self._core.tick(now_ms)
-            self._links.tick(now_ms)
-            self._check_announcement(now_ms)
-            wait_ms = defaults.BUSY_TICK_MS if self._core.is_busy else defaults.IDLE_TICK_MS
-            await trio.sleep(wait_ms / MS_PER_SECOND)
-
-    async def run_gossip_timers(self) -> None:
-        """Run the timers of membership."""
-        while True:
-            now_ms = self._clock.now_ms()
-            sends = self._core.membership.tick(now_ms)
-            self._note_member_changes(now_ms)
-            self._gossip.send(sends)
-            await trio.sleep(_GOSSIP_TICK_MS / MS_PER_SECOND)
-
-    async def run_member_sync(self) -> None:
-        """Compare the member table with a random member: soon after the start, then seldom."""
-        period_ms = defaults.MEMBER_SYNC_FIRST_MS
-        while True:
-            await trio.sleep(period_ms * self._random.uniform(0.5, 1.5) / MS_PER_SECOND)
-            period_ms = min(2 * period_ms, defaults.MEMBER_SYNC_PERIOD_MS)
-            live = self._core.membership.live_members()
-            if live:
-                self._sync_with(self._random.choice(live).node_id)
-
-    async def join(self, watch: StoreWatch | None) -> None:
-        """Ping seeds until one answers: those from settings, or from the store."""
-        own = self._core.membership.me.gossip_address
-        seeds = [seed for seed in self._options.seeds if seed != own]
-        for attempt in itertools.count():
-            if self._core.membership.members:
-                return
-            if watch is not None and (not seeds or attempt >= _JOIN_TRIES_BY_SETTINGS):
-                recorded = await watch.read_seeds()
-                seeds = [seed for seed in {*seeds, *recorded} if seed != own]
-            self._gossip.send([self._core.membership.join(seed) for seed in seeds])
-            await trio.sleep(_JOIN_RETRY_MS / MS_PER_SECOND)
-
-    async def collect_garbage(self) -> None:
-        """Collect garbage at regular moments instead of in the middle of a call."""
-        for count in itertools.count(1):
-            await trio.sleep(_GC_PAUSE_MS / MS_PER_SECOND)
-            gc.collect(2 if count % _FULL_GC_EVERY == 0 else 1)
-
-    def ask_stop(self) -> None:
-        """Begin a graceful stop."""
-        self._stop_asked.set()
-
-    async def wait_for_signal(self) -> None:
-        """Turn SIGTERM and SIGINT into a graceful stop."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.ask_stop()
-
-    async def stop_when_asked(self) -> None:
-        """Leave, let every call in flight end, and stop the process.
-
-        A target that asked to leave is answered last, when it gets no more work.
-        """
-        await self._stop_asked.wait()
-        log(NODE_STOPPING, in_flight=self._core.outbound.in_flight)
-        if self._core.inbound.is_leaving:
-            return
-        self._links.broadcast(self._core.leave(self._clock.now_ms()))
-        self._gossip.send(self._core.membership.announce_self())
-        await trio.sleep(defaults.LEAVING_LINGER_MS / MS_PER_SECOND)
-        await self._wait_for_release()
-        self._listeners["entry"].close()
-        with trio.move_on_after(self._options.stop_timeout_ms / MS_PER_SECOND) as scope:
-            while self._core.is_busy:
-                await trio.sleep(_STOP_CHECK_MS / MS_PER_SECOND)
-        if scope.cancelled_caught:
-            log(STOP_TIMED_OUT, in_flight=self._core.outbound.in_flight)
-        for connection in self._leave_requests:
-            connection.respond(_EMPTY_RESPONSE)
-        log(NODE_STOPPED)
-        self._nursery.cancel_scope.cancel()
-
-    async def _wait_for_release(self) -> None:
-        """Wait until other nodes own all new keys; without the store that may not come."""
-        with trio.move_on_after(defaults.MAX_RELEASE_MS / MS_PER_SECOND):
-            while not self._core.ownership.is_released(self._clock.wall_ms()):
-                await trio.sleep(_STOP_CHECK_MS / MS_PER_SECOND)
-
-    def _check_announcement(self, now_ms: Millis) -> None:
+    def check_announcement(self, now_ms: Millis) -> None:
         """Withdraw a target that stopped announcing itself."""
         me = self._core.membership.me
         if me.service and now_ms - self._announced_at > ANNOUNCEMENT_LIFETIME_MS:
@@ -472,54 +372,6 @@
             self._core.withdraw_target(now_ms)
 
 
-@singledispatch
-def _take_in(message: messages.PeerMessage, node: Node, link: PeerLink) -> None:
-    node.on_call_message(message, link)
-
-
-@_take_in.register
-def _take_in_configuration_request(
-    message: messages.ConfigurationRequest, node: Node, link: PeerLink
-) -> None:
-    configuration = node.core.configuration
-    if configuration.generation > message.generation:
-        link.send(messages.ConfigurationPush(configuration.generation, configuration.payload))
-
-
-@_take_in.register
-def _take_in_configuration_push(
-    message: messages.ConfigurationPush, node: Node, link: PeerLink
-) -> None:
-    node.take_configuration(message.payload)
-
-
-@_take_in.register
-def _take_in_sync_request(message: messages.MemberSyncRequest, node: Node, link: PeerLink) -> None:
-    membership = node.core.membership
-    buckets = membership.different_buckets(message.digests)
-    link.send(messages.MemberSync(membership.records_in(buckets), buckets))
-
-
-@_take_in.register
-def _take_in_crash_notice(message: messages.CrashNotice, node: Node, link: PeerLink) -> None:
-    node.on_crash_notice(message)
-
-
-@_take_in.register
-def _take_in_owner_beat(message: messages.OwnerBeat, node: Node, link: PeerLink) -> None:
-    node.on_owner_beat(message, link)
-
-
-@_take_in.register
-def _take_in_owner_register(message: messages.OwnerRegister, node: Node, link: PeerLink) -> None:
-    node.on_owner_register(message, link)
-
-
-@_take_in.register
-def _take_in_sync(message: messages.MemberSync, node: Node, link: PeerLink) -> None:
-    node.on_member_sync(message, link)
-
-
 def _create_member(options: NodeOptions, clock: Clock, peer: Address, gossip: Address) -> Member:
     return Member(
         node_id=options.node_id,
@@ -533,86 +385,3 @@
         service="",
         slots=0,
     )
-
-
-@attrs.frozen
-class _BoundSockets:
-    """Hold the sockets of a node, bound before any task runs."""
-
-    gossip: GossipSocket
-    listeners: dict[str, Listener]
-
-
-def _bind_sockets(options: NodeOptions) -> _BoundSockets:
-    listeners = {
-        "entry": listen(options.entry_listen, is_open=False),
-        "local": listen(options.local_listen),
-        "peer": listen(options.peer_listen),
-        "admin": listen(options.admin_listen),
-    }
-    return _BoundSockets(bind_gossip(options.gossip_listen, options.cluster_key), listeners)
-
-
-def _create_node(options: NodeOptions, bound: _BoundSockets, nursery: trio.Nursery) -> Node:
-    """Put the node together."""
-    store = None
-    if options.store is not None:
-        pool = ClientPool(options.store, nursery, defaults.MAX_PEER_MESSAGE_BYTES)
-        store = create_store_client(pool)
-    return Node(
-        options=options,
-        clock=system_clock(),
-        nursery=nursery,
-        gossip=bound.gossip,
-        listeners=bound.listeners,
-        random=random.Random(options.random_seed or None),
-        target=TargetClient(nursery),
-        store=store,
-    )
-
-
-def _start_tasks(node: Node, nursery: trio.Nursery) -> None:
-    admin = AdminEndpoint(node)
-    nursery.start_soon(node.serve_entries)
-    nursery.start_soon(node.listeners["local"].serve, node.serve_local)
-    nursery.start_soon(node.listeners["peer"].serve, node.links.serve)
-    nursery.start_soon(node.listeners["admin"].serve, admin.serve)
-    nursery.start_soon(node.gossip.serve, node.on_gossip)
-    nursery.start_soon(node.run_call_timers)
-    nursery.start_soon(node.owner_loop.run)
-    nursery.start_soon(node.run_gossip_timers)
-    nursery.start_soon(node.run_member_sync)
-    nursery.start_soon(node.collect_garbage)
-    nursery.start_soon(node.wait_for_signal)
-    nursery.start_soon(node.stop_when_asked)
-    watch = _create_watch(node)
-    nursery.start_soon(node.join, watch)
-    if watch is not None:
-        me = node.core.membership.me
-        nursery.start_soon(watch.follow_configuration)
-        nursery.start_soon(partial(watch.keep_seed, me.failure_domain, me.gossip_address))
-
-
-def _create_watch(node: Node) -> StoreWatch | None:
-    if node.store is None:
-        return None
-    generator = random.Random()
-    return StoreWatch(node.store, generator, node.is_store_watcher, node.take_configuration)
-
-
-async def run_node(options: NodeOptions) -> None:
-    """Run a node until it is asked to stop."""
-    bound = _bind_sockets(options)
-    async with trio.open_nursery() as nursery:
-        node = _create_node(options, bound, nursery)
-        _start_tasks(node, nursery)
-        addresses = {name: str(item.address) for name, item in node.listeners.items()}
-        log(NODE_STARTED, node=options.node_id, gossip=str(node.gossip.address), **addresses)
-        _settle_garbage_collector()
-
-
-def _settle_garbage_collector() -> None:
-    """Leave what start-up made out of later collections, and collect only between calls."""
-    gc.collect()
-    gc.freeze()
-    gc.disable()
--- a/gooseberrydock/node_main.py
+++ b/gooseberrydock/node_main.py
@@ -9,7 +9,7 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.logs import LOG_LEVELS, set_up_logs
 from gooseberrydock.members import Address
-from gooseberrydock.node import run_node
+from gooseberrydock.node_run import run_node
 from gooseberrydock.options import ADDRESS, NodeOptions, check_node_options, setting
 
 
--- /dev/null
+++ b/gooseberrydock/node_run.py
@@ -0,0 +1,113 @@
+"""Start-up of the node process: sockets first, then the node and its tasks."""
+
+import gc
+import random
+from functools import partial
+
+import attrs
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.admin import AdminEndpoint
+from gooseberrydock.clock import system_clock
+from gooseberrydock.events import NODE_STARTED
+from gooseberrydock.gossip_socket import GossipSocket, bind_gossip
+from gooseberrydock.http_client import ClientPool
+from gooseberrydock.logs import log
+from gooseberrydock.members import Address
+from gooseberrydock.node import Node
+from gooseberrydock.node_tasks import NodeTasks
+from gooseberrydock.options import NodeOptions
+from gooseberrydock.store_client import create_store_client
+from gooseberrydock.store_watch import StoreWatch
+from gooseberrydock.stream import Listener, listen
+from gooseberrydock.target_client import TargetClient
+
+
+@attrs.frozen
+class _BoundSockets:
+    """Hold the sockets of a node, bound before any task runs."""
+
+    gossip: GossipSocket
+    listeners: dict[str, Listener]
+
+
+def _bind_sockets(options: NodeOptions) -> _BoundSockets:
+    listeners = {
+        "entry": listen(options.entry_listen, is_open=False),
+        "local": listen(options.local_listen),
+        "peer": listen(options.peer_listen),
+        "admin": listen(options.admin_listen),
+    }
+    return _BoundSockets(bind_gossip(options.gossip_listen, options.cluster_key), listeners)
+
+
+def _create_node(options: NodeOptions, bound: _BoundSockets, nursery: trio.Nursery) -> Node:
+    """Put the node together."""
+    store = None
+    if options.store is not None:
+        pool = ClientPool(options.store, nursery, defaults.MAX_PEER_MESSAGE_BYTES)
+        store = create_store_client(pool)
+    return Node(
+        options=options,
+        clock=system_clock(),
+        nursery=nursery,
+        gossip=bound.gossip,
+        listeners=bound.listeners,
+        random=random.Random(options.random_seed or None),
+        target=TargetClient(nursery),
+        store=store,
+    )
+
+
+def _start_tasks(node: Node, seeds: tuple[Address, ...], nursery: trio.Nursery) -> None:
+    admin = AdminEndpoint(node)
+    tasks = NodeTasks(node, seeds, random.Random())
+    nursery.start_soon(tasks.serve_entries)
+    nursery.start_soon(node.listeners["local"].serve, node.serve_local)
+    nursery.start_soon(node.listeners["peer"].serve, node.links.serve)
+    nursery.start_soon(node.listeners["admin"].serve, admin.serve)
+    nursery.start_soon(node.gossip.serve, node.on_gossip)
+    nursery.start_soon(tasks.run_call_timers)
+    nursery.start_soon(node.owner_loop.run)
+    nursery.start_soon(tasks.run_gossip_timers)
+    nursery.start_soon(tasks.run_member_sync)
+    nursery.start_soon(tasks.collect_garbage)
+    nursery.start_soon(node.stop.wait_for_signal)
+    nursery.start_soon(_stop_when_asked, node, nursery)
+    watch = _create_watch(node)
+    nursery.start_soon(tasks.join, watch)
+    if watch is not None:
+        me = node.core.membership.me
+        nursery.start_soon(watch.follow_configuration)
+        nursery.start_soon(partial(watch.keep_seed, me.failure_domain, me.gossip_address))
+
+
+def _create_watch(node: Node) -> StoreWatch | None:
+    if node.store is None:
+        return None
+    generator = random.Random()
+    return StoreWatch(node.store, generator, node.is_store_watcher, node.take_configuration)
+
+
+async def _stop_when_asked(node: Node, nursery: trio.Nursery) -> None:
+    await node.stop.run()
+    nursery.cancel_scope.cancel()
+
+
+async def run_node(options: NodeOptions) -> None:
+    """Run a node until it is asked to stop."""
+    bound = _bind_sockets(options)
+    async with trio.open_nursery() as nursery:
+        node = _create_node(options, bound, nursery)
+        _start_tasks(node, options.seeds, nursery)
+        addresses = {name: str(item.address) for name, item in node.listeners.items()}
+        log(NODE_STARTED, node=options.node_id, gossip=str(node.gossip.address), **addresses)
+        _settle_garbage_collector()
+
+
+def _settle_garbage_collector() -> None:
+    """Leave what start-up made out of later collections, and collect only between calls."""
+    gc.collect()
+    gc.freeze()
+    gc.disable()
