Take a key of a reachable owner where nobody else can know the key

Change: a call whose key only this node knows (derived keys of a first call, keys made by the entry) and that surely reached nobody is sent under another key whose owner can be reached; repetitions by the target find the replacement. A first attempt that never reached a lost owner is 'not-run'. Sheets are compared with what targets complete, and operators are warned.

Test: fails without the change ('not-run'), passes with it; a caller's own key is never replaced.

--- a/gooseberrydock/admin.py
+++ b/gooseberrydock/admin.py
@@ -84,6 +84,8 @@
         "members": len(core.membership.live_members()) + 1,
         "in_flight": core.outbound.in_flight,
         "runs": core.inbound.in_flight,
+        "slots": me.slots,
+        "service_ms": round(admission.service_ms, 3) if admission else 0.0,
         "limit": admission.limit.limit if admission else 0,
         "cut_level": round(admission.cut_level, 3) if admission else 0.0,
     }
--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -167,6 +167,11 @@
         """Return the number of calls that run on the target."""
         return self._in_flight
 
+    @property
+    def service_ms(self) -> Millis:
+        """Return the observed time of a call on the target; 0 before the first."""
+        return self._service_ms
+
     @property
     def queue_length(self) -> int:
         """Return the number of calls that wait."""
--- a/gooseberrydock/ctl_main.py
+++ b/gooseberrydock/ctl_main.py
@@ -19,6 +19,7 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address
 from gooseberrydock.options import ADDRESS, setting
+from gooseberrydock.plan import TargetCapacity, plan_services
 from gooseberrydock.sheet import difference, parse_sheet, render_sheet
 from gooseberrydock.store_client import create_store_client
 
@@ -59,10 +60,12 @@
 
 @sheet.command()
 @click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-def check(path: Path) -> None:
-    """Check a sheet and report every error with its line and column."""
+@admin_setting
+def check(path: Path, admin: tuple[Address, ...]) -> None:
+    """Check a sheet, and with admin addresses also whether the targets can complete it."""
     classes = _load_sheet(path)
     click.echo(f"{path.name}: {len(classes)} service classes, no errors")
+    _print_plan(classes, admin)
 
 
 @sheet.command()
@@ -96,6 +99,7 @@
     """Put a sheet in force."""
     classes = _load_sheet(path)
     timeout_ms = timeout_s * MS_PER_SECOND
+    _print_plan(classes, admin)
 
     async def apply_classes(configurations: ConfigurationStore) -> Configuration:
         return await configurations.apply(classes, author, expect, timeout_ms)
@@ -168,6 +172,23 @@
     return parsed.classes
 
 
+def _print_plan(classes: tuple[ServiceClass, ...], admin: tuple[Address, ...]) -> None:
+    """Print a warning for each service of which more is expected than its targets complete."""
+    targets = []
+    for _, response in trio.run(_ask_nodes, admin, "GET", "/status"):
+        if response is not None:
+            fields = json.loads(response.body)
+            slots, service_ms = int(fields["slots"]), float(fields["service_ms"])
+            targets.append(TargetCapacity(fields["service"], slots, service_ms))
+    for plan in plan_services(classes, targets):
+        if plan.exceeds_capacity:
+            click.echo(
+                f"warning: {plan.service}: {plan.demand:.0f} calls a minute expected, "
+                f"its targets complete about {plan.capacity:.0f}",
+                err=True,
+            )
+
+
 def _with_store(
     address: Address, action: Callable[[ConfigurationStore], Awaitable[Result]]
 ) -> Result:
--- a/gooseberrydock/exchanges.py
+++ b/gooseberrydock/exchanges.py
@@ -48,6 +48,7 @@
     calls_made: int = 0
     is_suspect: bool = False
     ordinals: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    replaced_keys: dict[str, str] = attrs.field(factory=dict)
 
     @property
     def has_started(self) -> bool:
@@ -69,9 +70,10 @@
 class Exchange:
     """Track one request from its arrival on this node until it is answered.
 
-    ``is_first_attempt`` is true where nobody can have sent the same key before. ``owner_hint``
-    names the node that may decide about the key. ``seal_code`` is the error code of a refusal
-    that the key's owner still has to confirm.
+    ``is_first_attempt`` is true where nobody can have sent the same key before, and
+    ``may_replace_key`` where in addition nobody else will ever send it. ``owner_hint`` names the
+    node that may decide about the key. ``seal_code`` is the error code of a refusal that the
+    key's owner still has to confirm.
     """
 
     exchange_id: int
@@ -96,8 +98,11 @@
     parent: Run | None = None
     attempt: Attempt | None = None
     tried: set[str] = attrs.field(factory=set)
+    unreached: set[str] = attrs.field(factory=set)
     reroutes: int = 0
     is_first_attempt: bool = True
+    may_replace_key: bool = False
+    replaced_keys: int = 0
     owner_hint: str = ""
     seal_code: int = 0
     has_unknown_attempt: bool = False
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -150,6 +150,7 @@
         exchange.idempotency_key = key or self._new_key()
         attempt = header_value(exchange.request.headers, ATTEMPT_HEADER)
         exchange.is_first_attempt = not key or attempt == _FIRST_ATTEMPT
+        exchange.may_replace_key = not key
         return None
 
 
@@ -300,7 +301,11 @@
         if not exchange.is_idempotent and ordinal >= count:
             exchange.is_first_attempt = False
             ordinal = count - 1
-        return keys.derive_key(run.call.context.idempotency_key, *operation, str(ordinal))
+        exchange.may_replace_key = exchange.is_first_attempt
+        key = keys.derive_key(run.call.context.idempotency_key, *operation, str(ordinal))
+        while key in run.replaced_keys:
+            key = run.replaced_keys[key]
+        return key
 
     def _declared_count(self, exchange: Exchange) -> int:
         if exchange.service_class is None or exchange.path_index == UNDECLARED_STEP:
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -24,6 +24,7 @@
     KEY_NOT_OWNED,
     NO_TARGET,
     NODE_LEAVING,
+    OWNER_LOST,
     PEER_LOST,
     PEER_SILENT,
     PEER_TIMEOUT,
@@ -47,6 +48,7 @@
     header_value,
     problem_response,
 )
+from gooseberrydock.keys import derive_key
 from gooseberrydock.members import Member
 from gooseberrydock.messages import Answer, Call, CallContext, Cancel
 from gooseberrydock.outcomes import Outcome
@@ -80,6 +82,9 @@
     )
 )
 """Refusals that say nothing about the key of a request that may not be repeated."""
+_UNREACHED_CODES: Final = _UNDECIDED_CODES | {OWNER_LOST.number}
+_MAX_REPLACED_KEYS: Final = 3
+_KEY_TRIES: Final = 32
 _CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
 _SERVER_ERROR: Final = 500
 
@@ -158,7 +163,7 @@
         exchange.pool.give_back(min(answer.credit, attempt.dispatch.credit))
         self._board.observe(now_ms, answer.cuts)
         self._learn(now_ms, attempt, answer)
-        if answer.outcome is Outcome.NOT_RUN:
+        if answer.outcome is Outcome.NOT_RUN or answer.code == OWNER_LOST.number:
             self._after_not_run(now_ms, exchange, attempt, _failure_of(answer))
         elif answer.outcome is Outcome.UNKNOWN and answer.code in _REPEATABLE_CODES:
             self._after_unknown(now_ms, exchange, attempt.dispatch, _failure_of(answer))
@@ -274,14 +279,31 @@
         self, now_ms: Millis, exchange: Exchange, attempt: Attempt, failure: _Failure
     ) -> None:
         """Move a call that did not run to another target, or pass on the refusal."""
-        if not exchange.is_idempotent and failure.code is KEY_NOT_OWNED:
-            is_new = failure.peer not in exchange.tried
-            exchange.owner_hint = failure.peer if is_new else ""
-        if self._may_move(now_ms, exchange, failure.code.number):
+        code = failure.code.number
+        if not exchange.is_idempotent:
+            self._note_owner(exchange, attempt, failure)
+        may_move = self._may_move(now_ms, exchange, code)
+        prefers_move = exchange.is_idempotent or exchange.owner_hint or not exchange.may_replace_key
+        if may_move and prefers_move:
             exchange.reroutes += 1
             self._stats.moves += 1
-            self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
+        elif not self._replace_key(now_ms, exchange, code):
+            self._give_up(exchange, failure)
             return
+        self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
+
+    def _note_owner(self, exchange: Exchange, attempt: Attempt, failure: _Failure) -> None:
+        """Learn from a refusal who may decide about the key, and who cannot be reached."""
+        exchange.owner_hint = ""
+        if failure.code is not KEY_NOT_OWNED:
+            lost = failure.peer if failure.code is OWNER_LOST else attempt.node_id
+            exchange.unreached.add(lost)
+        elif failure.peer not in exchange.tried:
+            exchange.owner_hint = failure.peer
+        else:
+            exchange.unreached.add(failure.peer)
+
+    def _give_up(self, exchange: Exchange, failure: _Failure) -> None:
         is_decided = failure.code.number not in _UNDECIDED_CODES
         self._answer_problem(
             exchange, failure.code, failure.step, failure.peer, is_decided=is_decided
@@ -321,6 +343,41 @@
         self._stats.repeats += 1
         self._dispatch(now_ms, exchange, terms)
 
+    def _replace_key(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
+        """Take a key of another owner where the owner cannot be reached; say whether that helps.
+
+        That is safe only while no copy can have arrived anywhere, and only for keys that nobody
+        else will send again.
+        """
+        if exchange.is_idempotent or not exchange.may_replace_key:
+            return False
+        if exchange.has_unknown_attempt or code not in _UNREACHED_CODES:
+            return False
+        if exchange.replaced_keys >= _MAX_REPLACED_KEYS or now_ms >= exchange.deadline_at:
+            return False
+        old_key = exchange.idempotency_key
+        for number in range(_KEY_TRIES):
+            key = derive_key(old_key, exchange.service, exchange.operation, f"instead-{number}")
+            owner = self._routing.choose_owner(exchange.service, key, frozenset())
+            if owner is not None and owner.node_id not in exchange.unreached:
+                break
+        else:
+            return False
+        self._use_key(exchange, key)
+        return True
+
+    def _use_key(self, exchange: Exchange, key: str) -> None:
+        """Send an exchange under another key from now on, and let repetitions find that."""
+        if exchange.parent is not None:
+            exchange.parent.replaced_keys[exchange.idempotency_key] = key
+        old_entry = (exchange.caller, exchange.idempotency_key)
+        if self._by_key.get(old_entry) is exchange:
+            del self._by_key[old_entry]
+        exchange.idempotency_key = key
+        exchange.tried = set(exchange.unreached)
+        exchange.replaced_keys += 1
+        exchange.reroutes = 0
+
     def _may_ask_owner(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
         if exchange.is_idempotent or code not in _LINK_CODES or now_ms >= exchange.deadline_at:
             return False
@@ -446,6 +503,9 @@
     For a request that may not be repeated only the key's owner can say that no copy ran, unless
     this is the first attempt and nothing of it can have arrived anywhere.
     """
+    is_unsent = exchange.is_first_attempt and not exchange.has_unknown_attempt
+    if code is OWNER_LOST and is_unsent:
+        return Outcome.NOT_RUN
     if code.outcome is not Outcome.NOT_RUN:
         return code.outcome
     if not exchange.is_idempotent and is_decided:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -210,6 +210,31 @@
             self.assertEqual(entry.responses[exchange][0].body, b"echo:x")
         self.assertEqual(self._runs(), 1)
 
+    def test_a_key_that_only_the_entry_knows_is_replaced_when_its_owner_is_lost(self) -> None:
+        """Requests without a caller's key reach another owner; those with one are refused."""
+        lost = self.shops[0]
+        del self.fabric.nodes[lost.node_id]
+        outcomes: dict[str, set[str]] = {"own key": set(), "caller's key": set()}
+        for name, seen in outcomes.items():
+            for _ in range(12):
+                headers = new_key(self.fabric) if name == "caller's key" else []
+                exchange = self.entries[0].request("/shop/book", headers, b"x")
+                for _ in range(4):
+                    self._fail_calls_to(lost.node_id)
+                    self.fabric.work()
+                seen.add(self.entries[0].outcome(exchange))
+        self.assertEqual(outcomes["own key"], {"done"})
+        self.assertEqual(outcomes["caller's key"], {"done", "unknown"})
+
+    def _fail_calls_to(self, node_id: str) -> None:
+        """Let no link to a node be opened."""
+        for letter in list(self.fabric.letters):
+            if letter.receiver == node_id:
+                self.fabric.letters.remove(letter)
+        for attempt in self.entries[0].core.outbound.attempts():
+            if attempt.node_id == node_id:
+                self.entries[0].core.on_calls_unsent(self.fabric.now_ms, [attempt.call_id])
+
     def test_a_key_of_another_request_is_refused(self) -> None:
         headers = new_key(self.fabric)
         self.entries[0].request("/shop/book", headers, b"x")
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from gooseberrydock.configuration import CallStep, ServiceClass
+from gooseberrydock.plan import TargetCapacity, plan_services
 from gooseberrydock.sheet import difference, parse_sheet, render_sheet
 
 _HEADER = "service_class,priority,expected_per_minute,call_path,deadline_ms,idempotent\n"
@@ -61,6 +62,19 @@
         self.assertEqual(difference((old,), (new,)), ["~ a: priority 0 -> 1"])
         self.assertEqual(difference((old,), (other,)), ["- a", "+ b: priority 2, s/p"])
 
+    def test_plan_counts_calls_along_the_path(self) -> None:
+        path = (CallStep("shop", "book"), CallStep("stock", "take", 2), CallStep("till", "pay"))
+        classes = (
+            ServiceClass("booking", 0, path, 100.0),
+            ServiceClass("look", 4, (CallStep("stock", "see"),), 50.0),
+        )
+        targets = [TargetCapacity("stock", 2, 600.0), TargetCapacity("shop", 4, 100.0)]
+        plans = {plan.service: plan for plan in plan_services(classes, targets)}
+        self.assertEqual(plans["stock"].demand, 250.0)
+        self.assertEqual(plans["stock"].capacity, 200.0)
+        self.assertEqual([n for n, p in plans.items() if p.exceeds_capacity], ["stock"])
+        self.assertEqual((plans["till"].demand, plans["till"].capacity), (200.0, 0.0))
+
     @given(st.text(max_size=200))
     def test_any_text_gives_classes_or_errors(self, text: str) -> None:
         for candidate in (text, _HEADER + text, _HEADER + _GOOD + text):
