--- a/gooseberrydock/owner_register.py
+++ b/gooseberrydock/owner_register.py
@@ -89,9 +89,9 @@
         return Register(self.version + 1, (*kept, epochs[-1])[-_MAX_EPOCHS:])
 
 
-def first_register(from_ms: Millis, members: frozenset[Identity]) -> Register:
-    """Make the first register of a service."""
-    return Register(1, (Epoch(1, from_ms, members),))
+def first_register(members: frozenset[Identity]) -> Register:
+    """Make the first register of a service; nobody owned a key before, so it owns all keys."""
+    return Register(1, (Epoch(1, 0.0, members),))
 
 
 def key_score(node_id: str, key: str) -> int:
--- a/gooseberrydock/ownership.py
+++ b/gooseberrydock/ownership.py
@@ -352,7 +352,7 @@
     def _restored_register(self, wall_ms: Millis) -> Register:
         """Return the first register, or the known one where the store lost it."""
         if self._register is None:
-            return first_register(wall_ms + FENCE_MS, self._live)
+            return first_register(self._live)
         return attrs.evolve(self._register, version=self._register.version + 1)
 
     def _next_pending_change(self, wall_ms: Millis, stored: Register) -> Register | None:
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -176,7 +176,7 @@
             service = node.member.service
             siblings = [n for n in self.nodes.values() if n.member.service == service]
             members = frozenset(identity_of(n.core.membership.me) for n in siblings)
-            register = first_register(self.now_ms - 1_000.0, members)
+            register = first_register(members)
             controller = node.core.ownership
             controller.on_read(self.now_ms, self.now_ms + 3_600_000.0, register, 1)
 
