--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -99,9 +99,7 @@
         """
         if stood:
             self._lower(now_ms, capacity)
-        elif utilization >= defaults.BUSY_UTILIZATION:
-            self._step = defaults.CUT_STEP_MIN
-        else:
+        elif utilization < defaults.BUSY_UTILIZATION:
             self._raise()
 
     def _lower(self, now_ms: Millis, capacity: float) -> None:
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -20,6 +20,10 @@
 
 _BACKLOG: Final = 1024
 _ACCEPT_PAUSE_S: Final = 0.1
+_KEEPALIVE_IDLE_S: Final = 2
+_KEEPALIVE_INTERVAL_S: Final = 1
+_KEEPALIVE_PROBES: Final = 3
+_USER_TIMEOUT_MS: Final = 5_000
 _MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -122,8 +126,7 @@
     """Open a connection, or return None where that fails or takes too long."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     new_socket = socket.socket(family, socket.SOCK_STREAM)
-    new_socket.setblocking(False)
-    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _configure(new_socket)
     is_connected = False
     try:
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
@@ -170,8 +173,7 @@
                     # Out of file descriptors: connections that end will free some.
                     await trio.sleep(_ACCEPT_PAUSE_S)
                     continue
-                accepted.setblocking(False)
-                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                _configure(accepted)
                 stream = Stream(accepted, nursery, str(source[0]))
                 nursery.start_soon(_handle, handler, stream)
 
@@ -181,6 +183,17 @@
         self._socket.close()
 
 
+def _configure(new_socket: socket.socket) -> None:
+    """Send without delay, and let the kernel notice within seconds that a path is gone."""
+    new_socket.setblocking(False)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+
 async def _handle(handler: StreamHandler, stream: Stream) -> None:
     try:
         await handler(stream)
