Split what failures allow and where keys go out of the outbound controller

Cause: outbound.py had grown to 565 lines, and a hash of each body was computed on the path of every call though only quarantine and keys need it.

--- a/gooseberrydock/exchanges.py
+++ b/gooseberrydock/exchanges.py
@@ -1,6 +1,7 @@
 """The state of requests in flight: exchanges on the calling side, runs on the target's side."""
 
 import enum
+from functools import cached_property
 
 import attrs
 
@@ -8,6 +9,7 @@
 from gooseberrydock.configuration import UNDECLARED_STEP, ServiceClass
 from gooseberrydock.credit import UNDECLARED_SUBTREE, CreditPool, Dispatch
 from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.fingerprint import request_fingerprint
 from gooseberrydock.http_messages import HttpRequest
 from gooseberrydock.messages import Call
 
@@ -41,7 +43,6 @@
     arrived_at: Millis
     deadline_at: Millis
     pool: CreditPool
-    fingerprint: int
     service_class: ServiceClass | None
     token: str
     started_at: Millis = -1.0
@@ -50,6 +51,12 @@
     ordinals: dict[tuple[str, str], int] = attrs.field(factory=dict)
     replaced_keys: dict[str, str] = attrs.field(factory=dict)
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """Return the hash of what the call asks; most calls never need it."""
+        call = self.call
+        return request_fingerprint(call.service, call.method, call.path, call.body)
+
     @property
     def has_started(self) -> bool:
         """Say whether the call was handed to the target."""
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -34,6 +34,7 @@
     UNKNOWN_CONTEXT,
 )
 from gooseberrydock.exchanges import Exchange, Refusal, Run
+from gooseberrydock.fingerprint import request_fingerprint
 from gooseberrydock.http_messages import (
     ATTEMPT_HEADER,
     CLASS_HEADER,
@@ -42,7 +43,7 @@
     KEY_HEADER,
     header_value,
 )
-from gooseberrydock.quarantine import QuarantineController, request_fingerprint
+from gooseberrydock.quarantine import QuarantineController
 from gooseberrydock.ranks import request_rank
 
 _FIRST_ATTEMPT: Final = "1"
@@ -200,8 +201,10 @@
         """Refuse a convicted fingerprint, and mark a suspect."""
         if self._quarantine.is_empty:
             return None
-        request = attrs.evolve(exchange.request, path=exchange.target_path)
-        fingerprint = request_fingerprint(exchange.service, request)
+        request = exchange.request
+        fingerprint = request_fingerprint(
+            exchange.service, request.method, exchange.target_path, request.body
+        )
         if self._quarantine.is_convicted(now_ms, fingerprint):
             return Refusal(QUARANTINED)
         if self._quarantine.is_suspect(now_ms, fingerprint):
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -59,7 +59,7 @@
 from gooseberrydock.messages import Answer, Call, CrashNotice, CutReport, LoadReport
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.owner_register import Identity
-from gooseberrydock.quarantine import QuarantineController, request_fingerprint
+from gooseberrydock.quarantine import QuarantineController
 from gooseberrydock.stats import NodeStats
 
 NO_LOAD: Final = LoadReport(0, 0, 1)
@@ -170,10 +170,11 @@
             self._refuse_unstarted(now_ms, run, code or NO_TARGET)
             return
         self._by_call[(run.link_id, run.call.call_id)] = run
-        if not self._quarantine.may_run(now_ms, run.fingerprint):
-            self._waiting_suspects.append(run)
-            return
-        self._quarantine.on_admitted(now_ms, run.fingerprint)
+        if not self._quarantine.is_empty:
+            if not self._quarantine.may_run(now_ms, run.fingerprint):
+                self._waiting_suspects.append(run)
+                return
+            self._quarantine.on_admitted(now_ms, run.fingerprint)
         self._runs[run.run_id] = run
         heapq.heappush(self._deadlines, (run.deadline_at, run.run_id))
         rank = run.call.context.rank
@@ -220,7 +221,8 @@
             self._stats.late_answers += 1
             return
         did_shed = self._did_target_shed(run, response)
-        self._quarantine.on_finish(run.fingerprint)
+        if not self._quarantine.is_empty:
+            self._quarantine.on_finish(run.fingerprint)
         if did_shed:
             self._refuse_unstarted(now_ms, run, TARGET_SHED)
         else:
@@ -284,7 +286,6 @@
         service_class = self._configuration.current.class_named(context.class_name)
         next_step = service_class.step_after(context.path_index) if service_class else None
         run_id = next(self._run_ids)
-        request = HttpRequest(call.method, call.path, call.headers, call.body)
         return Run(
             run_id=run_id,
             link_id=link_id,
@@ -292,7 +293,6 @@
             arrived_at=now_ms,
             deadline_at=now_ms + context.remaining_ms,
             pool=create_call_pool(context.credit, context.pays_for_calls, next_step),
-            fingerprint=request_fingerprint(call.service, request),
             service_class=service_class,
             token=f"{run_id:x}-{self._random.getrandbits(_TOKEN_BITS):x}",
             is_suspect=context.is_suspect,
@@ -307,7 +307,8 @@
             return DEADLINE_EXPIRED
         if run.is_suspect:
             self._quarantine.suspect(now_ms, run.fingerprint)
-        if self._quarantine.is_convicted(now_ms, run.fingerprint):
+        is_known = not self._quarantine.is_empty
+        if is_known and self._quarantine.is_convicted(now_ms, run.fingerprint):
             return QUARANTINED
         return None
 
@@ -350,7 +351,8 @@
         self._carry_out(now_ms, self._admission.release(now_ms, service_ms, end))
 
     def _end(self, run: Run) -> None:
-        if self._runs.pop(run.run_id, None) is not None:
+        was_admitted = self._runs.pop(run.run_id, None) is not None
+        if was_admitted and not self._quarantine.is_empty:
             self._quarantine.on_ended(run.fingerprint)
         self._by_call.pop((run.link_id, run.call.call_id), None)
         self._by_token.pop(run.token, None)
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -13,6 +13,19 @@
 import attrs
 
 from gooseberrydock import defaults
+from gooseberrydock.attempt_failures import (
+    CRASH_CODES,
+    LINK_CODES,
+    MOVABLE_CODES,
+    REPEATABLE_CODES,
+    SERVER_ERROR,
+    SHED_CODES,
+    UNDECIDED_CODES,
+    AttemptFailure,
+    failure_of,
+    is_bare_server_error,
+    provable_outcome,
+)
 from gooseberrydock.clock import Millis
 from gooseberrydock.credit import Dispatch, RetryBucket, create_retry_bucket
 from gooseberrydock.cutboard import CutBoard
@@ -21,18 +34,9 @@
     CREDIT_EXHAUSTED,
     DEADLINE_EXPIRED,
     KEY_CONFLICT,
-    KEY_NOT_OWNED,
     NO_TARGET,
-    NODE_LEAVING,
     OWNER_LOST,
-    PEER_LOST,
-    PEER_SILENT,
     PEER_TIMEOUT,
-    PEER_UNREACHABLE,
-    SHED_AT_TARGET,
-    TARGET_LOST,
-    TARGET_SHED,
-    TARGET_TRUNCATED,
     TARGET_UNREACHABLE,
     ErrorCode,
     error_code,
@@ -48,54 +52,14 @@
     header_value,
     problem_response,
 )
-from gooseberrydock.keys import derive_key
-from gooseberrydock.members import Member
+from gooseberrydock.key_routing import choose_target, find_replacement_key, note_owner
 from gooseberrydock.messages import Answer, Call, CallContext, Cancel
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.ranks import MAX_RANK
 from gooseberrydock.routing import RoutingController
 from gooseberrydock.stats import NodeStats
 
-_MOVABLE_CODES: Final = frozenset(
-    (
-        SHED_AT_TARGET.number,
-        TARGET_SHED.number,
-        NO_TARGET.number,
-        NODE_LEAVING.number,
-        PEER_UNREACHABLE.number,
-        TARGET_UNREACHABLE.number,
-        KEY_NOT_OWNED.number,
-    )
-)
-_SHED_CODES: Final = frozenset((SHED_AT_TARGET.number, TARGET_SHED.number))
 _MAX_MOVES_AFTER_SHED: Final = 1
-_REPEATABLE_CODES: Final = frozenset(
-    (PEER_LOST.number, PEER_SILENT.number, TARGET_LOST.number, TARGET_TRUNCATED.number)
-)
-_LINK_CODES: Final = frozenset((PEER_LOST.number, PEER_SILENT.number))
-_UNDECIDED_CODES: Final = frozenset(
-    (
-        KEY_NOT_OWNED.number,
-        NO_TARGET.number,
-        NODE_LEAVING.number,
-        PEER_UNREACHABLE.number,
-    )
-)
-"""Refusals that say nothing about the key of a request that may not be repeated."""
-_UNREACHED_CODES: Final = _UNDECIDED_CODES | {OWNER_LOST.number}
-_MAX_REPLACED_KEYS: Final = 3
-_KEY_TRIES: Final = 32
-_CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
-_SERVER_ERROR: Final = 500
-
-
-@attrs.frozen
-class _Failure:
-    """Hold why an attempt failed, where, and at which peer."""
-
-    code: ErrorCode
-    step: str
-    peer: str
 
 
 @attrs.define
@@ -164,9 +128,9 @@
         self._board.observe(now_ms, answer.cuts)
         self._learn(now_ms, attempt, answer)
         if answer.outcome is Outcome.NOT_RUN or answer.code == OWNER_LOST.number:
-            self._after_not_run(now_ms, exchange, attempt, _failure_of(answer))
-        elif answer.outcome is Outcome.UNKNOWN and answer.code in _REPEATABLE_CODES:
-            self._after_unknown(now_ms, exchange, attempt.dispatch, _failure_of(answer))
+            self._after_not_run(now_ms, exchange, attempt, failure_of(answer))
+        elif answer.outcome is Outcome.UNKNOWN and answer.code in REPEATABLE_CODES:
+            self._after_unknown(now_ms, exchange, attempt.dispatch, failure_of(answer))
         else:
             self._answer_from_target(exchange, answer)
 
@@ -237,7 +201,7 @@
 
     def _dispatch(self, now_ms: Millis, exchange: Exchange, terms: Dispatch) -> None:
         """Send an attempt to a chosen target's node."""
-        member = self._choose(now_ms, exchange)
+        member = choose_target(now_ms, self._routing, exchange)
         if member is None:
             exchange.pool.give_back(terms.credit)
             self._refuse(exchange, Refusal(NO_TARGET, exchange.service))
@@ -251,15 +215,6 @@
         call = _create_call(now_ms, call_id, exchange, terms)
         self._effects.send_to_peer(member.node_id, call)
 
-    def _choose(self, now_ms: Millis, exchange: Exchange) -> Member | None:
-        """Return the target's node for an attempt; keys go to their owner."""
-        excluded = frozenset(exchange.tried)
-        if exchange.is_idempotent:
-            return self._routing.choose(now_ms, exchange.service, excluded)
-        if exchange.owner_hint:
-            return self._routing.owner_of(exchange.service, exchange.owner_hint)
-        return self._routing.choose_owner(exchange.service, exchange.idempotency_key, excluded)
-
     def _end_attempt(self, exchange: Exchange, attempt: Attempt) -> None:
         del self._by_call[attempt.call_id]
         exchange.attempt = None
@@ -269,52 +224,44 @@
         latency_ms = now_ms - attempt.sent_at
         if answer.code == TARGET_UNREACHABLE.number:
             self._routing.on_failure(now_ms, attempt.node_id, is_unreachable=True)
-        elif answer.code in _REPEATABLE_CODES or _is_bare_server_error(answer):
+        elif answer.code in REPEATABLE_CODES or is_bare_server_error(answer):
             self._routing.on_failure(now_ms, attempt.node_id, is_unreachable=False)
         else:
             did_run = answer.outcome is Outcome.DONE
             self._routing.on_answer(attempt.node_id, latency_ms, answer.load, did_run)
 
     def _after_not_run(
-        self, now_ms: Millis, exchange: Exchange, attempt: Attempt, failure: _Failure
+        self, now_ms: Millis, exchange: Exchange, attempt: Attempt, failure: AttemptFailure
     ) -> None:
         """Move a call that did not run to another target, or pass on the refusal."""
         code = failure.code.number
         if not exchange.is_idempotent:
-            self._note_owner(exchange, attempt, failure)
+            note_owner(exchange, attempt.node_id, failure)
         may_move = self._may_move(now_ms, exchange, code)
         prefers_move = exchange.is_idempotent or exchange.owner_hint or not exchange.may_replace_key
         if may_move and prefers_move:
             exchange.reroutes += 1
             self._stats.moves += 1
-        elif not self._replace_key(now_ms, exchange, code):
-            self._give_up(exchange, failure)
-            return
-        self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
-
-    def _note_owner(self, exchange: Exchange, attempt: Attempt, failure: _Failure) -> None:
-        """Learn from a refusal who may decide about the key, and who cannot be reached."""
-        exchange.owner_hint = ""
-        if failure.code is not KEY_NOT_OWNED:
-            lost = failure.peer if failure.code is OWNER_LOST else attempt.node_id
-            exchange.unreached.add(lost)
-        elif failure.peer not in exchange.tried:
-            exchange.owner_hint = failure.peer
         else:
-            exchange.unreached.add(failure.peer)
+            key = find_replacement_key(now_ms, self._routing, exchange, code)
+            if not key:
+                self._give_up(exchange, failure)
+                return
+            self._use_key(exchange, key)
+        self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(attempt.dispatch))
 
-    def _give_up(self, exchange: Exchange, failure: _Failure) -> None:
-        is_decided = failure.code.number not in _UNDECIDED_CODES
+    def _give_up(self, exchange: Exchange, failure: AttemptFailure) -> None:
+        is_decided = failure.code.number not in UNDECIDED_CODES
         self._answer_problem(
             exchange, failure.code, failure.step, failure.peer, is_decided=is_decided
         )
 
     def _may_move(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
-        if code not in _MOVABLE_CODES or now_ms >= exchange.deadline_at:
+        if code not in MOVABLE_CODES or now_ms >= exchange.deadline_at:
             return False
-        if not exchange.is_idempotent and code not in _UNDECIDED_CODES:
+        if not exchange.is_idempotent and code not in UNDECIDED_CODES:
             return False
-        limit = _MAX_MOVES_AFTER_SHED if code in _SHED_CODES else defaults.MAX_REROUTES
+        limit = _MAX_MOVES_AFTER_SHED if code in SHED_CODES else defaults.MAX_REROUTES
         if exchange.owner_hint:
             return exchange.reroutes < limit
         others = [
@@ -323,7 +270,7 @@
         return exchange.reroutes < limit and bool(others)
 
     def _after_unknown(
-        self, now_ms: Millis, exchange: Exchange, dispatch: Dispatch, failure: _Failure
+        self, now_ms: Millis, exchange: Exchange, dispatch: Dispatch, failure: AttemptFailure
     ) -> None:
         """Repeat a call whose outcome is unknown where that is safe, or pass on the failure.
 
@@ -335,7 +282,7 @@
             exchange.reroutes += 1
             self._dispatch(now_ms, exchange, exchange.pool.move_dispatch(dispatch))
             return
-        exchange.is_suspect = exchange.is_suspect or failure.code.number in _CRASH_CODES
+        exchange.is_suspect = exchange.is_suspect or failure.code.number in CRASH_CODES
         terms = self._repeat_terms(now_ms, exchange)
         if terms is None:
             self._answer_problem(exchange, failure.code, failure.step, failure.peer)
@@ -343,29 +290,6 @@
         self._stats.repeats += 1
         self._dispatch(now_ms, exchange, terms)
 
-    def _replace_key(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
-        """Take a key of another owner where the owner cannot be reached; say whether that helps.
-
-        That is safe only while no copy can have arrived anywhere, and only for keys that nobody
-        else will send again.
-        """
-        if exchange.is_idempotent or not exchange.may_replace_key:
-            return False
-        if exchange.has_unknown_attempt or code not in _UNREACHED_CODES:
-            return False
-        if exchange.replaced_keys >= _MAX_REPLACED_KEYS or now_ms >= exchange.deadline_at:
-            return False
-        old_key = exchange.idempotency_key
-        for number in range(_KEY_TRIES):
-            key = derive_key(old_key, exchange.service, exchange.operation, f"instead-{number}")
-            owner = self._routing.choose_owner(exchange.service, key, frozenset())
-            if owner is not None and owner.node_id not in exchange.unreached:
-                break
-        else:
-            return False
-        self._use_key(exchange, key)
-        return True
-
     def _use_key(self, exchange: Exchange, key: str) -> None:
         """Send an exchange under another key from now on, and let repetitions find that."""
         if exchange.parent is not None:
@@ -379,7 +303,7 @@
         exchange.reroutes = 0
 
     def _may_ask_owner(self, now_ms: Millis, exchange: Exchange, code: int) -> bool:
-        if exchange.is_idempotent or code not in _LINK_CODES or now_ms >= exchange.deadline_at:
+        if exchange.is_idempotent or code not in LINK_CODES or now_ms >= exchange.deadline_at:
             return False
         exchange.tried.clear()
         return exchange.reroutes < defaults.MAX_REROUTES
@@ -413,7 +337,7 @@
         self._end_attempt(exchange, attempt)
         is_unreachable = code.outcome is Outcome.NOT_RUN
         self._routing.on_failure(now_ms, attempt.node_id, is_unreachable)
-        failure = _Failure(code, Step.PEER_LINK.value, attempt.node_id)
+        failure = AttemptFailure(code, Step.PEER_LINK.value, attempt.node_id)
         if is_unreachable:
             exchange.pool.give_back(attempt.dispatch.credit)
             self._after_not_run(now_ms, exchange, attempt, failure)
@@ -458,7 +382,7 @@
         is_decided: bool = False,
     ) -> None:
         """Answer with a problem; ``is_decided`` says that the key's owner decided it."""
-        outcome = _provable_outcome(exchange, code, is_decided)
+        outcome = provable_outcome(exchange, code, is_decided)
         response = problem_response(code, outcome, step, peer, detail)
         self._finish(exchange, response, outcome, code.number)
 
@@ -468,7 +392,7 @@
             code = error_code(answer.code)
             self._answer_problem(exchange, code, answer.step, answer.peer, is_decided=True)
             return
-        if answer.outcome is Outcome.DONE and answer.status < _SERVER_ERROR:
+        if answer.outcome is Outcome.DONE and answer.status < SERVER_ERROR:
             self._bucket(exchange).on_success()
         headers = end_to_end_headers(answer.headers)
         headers = [pair for pair in headers if pair[0] != OUTCOME_HEADER]
@@ -497,30 +421,6 @@
             del self._by_key[key]
 
 
-def _provable_outcome(exchange: Exchange, code: ErrorCode, is_decided: bool) -> Outcome:
-    """Return the outcome that can be proved; "not run" is said only where it is certain.
-
-    For a request that may not be repeated only the key's owner can say that no copy ran, unless
-    this is the first attempt and nothing of it can have arrived anywhere.
-    """
-    is_unsent = exchange.is_first_attempt and not exchange.has_unknown_attempt
-    if code is OWNER_LOST and is_unsent:
-        return Outcome.NOT_RUN
-    if code.outcome is not Outcome.NOT_RUN:
-        return code.outcome
-    if not exchange.is_idempotent and is_decided:
-        return Outcome.NOT_RUN
-    if exchange.has_unknown_attempt:
-        return Outcome.UNKNOWN
-    if not exchange.is_idempotent and not exchange.is_first_attempt:
-        return Outcome.UNKNOWN
-    return Outcome.NOT_RUN
-
-
-def _failure_of(answer: Answer) -> _Failure:
-    return _Failure(error_code(answer.code), answer.step, answer.peer)
-
-
 def _is_same_request(first: Exchange, second: Exchange) -> bool:
     return (
         first.service == second.service
@@ -530,11 +430,6 @@
     )
 
 
-def _is_bare_server_error(answer: Answer) -> bool:
-    """Say whether the target failed by itself, rather than passing on a deeper refusal."""
-    return answer.code == 0 and answer.status >= _SERVER_ERROR and answer.outcome is Outcome.DONE
-
-
 def _create_call(now_ms: Millis, call_id: int, exchange: Exchange, terms: Dispatch) -> Call:
     remaining_ms = max(0.0, exchange.deadline_at - now_ms - defaults.DEADLINE_MARGIN_MS)
     context = CallContext(
--- a/gooseberrydock/quarantine.py
+++ b/gooseberrydock/quarantine.py
@@ -8,26 +8,14 @@
 """
 
 import attrs
-import xxhash
 
 from gooseberrydock.clock import Millis
-from gooseberrydock.http_messages import HttpRequest
 
 SUSPECT_MS: Millis = 60_000.0
 CONVICTED_MS: Millis = 300_000.0
 _MAX_FINGERPRINTS = 4_096
 
 
-def request_fingerprint(service: str, request: HttpRequest) -> int:
-    """Return a hash of what a request asks, without its volatile headers."""
-    hasher = xxhash.xxh3_64()
-    for part in (service, request.method, request.path):
-        hasher.update(part.encode())
-        hasher.update(b"\0")
-    hasher.update(request.body)
-    return hasher.intdigest()
-
-
 @attrs.define
 class QuarantineController:
     """Remember which fingerprints are suspected or convicted of crashing targets."""
