Weigh cut levels towards hosts that shed less; remember ranks by windows

Change: reports that raise a level weigh 0.3, those that lower it 0.15; offered ranks are remembered for ten windows, whose length follows the service time.

--- a/gooseberrydock/admission.py
+++ b/gooseberrydock/admission.py
@@ -1,9 +1,9 @@
 """Admission of calls to one target: a limit, a short queue ordered by rank, and a cut level.
 
 The cut level is the rank above which calls are shed on arrival. While a queue stands, the level
-is set to the rank at which the offered calls of the last second match what the target completes.
-While none stands and slots are idle, it rises in growing steps; while the slots are just busy, it
-stays. It is reported on every answer, so that entries shed before any work is done.
+is set to the rank at which the calls offered in the last ten windows match what the target
+completes. While none stands and slots are idle, it rises in growing steps; while the slots are
+just busy, it stays. It is reported on every answer, so that entries shed before any work is done.
 
 The most important priority has a longer queue, and the level reaches into it only after a queue
 stood for a while although nothing else passed: a burst of important calls is not an overload.
@@ -19,7 +19,7 @@
 import attrs
 
 from gooseberrydock import defaults
-from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import DEADLINE_EXPIRED, SHED_AT_TARGET, ErrorCode
 from gooseberrydock.limiter import ConcurrencyLimit
 from gooseberrydock.messages import LoadReport
@@ -91,21 +91,28 @@
         """Remember the rank of a call that arrived."""
         self._offered.append((now_ms, rank))
 
-    def on_window(self, now_ms: Millis, capacity: float, utilization: float, stood: bool) -> None:
+    def on_window(
+        self,
+        now_ms: Millis,
+        window_ms: Millis,
+        capacity: float,
+        utilization: float,
+        stood: bool,
+    ) -> None:
         """Adapt the level at the end of a window.
 
         ``capacity`` is the calls per millisecond that the target can complete, ``utilization``
         the share of its slots that was busy, and ``stood`` says whether a queue stood.
         """
         if stood:
-            self._lower(now_ms, capacity)
+            self._lower(now_ms, capacity, window_ms * defaults.RANK_WINDOWS)
         elif utilization < defaults.BUSY_UTILIZATION:
             self._raise()
 
-    def _lower(self, now_ms: Millis, capacity: float) -> None:
-        """Set the level to the rank at which the offered load fits the capacity."""
+    def _lower(self, now_ms: Millis, capacity: float, memory_ms: Millis) -> None:
+        """Set the level to the rank at which the lately offered load fits the capacity."""
         self._step = defaults.CUT_STEP_MIN
-        ranks = self._recent_ranks(now_ms)
+        ranks = self._recent_ranks(now_ms - memory_ms)
         if len(ranks) < 2:
             return
         span_ms = max(now_ms - self._offered[0][0], defaults.ADMISSION_WINDOW_MS)
@@ -123,8 +130,8 @@
         self._windows_at_floor += 1
         return IMPORTANT_BELOW if self._windows_at_floor < defaults.FLOOR_WINDOWS else level
 
-    def _recent_ranks(self, now_ms: Millis) -> list[float]:
-        while self._offered and now_ms - self._offered[0][0] > MS_PER_SECOND:
+    def _recent_ranks(self, since_ms: Millis) -> list[float]:
+        while self._offered and self._offered[0][0] < since_ms:
             self._offered.popleft()
         return [rank for _, rank in self._offered]
 
@@ -247,7 +254,8 @@
         stood = self._window_min_queue > self._limit.limit * defaults.STANDING_QUEUE_SHARE
         self._observe_completions(elapsed_ms)
         self._change_in_flight(now_ms, 0)
-        self._cut.on_window(now_ms, self._capacity(), self._utilization(elapsed_ms), stood)
+        utilization = self._utilization(elapsed_ms)
+        self._cut.on_window(now_ms, elapsed_ms, self._capacity(), utilization, stood)
         self._window_start = now_ms
         self._window_completed = 0
         self._window_busy = 0.0
--- a/gooseberrydock/cutboard.py
+++ b/gooseberrydock/cutboard.py
@@ -22,6 +22,14 @@
     reported_at: Millis
 
 
+def _weight(reported: float, current: float) -> float:
+    """Return the weight of a report; the hosts of a service that shed less count more.
+
+    A call that one host sheds moves to another, so the mean would shed too much.
+    """
+    return defaults.CUT_RAISE_WEIGHT if reported > current else defaults.CUT_LOWER_WEIGHT
+
+
 @attrs.define
 class CutBoard:
     """Remember the cut levels of services beyond this node."""
@@ -37,7 +45,7 @@
                 continue
             current = self._relaxed(now_ms, known, known.level)
             known.latest = report.level
-            known.level = current + (report.level - current) * defaults.CUT_REPORT_WEIGHT
+            known.level = current + (report.level - current) * _weight(report.level, current)
             known.reported_at = now_ms
 
     def level(self, now_ms: Millis, service: str) -> float:
--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -40,6 +40,8 @@
 STANDING_QUEUE_SHARE: Final = 0.25
 """A queue that never falls to this share of the limit stands, and is not a mere burst."""
 RATE_MEMORY_WINDOWS: Final = 5
+RANK_WINDOWS: Final = 10
+"""Over how many windows the offered ranks are remembered."""
 RANK_SAMPLES: Final = 512
 QUEUE_TO_LIMIT_RATIO: Final = 1.0
 MIN_QUEUE_LENGTH: Final = 4
@@ -58,7 +60,8 @@
 LIMIT_DECREASE_INTERVAL_MS: Final = 200.0
 
 # Cut levels known at a caller's side.
-CUT_REPORT_WEIGHT: Final = 0.2
+CUT_RAISE_WEIGHT: Final = 0.3
+CUT_LOWER_WEIGHT: Final = 0.15
 CUT_HOLD_MS: Final = 400.0
 CUT_RELAX_MS: Final = 800.0
 PROBE_SHARE: Final = 0.01
