--- a/bench/demo.py
+++ b/bench/demo.py
@@ -4,6 +4,7 @@
 import sys
 from pathlib import Path
 
+from bench import latency
 from bench.fleet import Fleet, running_fleet
 from bench.shapes import CARONI
 
@@ -12,6 +13,7 @@
 _OUT = _ROOT / "out"
 _DURATION_S = 20
 _SURGE = "6:6:3"
+_LATENCY_CALLS = 1_000
 
 
 def main() -> None:
@@ -25,6 +27,8 @@
         _send_load(fleet)
         print()
         print(fleet.ctl("status", *fleet.admin_arguments()), flush=True)
+    print("added latency, two nodes on the way, one call at a time:", flush=True)
+    latency.run(_OUT, _LATENCY_CALLS)
     print("stopped; nothing is left running")
 
 
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -141,10 +141,8 @@
     return f"{HOST}:{first}"
 
 
-def main() -> None:
-    """Measure and print a table."""
-    calls = int(sys.argv[1]) if len(sys.argv) > 1 else _CALLS
-    out = Path("out")
+def run(out: Path, calls: int) -> None:
+    """Measure with two nodes and print a table."""
     out.mkdir(exist_ok=True)
     sheet = out / "latency.csv"
     sheet.write_text(_SHEET, encoding="utf-8")
@@ -179,4 +177,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run(Path("out"), int(sys.argv[1]) if len(sys.argv) > 1 else _CALLS)
