Contain faults of this program in the connection where they arise

Cause, found by reading: an unexpected exception in the handling of one request would have ended the whole node and all its calls.

Change: such a fault closes its connection and is logged with its trace (1004).

Measured: the test fails without the change (the server is gone) and passes.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -45,6 +45,9 @@
 STOP_TIMED_OUT: Final = _register(
     1003, "stop-timed-out", _WARNING, "Calls were still in flight at the end of the stop time"
 )
+CONNECTION_FAULT: Final = _register(
+    1004, "connection-fault", _ERROR, "A connection was closed because of a fault in this program"
+)
 TARGET_ANNOUNCED: Final = _register(
     1100, "target-announced", _INFO, "The local target announced itself"
 )
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -21,6 +21,7 @@
     ErrorCode,
 )
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.logs import containing_faults
 from gooseberrydock.members import Address
 from gooseberrydock.stream import Stream, connect
 
@@ -205,8 +206,9 @@
         pending.connection = connection
         self._open += 1
         try:
-            connection.start(request, on_response, on_failure)
-            await connection.run()
+            with containing_faults(str(self._address)):
+                connection.start(request, on_response, on_failure)
+                await connection.run()
         finally:
             self._open -= 1
             if connection in self._idle:
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -26,7 +26,7 @@
 from gooseberrydock.errorcodes import PEER_LOST, PEER_PROTOCOL, PEER_REFUSED, PEER_SILENT, ErrorCode
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
-from gooseberrydock.logs import log
+from gooseberrydock.logs import containing_faults, log
 from gooseberrydock.members import Address
 from gooseberrydock.messages import Alive, Answer, Call, Cancel, Hello, PeerMessage
 from gooseberrydock.stream import Stream, connect
@@ -365,7 +365,8 @@
         address = self._find_address(link.node_id)
         try:
             if address is not None:
-                await link.run_client(address)
+                with containing_faults(link.node_id):
+                    await link.run_client(address)
         finally:
             self._lose(link, PEER_LOST)
 
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -16,6 +16,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.logs import containing_faults
 from gooseberrydock.members import Address
 
 _BACKLOG: Final = 1024
@@ -196,7 +197,8 @@
 
 async def _handle(handler: StreamHandler, stream: Stream) -> None:
     try:
-        await handler(stream)
+        with containing_faults(stream.peer_host):
+            await handler(stream)
     finally:
         stream.close_when_sent()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -111,6 +111,29 @@
 
         _with_server(check)
 
+    def test_a_fault_in_one_handler_ends_one_connection_only(self) -> None:
+        async def main() -> tuple[bytes, bytes]:
+            def fail(connection: HttpConnection, request: HttpRequest) -> None:
+                if request.path == "/fail":
+                    raise ZeroDivisionError("a fault of our own")
+                _echo(connection, request)
+
+            async def serve(stream: Stream) -> None:
+                await serve_http(stream, fail)
+
+            async with trio.open_nursery() as nursery:
+                listener = listen(_ANY)
+                nursery.start_soon(listener.serve, serve)
+                first = await _exchange(listener.address, _GOOD.replace(b"/a/b", b"/fail"))
+                second = await _exchange(listener.address, _GOOD)
+                nursery.cancel_scope.cancel()
+            return first, second
+
+        with self.assertLogs("gooseberrydock", "ERROR"):
+            first, second = trio.run(main)
+        self.assertEqual(first, b"")
+        self.assertIn(b" 200 ", second)
+
 
 ANSWER_CASES = [
     ("closed at once", b"", TARGET_LOST),
