Let one member of a service change its register, not all at once

Cause, worked out for docs/CAPACITY.md: with a failure domain lost, every member of 760 services would read its register three times a second, 12,500 reads/s, while the store takes 2,000.

Change: members read often only when it is their turn to act; the others hear of the change from the one that made it.

--- a/gooseberrydock/ownership.py
+++ b/gooseberrydock/ownership.py
@@ -36,7 +36,7 @@
 _SLOW_READ_MS: Final[Millis] = 5_000.0
 _FAST_READ_MS: Final[Millis] = 300.0
 _RETRY_MS: Final[Millis] = 1_000.0
-_TURN_MS: Final[Millis] = 400.0
+_TURN_MS: Final[Millis] = 700.0
 """How much later each further member steps in where the first does not change the register."""
 
 
@@ -327,17 +327,28 @@
         return [SendRegister(other.node_id, register) for other in sorted(others)]
 
     def _read_period(self, wall_ms: Millis) -> Millis:
-        """Read often while a change is due or no majority confirms, seldom otherwise."""
+        """Return how often to read the register.
+
+        A change is made by the member whose turn it is, so that a lost failure domain does not
+        bring all members of all services to the store at once; the others hear of it. A member
+        that no majority confirms reads often, since only reads extend its horizon.
+        """
+        slow = _SLOW_READ_MS * max(1, len(self._live))
         register = self._register
-        if register is None or register.pending is not None:
-            return _FAST_READ_MS
-        if register.current.members != self._live or self._horizon < wall_ms:
-            return _FAST_READ_MS
-        return _SLOW_READ_MS * max(1, len(self._live))
+        if register is not None and self._is_member(register) and not register.pending:
+            if self._horizon < wall_ms:
+                return _FAST_READ_MS
+            if register.current.members == self._live:
+                return slow
+        return _FAST_READ_MS if self._is_my_turn(wall_ms) else slow
+
+    def _is_my_turn(self, wall_ms: Millis) -> bool:
+        """Say whether the live members are stable for so long that this node is to act."""
+        return bool(self._live) and wall_ms - self._live_since >= self._patience()
 
     def _next_change(self, wall_ms: Millis, stored: Register | None) -> Register | None:
         """Return the next step of a change of members, if this node is to make it."""
-        if not self._live or wall_ms - self._live_since < self._patience():
+        if not self._is_my_turn(wall_ms):
             return None
         if stored is None:
             return self._restored_register(wall_ms)
