--- a/tests/counting.py
+++ b/tests/counting.py
@@ -9,11 +9,15 @@
 
 
 class CountOutcomes(Plugin):  # type: ignore[misc]
-    """Count tests by outcome; an unexpected outcome counts as failed."""
+    """Count passed and failed tests, and failed cases within a test."""
 
     alwaysOn = True  # noqa: N815
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
-        """Note the end of one test."""
-        is_failed = event.outcome in ("failed", "error") or not event.expected
-        outcomes["failed" if is_failed else event.outcome] += 1
+        """Note the end of one test, or of one case within it."""
+        if event.outcome == "subtest":
+            outcomes["failed"] += event.exc_info is not None
+        elif event.outcome in ("failed", "error") or not event.expected:
+            outcomes["failed"] += 1
+        else:
+            outcomes[event.outcome] += 1
