Name what a sending of the load tool ended with

Cause, found by reading: a bare tuple of status, outcome and code, and two copies of the set of crash codes.

Change: a typed result; one set. Behaviour as it was; tests pass.

--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -23,6 +23,7 @@
     Started,
     create_admission,
 )
+from gooseberrydock.attempt_failures import CRASH_CODES
 from gooseberrydock.clock import Millis
 from gooseberrydock.configuration import ConfigurationController
 from gooseberrydock.credit import create_call_pool
@@ -35,10 +36,8 @@
     NO_TARGET,
     NODE_LEAVING,
     QUARANTINED,
-    TARGET_LOST,
     TARGET_SHED,
     TARGET_TIMEOUT,
-    TARGET_TRUNCATED,
     ErrorCode,
     error_code,
 )
@@ -64,7 +63,6 @@
 
 NO_LOAD: Final = LoadReport(0, 0, 1)
 _TOKEN_BITS: Final = 64
-_CRASH_CODES: Final = frozenset((TARGET_LOST.number, TARGET_TRUNCATED.number))
 
 
 @attrs.define
@@ -235,7 +233,7 @@
         run = self._runs.get(run_id)
         if run is None:
             return
-        if code.number in _CRASH_CODES:
+        if code.number in CRASH_CODES:
             self._note_loss(now_ms, run)
         if code.outcome is Outcome.NOT_RUN:
             self._refuse_unstarted(now_ms, run, code)
--- a/gooseberrydock/load.py
+++ b/gooseberrydock/load.py
@@ -94,6 +94,23 @@
     attempts: int
 
 
+@attrs.frozen
+class AttemptResult:
+    """Hold how one sending of a request ended; status 0 means that no answer came."""
+
+    status: int
+    outcome: str
+    code: str
+
+    @property
+    def is_success(self) -> bool:
+        """Say whether the request succeeded."""
+        return 200 <= self.status < 300
+
+
+_UNANSWERED: Final = AttemptResult(0, _NO_ANSWER, "")
+
+
 @attrs.define(eq=False)
 class LoadGenerator:
     """Send whole requests and record how they end."""
@@ -145,7 +162,7 @@
         key = self._new_key()
         caller = f"caller-{self._random.randrange(self._plan.callers)}"
         attempts, attempts_with_key = 0, 0
-        status, outcome, code = 0, _NO_ANSWER, ""
+        result = _UNANSWERED
         while attempts <= self._plan.resends:
             attempts += 1
             attempts_with_key += 1
@@ -155,18 +172,23 @@
                 (ATTEMPT_HEADER, str(attempts_with_key).encode()),
                 (CALLER_HEADER, caller.encode()),
             ]
-            status, outcome, code = await self._send_once(service_class, headers)
-            if 200 <= status < 300:
+            result = await self._send_once(service_class, headers)
+            if result.is_success:
                 break
-            if outcome == Outcome.NOT_RUN.label:
+            if result.outcome == Outcome.NOT_RUN.label:
                 key, attempts_with_key = self._new_key(), 0
             pause_ms = self._plan.resend_pause_ms * self._random.uniform(0.5, 1.5)
             await trio.sleep(pause_ms / MS_PER_SECOND)
         self._in_flight -= 1
         ended_s = trio.current_time() - self._started_at
-        is_success = 200 <= status < 300
         record = RequestRecord(
-            service_class.name, arrived_s, ended_s, is_success, outcome, code, attempts
+            class_name=service_class.name,
+            arrived_s=arrived_s,
+            ended_s=ended_s,
+            is_success=result.is_success,
+            outcome=result.outcome,
+            code=result.code,
+            attempts=attempts,
         )
         self._records.append(record)
 
@@ -185,19 +207,17 @@
     def _new_key(self) -> str:
         return keys.create_key(system_clock().wall_ms(), self._random)
 
-    async def _send_once(
-        self, service_class: ServiceClass, headers: Headers
-    ) -> tuple[int, str, str]:
-        """Send one attempt through a random entry; return status, outcome and code."""
+    async def _send_once(self, service_class: ServiceClass, headers: Headers) -> AttemptResult:
+        """Send one attempt through a random entry."""
         entry = service_class.entry
         body = header_value(headers, KEY_HEADER).encode()
         request = HttpRequest("POST", f"/{entry.service}/{entry.operation}", headers, body)
         pools = self._pools.get(entry.service) or self._pools[_ANY_SERVICE]
         response = await self._fetch(pools, request)
         if response is None:
-            return 0, _NO_ANSWER, ""
+            return _UNANSWERED
         outcome = header_value(response.headers, OUTCOME_HEADER)
-        return response.status, outcome, header_value(response.headers, CODE_HEADER)
+        return AttemptResult(response.status, outcome, header_value(response.headers, CODE_HEADER))
 
 
 @attrs.frozen
