--- a/gooseberrydock/routing.py
+++ b/gooseberrydock/routing.py
@@ -17,6 +17,7 @@
 from gooseberrydock.messages import LoadReport
 from gooseberrydock.owner_register import key_score
 
+_MAX_DOUBLINGS = 10
 _DOMAIN_TOLERANCE = 1.25
 """How much worse a candidate of the same failure domain may look and still be chosen."""
 
@@ -31,6 +32,7 @@
     load: LoadReport = LoadReport(0, 0, 1)
     sent_since_report: int = 0
     failures_in_row: int = 0
+    unreached_in_row: int = 0
     ejections: int = 0
     ejected_until: Millis = 0.0
 
@@ -157,6 +159,7 @@
         evidence.in_flight = max(0, evidence.in_flight - 1)
         evidence.load = load
         evidence.sent_since_report = 0
+        evidence.unreached_in_row = 0
         if not did_run:
             return
         evidence.failures_in_row = 0
@@ -173,8 +176,10 @@
         evidence.in_flight = max(0, evidence.in_flight - 1)
         evidence.failures_in_row += 1
         if is_unreachable:
-            hold_until = now_ms + defaults.UNREACHABLE_HOLD_MS
+            hold_ms = defaults.UNREACHABLE_HOLD_MS * 2**evidence.unreached_in_row
+            hold_until = now_ms + min(hold_ms, defaults.UNREACHABLE_MAX_HOLD_MS)
             evidence.ejected_until = max(evidence.ejected_until, hold_until)
+            evidence.unreached_in_row = min(evidence.unreached_in_row + 1, _MAX_DOUBLINGS)
         if evidence.failures_in_row >= defaults.EJECTION_FAILURES:
             self._eject(now_ms, evidence)
 
