Test slow requests; forget the service of dead members

Cause, found by reading: the table of each node's service kept dead nodes for good; a request that does not arrive in time had no test.

Change: dead members are dropped from it; the case as a test (408).

Measured: tests pass.

--- a/gooseberrydock/routing.py
+++ b/gooseberrydock/routing.py
@@ -82,6 +82,8 @@
         if not member.is_usable:
             self._members.setdefault(member.service, {}).pop(member.node_id, None)
             self._evidence.pop(member.node_id, None)
+            if member.state is MemberState.DEAD:
+                self._service_of.pop(member.node_id, None)
             return
         self._members.setdefault(member.service, {})[member.node_id] = member
         if member.node_id not in self._evidence:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,11 +2,13 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gooseberrydock import defaults
 from gooseberrydock.errorcodes import TARGET_LOST, TARGET_PROTOCOL, TARGET_TRUNCATED
 from gooseberrydock.http_client import ClientPool, fetch
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
@@ -97,6 +99,15 @@
 
         _with_server(check)
 
+    def test_a_request_that_does_not_arrive_in_time_is_refused(self) -> None:
+        async def check(address: Address) -> None:
+            for part in (_GOOD[:10], _GOOD[:-1]):
+                answer = await _exchange(address, part)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:80])
+
+        with mock.patch.object(defaults, "REQUEST_READ_TIMEOUT_MS", 50.0):
+            _with_server(check)
+
     def test_requests_sent_together_are_answered_in_order(self) -> None:
         async def check(address: Address) -> None:
             stream = await trio.open_tcp_stream(address.host, address.port)
