Count a target's call as made even where it is refused at once

It told 'not-run' of a request whose target had begun to work, and lowered the target's limit.

Ruled out: a slot counted twice, and a target that frees its slot late.

Change: a call counts for its run when it arrives at the node.

--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -259,6 +259,8 @@
         run = self._find_run(header_value(exchange.request.headers, CONTEXT_HEADER))
         if run is None:
             return Refusal(UNKNOWN_CONTEXT)
+        # Even a call that is refused here shows that the target has begun to work.
+        run.calls_made += 1
         context = run.call.context
         if context.depth + 1 >= defaults.MAX_CALL_DEPTH:
             return Refusal(MALFORMED_REQUEST, "the call chain is too deep")
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -112,8 +112,6 @@
         if terms is None:
             self._refuse(exchange, Refusal(CREDIT_EXHAUSTED))
             return
-        if exchange.parent is not None:
-            exchange.parent.calls_made += 1
         self._dispatch(now_ms, exchange, terms)
 
     def on_answer(self, now_ms: Millis, node_id: str, answer: Answer) -> None:
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -109,10 +109,13 @@
         self.core.on_request(self.fabric.now_ms, exchange_id, Source.LOCAL, request, "")
         return exchange_id
 
-    def finish_run(self, run_id: int, status: int = 200, body: bytes = b"") -> None:
+    def finish_run(
+        self, run_id: int, status: int = 200, body: bytes = b"", headers: Headers | None = None
+    ) -> None:
         """Let the target answer a run."""
         self.runs.pop(run_id)
-        self.core.on_target_answer(self.fabric.now_ms, run_id, HttpResponse(status, [], body))
+        response = HttpResponse(status, headers or [], body)
+        self.core.on_target_answer(self.fabric.now_ms, run_id, response)
 
     def fail_run(self, run_id: int, code: ErrorCode) -> None:
         """Let a run end without a whole answer."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -20,6 +20,7 @@
 from gooseberrydock.http_messages import (
     CODE_HEADER,
     KEY_HEADER,
+    OUTCOME_HEADER,
     Headers,
     HttpRequest,
     header_value,
@@ -154,6 +155,21 @@
         self.fabric.work()
         self.assertEqual(self.entry.outcome(booked), "done")
 
+    def test_target_that_passes_on_a_refusal_of_its_own_call_has_run(self) -> None:
+        """The refused call never left the node, but the target had begun to work."""
+        exchange = self.entry.request("/shop/look")
+        self.fabric.deliver_all()
+        shop, run_id = self._running()[0]
+        shop.core.board.observe(self.fabric.now_ms, (CutReport("stock", 0.0),))
+        inner = shop.call_from_target(shop.runs[run_id], "/stock/see")
+        self.assertEqual(shop.outcome(inner), "not-run")
+        shop.finish_run(run_id, 503, headers=[(OUTCOME_HEADER, b"not-run")])
+        self.fabric.deliver_all()
+        self.assertEqual(self.entry.outcome(exchange), "unknown")
+        admission = shop.core.inbound.admission
+        assert admission is not None
+        self.assertEqual(admission.limit.limit, admission.limit.slots)
+
     def test_request_that_crashes_targets_kills_at_most_two(self) -> None:
         killed: set[str] = set()
         for attempt in range(6):
