Remove what nothing uses, and one loop that stood twice

Cause, found by reading the whole change: an error code, a log event and a field that nothing used (the catalogue promised them to operators), and the same loop over waiting copies after a run and after a refusal.

Change: removed; one method for both. Behaviour as it was.

--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -167,7 +167,6 @@
     501, "store-protocol", 502, _UNKNOWN, "The key-value service gave an invalid answer"
 )
 
-SHEET_INVALID: Final = _register(600, "sheet-invalid", 422, _NOT_RUN, "The sheet has errors")
 CONFIGURATION_CONFLICT: Final = _register(
     601, "configuration-conflict", 409, _NOT_RUN, "Another operator changed the configuration"
 )
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -54,9 +54,6 @@
 TARGET_WITHDRAWN: Final = _register(
     1101, "target-withdrawn", _WARNING, "The local target left or stopped announcing itself"
 )
-TARGET_CRASHED: Final = _register(
-    1102, "target-crashed", _ERROR, "The local target died with calls in flight"
-)
 REQUEST_CONVICTED: Final = _register(
     1103, "request-convicted", _ERROR, "Requests with this fingerprint are refused for a time"
 )
--- a/gooseberrydock/exchanges.py
+++ b/gooseberrydock/exchanges.py
@@ -40,7 +40,6 @@
     run_id: int
     link_id: str
     call: Call
-    arrived_at: Millis
     deadline_at: Millis
     pool: CreditPool
     service_class: ServiceClass | None
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -59,6 +59,7 @@
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.owner_register import Identity
 from gooseberrydock.quarantine import QuarantineController
+from gooseberrydock.run_records import Waiter
 from gooseberrydock.stats import NodeStats
 
 NO_LOAD: Final = LoadReport(0, 0, 1)
@@ -288,7 +289,6 @@
             run_id=run_id,
             link_id=link_id,
             call=call,
-            arrived_at=now_ms,
             deadline_at=now_ms + context.remaining_ms,
             pool=create_call_pool(context.credit, context.pays_for_calls, next_step),
             service_class=service_class,
@@ -382,8 +382,7 @@
         """Answer a run that the target had, and all copies that waited for it."""
         self._effects.answer_peer(run.link_id, answer)
         if not run.call.context.is_idempotent:
-            for waiter in self._keyed.finish(run, answer):
-                self._replay(waiter.link_id, waiter.call_id, waiter.credit, answer)
+            self._answer_waiters(self._keyed.finish(run, answer), answer)
 
     def _refuse_unstarted(self, now_ms: Millis, run: Run, code: ErrorCode) -> None:
         """Refuse a call that surely did not run, and see to it that its key never does."""
@@ -391,8 +390,12 @@
         answer = self._answer_of_code(now_ms, run, code)
         self._effects.answer_peer(run.link_id, answer)
         if not run.call.context.is_idempotent:
-            for waiter in self._keyed.seal(run):
-                self._replay(waiter.link_id, waiter.call_id, waiter.credit, answer)
+            self._answer_waiters(self._keyed.seal(run), answer)
+
+    def _answer_waiters(self, waiters: list[Waiter], answer: Answer) -> None:
+        """Answer all copies that waited for a run."""
+        for waiter in waiters:
+            self._replay(waiter.link_id, waiter.call_id, waiter.credit, answer)
 
     def _replay(self, link_id: str, call_id: int, credit: int, answer: Answer) -> None:
         """Answer a copy of a call with the answer to the first."""
