Keep of a closed epoch only whether it is closed

Cause, found by reading the whole change: the moment at which a member closed the last epoch was kept and passed on, but only whether it had closed was ever used; the activation counts from the moment of the check.

Change: a flag instead of a time, and a predicate instead of an optional time. Behaviour as it was.

--- a/gooseberrydock/ownership.py
+++ b/gooseberrydock/ownership.py
@@ -97,7 +97,7 @@
     token: int = 0
     version: int = 0
     confirmed_at: Millis = 0.0
-    closed_at: Millis = 0.0
+    has_closed: bool = False
 
 
 @attrs.define
@@ -203,14 +203,14 @@
         if register is not None:
             if beat.confirms and beat.version == register.version and asked_at is not None:
                 peer.confirmed_at = max(peer.confirmed_at, asked_at)
-            self._note_closing(wall_ms, peer, register)
+            self._note_closing(peer, register)
             if beat.version < register.version:
                 return [SendRegister(sender.node_id, register)]
         return []
 
     def on_register_from_peer(self, wall_ms: Millis, register: Register) -> list[Action]:
         """Take in a register that another member passed on, and answer with a beat at once."""
-        if not self._adopt(wall_ms, register):
+        if not self._adopt(register):
             return []
         return self._beats(wall_ms)
 
@@ -222,7 +222,7 @@
         self._read_at = wall_ms
         actions: list[Action] = []
         if register is not None:
-            if self._adopt(wall_ms, register):
+            if self._adopt(register):
                 actions.extend(self._spread())
                 actions.extend(self._beats(wall_ms))
             is_current = self._register is not None and register.version == self._register.version
@@ -243,7 +243,7 @@
         """Take in the answer to a swap."""
         self._is_reading = False
         self._read_at = wall_ms
-        if not is_done or not self._adopt(wall_ms, register):
+        if not is_done or not self._adopt(register):
             return []
         return [*self._spread(), *self._beats(wall_ms)]
 
@@ -255,7 +255,7 @@
     def _is_member(self, register: Register) -> bool:
         return self._me in register.current.members
 
-    def _adopt(self, wall_ms: Millis, register: Register) -> bool:
+    def _adopt(self, register: Register) -> bool:
         """Take over a register if it is newer."""
         known = self._register
         if known is not None and register.version <= known.version:
@@ -266,16 +266,16 @@
                 peer.confirmed_at = 0.0
         if register.pending is None or known is None or known.pending is None:
             for peer in self._peers.values():
-                peer.closed_at = 0.0
+                peer.has_closed = False
         self._register = register
         for peer in self._peers.values():
-            self._note_closing(wall_ms, peer, register)
+            self._note_closing(peer, register)
         return True
 
-    def _note_closing(self, wall_ms: Millis, peer: _Peer, register: Register) -> None:
-        """Note when a peer was first known to know of the planned epoch."""
+    def _note_closing(self, peer: _Peer, register: Register) -> None:
+        """Note whether a peer is known to know of the planned epoch."""
         if register.pending is not None and peer.version >= register.pending_since:
-            peer.closed_at = peer.closed_at or wall_ms
+            peer.has_closed = True
 
     def _confirms(self) -> bool:
         """Say whether this node confirms the last epoch to others."""
@@ -367,13 +367,12 @@
         return attrs.evolve(self._register, version=self._register.version + 1)
 
     def _next_pending_change(self, wall_ms: Millis, stored: Register) -> Register | None:
-        closed_at = self._closed_by_majority_at(wall_ms, stored)
-        if closed_at is None:
+        if not self._is_closed_by_majority(stored):
             is_reachable = self._has_reachable_majority(wall_ms, stored)
             return None if is_reachable else stored.without_pending()
         if stored.pending != self._live:
             return stored.with_pending(self._live)
-        return stored.activated(closed_at + FENCE_MS, wall_ms - KEY_LIFETIME_MS)
+        return stored.activated(wall_ms + FENCE_MS, wall_ms - KEY_LIFETIME_MS)
 
     def _patience(self) -> Millis:
         """Return how long the live members must be stable before this node acts on it."""
@@ -391,17 +390,13 @@
         )
         return reachable >= register.current.majority
 
-    def _closed_by_majority_at(self, wall_ms: Millis, register: Register) -> Millis | None:
-        """Return when a majority was known to have closed the last epoch, if it has."""
-        closings = [wall_ms] if self._is_member(register) else []
-        closings += [
-            self._peers[member].closed_at
+    def _is_closed_by_majority(self, register: Register) -> bool:
+        """Say whether a majority of the last epoch's members are known to have closed it."""
+        closed = sum(
+            member == self._me or (member in self._peers and self._peers[member].has_closed)
             for member in register.current.members
-            if member != self._me and member in self._peers and self._peers[member].closed_at
-        ]
-        if len(closings) < register.current.majority:
-            return None
-        return wall_ms
+        )
+        return closed >= register.current.majority
 
 
 _MAX_TOKENS: Final = 1_000
