--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -72,6 +72,12 @@
     106, "invalid-announcement", 400, _NOT_RUN, "The target's announcement is not valid"
 )
 NOT_FOUND: Final = _register(107, "not-found", 404, _NOT_RUN, "No such resource")
+OVERSIZE_HEADERS: Final = _register(
+    108, "oversize-headers", 431, _NOT_RUN, "The request's headers are larger than the limit"
+)
+NO_ROUTE: Final = _register(
+    109, "no-route", 404, _NOT_RUN, "No route is configured for this host and path"
+)
 
 SHED_AT_ENTRY: Final = _register(
     200, "shed-at-entry", 503, _NOT_RUN, "Shed: a service on the call path is overloaded"
@@ -121,6 +127,18 @@
 KEY_ANSWER_GONE: Final = _register(
     217, "key-answer-gone", 409, Outcome.DONE, "The request ran; its answer is no longer kept"
 )
+TARGET_BUSY: Final = _register(
+    218, "target-busy", 503, _NOT_RUN, "The target has no room for the call in time"
+)
+DEADLINE_UNKNOWN: Final = _register(
+    219, "deadline-passed", 504, _UNKNOWN, "The deadline passed while the call may be running"
+)
+NOT_DISPATCHED: Final = _register(
+    220, "not-dispatched", 503, _NOT_RUN, "The deadline passed before the call reached a target"
+)
+NO_ATTEMPT_LEFT: Final = _register(
+    221, "no-attempt-left", 503, _NOT_RUN, "Every target that may be tried refused the call"
+)
 
 PEER_LOST: Final = _register(
     300, "peer-lost", 502, _UNKNOWN, "The link to the target's node closed during the call"
@@ -159,6 +177,9 @@
 TARGET_OVERSIZE: Final = _register(
     405, "target-oversize", 502, _UNKNOWN, "The target's answer is larger than the limit"
 )
+TARGET_MISMATCH: Final = _register(
+    406, "target-mismatch", 502, _UNKNOWN, "The target's answer is not its whole own answer"
+)
 
 STORE_UNAVAILABLE: Final = _register(
     500, "store-unavailable", 503, _UNKNOWN, "The key-value service did not answer"
@@ -167,6 +188,14 @@
     501, "store-protocol", 502, _UNKNOWN, "The key-value service gave an invalid answer"
 )
 
+STORE_REFUSED: Final = _register(
+    502, "store-refused", 503, _NOT_RUN, "The key-value service refused the call"
+)
+STORE_HISTORY_GONE: Final = _register(
+    503, "store-history-gone", 410, _NOT_RUN, "The key-value service dropped the asked history"
+)
+LEASE_ENDED: Final = _register(504, "lease-ended", 404, _NOT_RUN, "The lease has ended")
+
 CONFIGURATION_CONFLICT: Final = _register(
     601, "configuration-conflict", 409, _NOT_RUN, "Another operator changed the configuration"
 )
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -57,6 +57,15 @@
 REQUEST_CONVICTED: Final = _register(
     1103, "request-convicted", _ERROR, "Requests with this fingerprint are refused for a time"
 )
+TARGET_LEAVING: Final = _register(
+    1104, "target-leaving", _INFO, "The local target takes no new requests"
+)
+TARGET_CHANGED: Final = _register(
+    1105, "target-changed", _INFO, "Another instance, state or size of the local target is known"
+)
+ANNOUNCEMENT_REFUSED: Final = _register(
+    1106, "announcement-refused", _WARNING, "An announcement is malformed or names another target"
+)
 MEMBER_CHANGED: Final = _register(1200, "member-changed", _INFO, "A member changed its state")
 LINK_REFUSED: Final = _register(
     1201, "link-refused", _WARNING, "A peer failed to authenticate or broke the protocol"
@@ -73,6 +82,39 @@
 CONFIGURATION_REFUSED: Final = _register(
     1301, "configuration-refused", _ERROR, "A configuration was not valid and was not taken"
 )
+RECORD_REFUSED: Final = _register(
+    1302, "record-refused", _WARNING, "An entry of the store is malformed and names nothing"
+)
+SETTINGS_RELOADED: Final = _register(
+    1303, "settings-reloaded", _INFO, "Changed settings are in force"
+)
+SETTINGS_REFUSED: Final = _register(
+    1304, "settings-refused", _ERROR, "Changed settings are not valid; the old ones stay in force"
+)
 STORE_LOST: Final = _register(1400, "store-lost", _WARNING, "The key-value service does not answer")
 STORE_BACK: Final = _register(1401, "store-back", _INFO, "The key-value service answers again")
+LEASE_LOST: Final = _register(
+    1402,
+    "lease-lost",
+    _WARNING,
+    "The lease of this node's record ended; the record is written anew",
+)
+REQUEST_REFUSED: Final = _register(
+    1500, "request-refused", _INFO, "A request was answered in the node's own name"
+)
+REQUEST_RETRIED: Final = _register(
+    1501, "request-retried", _INFO, "A request was sent to another host"
+)
+REQUEST_ANSWERED: Final = _register(
+    1502, "request-answered", _INFO, "A target's answer was passed on"
+)
+CALL_REFUSED: Final = _register(
+    1503, "call-refused", _INFO, "A call was turned away or dropped at the target's node"
+)
+CALL_FAILED: Final = _register(
+    1504, "call-failed", _INFO, "A call handed to the target brought no usable answer"
+)
+LINES_SUPPRESSED: Final = _register(
+    1599, "lines-suppressed", _INFO, "Lines of an event were left out to bound the volume"
+)
 STANDIN_STARTED: Final = _register(1900, "standin-started", _INFO, "A stand-in listens")
--- a/gooseberrydock/http_messages.py
+++ b/gooseberrydock/http_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as plain values, and the header names of the product."""
 
+import http
 import json
 from typing import Final
 
@@ -24,21 +25,24 @@
 PROBLEM_CONTENT_TYPE: Final = b"application/problem+json"
 RETRY_AFTER_SECONDS: Final = 1
 
-HOP_BY_HOP_HEADERS: Final = frozenset(
+CONNECTION_HEADERS: Final = frozenset(
     (
         b"connection",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
+        b"proxy-connection",
         b"te",
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
-        b"host",
         b"content-length",
         b"expect",
     )
 )
+"""Headers that concern one connection and the framing on it."""
+
+HOP_BY_HOP_HEADERS: Final = CONNECTION_HEADERS | {b"host"}
 
 PRODUCT_REQUEST_HEADERS: Final = frozenset(
     (CONTEXT_HEADER, CLASS_HEADER, CALLER_HEADER, ATTEMPT_HEADER)
@@ -82,6 +86,18 @@
     ]
 
 
+def status_line(status: int) -> bytes:
+    """Return the first line of a response."""
+    line = _STATUS_LINES.get(status)
+    return line if line is not None else b"HTTP/1.1 %d Unknown\r\n" % status
+
+
+_STATUS_LINES: Final = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode("ascii")
+    for status in http.HTTPStatus
+}
+
+
 def problem_response(
     code: ErrorCode, outcome: Outcome, step: str, peer: str, detail: str = ""
 ) -> HttpResponse:
--- /dev/null
+++ b/gooseberrydock/mesh/decision_log.py
@@ -0,0 +1,156 @@
+"""One log line for each decision about a request, bounded so that load cannot fill the log.
+
+Refusals, retries and failures are logged up to a rate for each event; of the answers passed on,
+fewer. What is left out is counted and the count logged, so that a gap shows as one.
+"""
+
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.events import (
+    CALL_FAILED,
+    CALL_REFUSED,
+    LINES_SUPPRESSED,
+    REQUEST_ANSWERED,
+    REQUEST_REFUSED,
+    REQUEST_RETRIED,
+    LogEvent,
+)
+from gooseberrydock.logs import log
+from gooseberrydock.mesh.door import Ticket
+from gooseberrydock.mesh.entry import Exchange
+from gooseberrydock.mesh.options import HeaderNames
+
+_LINES_PER_SECOND: Final = 8.0
+"""Lines a second of each event: enough to trace a failure, cheap against serving it."""
+_ANSWERED_PER_SECOND: Final = 1.0
+"""The same for answers passed on, which explain no failure."""
+_BURST_SECONDS: Final = 3.0
+"""How many seconds' lines may come at once after a quiet time."""
+
+
+@attrs.define
+class LineBudget:
+    """Bound the lines of one event."""
+
+    per_second: float
+    tokens: float
+    refilled_at: Millis = 0.0
+    suppressed: int = 0
+
+    def take(self, now_ms: Millis) -> bool:
+        """Say whether a line may be written, and count it if not."""
+        earned = (now_ms - self.refilled_at) / MS_PER_SECOND * self.per_second
+        self.tokens = min(self.per_second * _BURST_SECONDS, self.tokens + earned)
+        self.refilled_at = now_ms
+        if self.tokens < 1.0:
+            self.suppressed += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+def _create_budgets() -> dict[int, LineBudget]:
+    events = (CALL_FAILED, CALL_REFUSED, REQUEST_REFUSED, REQUEST_RETRIED)
+    budgets = {event.number: LineBudget(_LINES_PER_SECOND, _LINES_PER_SECOND) for event in events}
+    budgets[REQUEST_ANSWERED.number] = LineBudget(_ANSWERED_PER_SECOND, _ANSWERED_PER_SECOND)
+    return budgets
+
+
+@attrs.define
+class DecisionLog:
+    """Write the lines and count decisions."""
+
+    _names: HeaderNames
+    _budgets: dict[int, LineBudget] = attrs.field(factory=_create_budgets)
+    _refused: dict[int, int] = attrs.field(factory=dict)
+    _answered: int = 0
+
+    @property
+    def refused(self) -> dict[int, int]:
+        """Return the answers given in the node's own name, by error code."""
+        return self._refused
+
+    @property
+    def answered(self) -> int:
+        """Return the answers of targets passed on."""
+        return self._answered
+
+    def on_answered(self, now_ms: Millis, exchange: Exchange, status: int) -> None:
+        """Note a target's answer passed on."""
+        self._answered += 1
+        if self._take(now_ms, REQUEST_ANSWERED):
+            log(
+                REQUEST_ANSWERED,
+                request=exchange.request_id,
+                route=exchange.route.name,
+                status=status,
+                host=exchange.node_id,
+                took_ms=round(now_ms - exchange.received_at, 1),
+                offers=exchange.offers,
+            )
+
+    def on_refused(
+        self, now_ms: Millis, exchange: Exchange, code: ErrorCode, retry_after_ms: Millis
+    ) -> None:
+        """Note an answer in the node's own name."""
+        self._refused[code.number] = self._refused.get(code.number, 0) + 1
+        if self._take(now_ms, REQUEST_REFUSED):
+            log(
+                REQUEST_REFUSED,
+                request=exchange.request_id,
+                route=exchange.route.name,
+                service=exchange.service,
+                code=code.number,
+                cause=code.name,
+                status=code.status,
+                host=exchange.node_id,
+                took_ms=round(now_ms - exchange.received_at, 1),
+                left_ms=round(exchange.deadline_at - now_ms, 1),
+                offers=exchange.offers,
+                refusals=exchange.refusals,
+                nested=exchange.is_nested,
+                retry_after_ms=round(retry_after_ms),
+            )
+
+    def on_call_refused(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> None:
+        """Note a call turned away or dropped at the target's node."""
+        if self._take(now_ms, CALL_REFUSED):
+            log(CALL_REFUSED, **self._ticket_fields(now_ms, ticket, code))
+
+    def on_call_failed(self, now_ms: Millis, ticket: Ticket, code: ErrorCode, status: int) -> None:
+        """Note a call whose target gave no usable answer."""
+        if self._take(now_ms, CALL_FAILED):
+            log(CALL_FAILED, status=status, **self._ticket_fields(now_ms, ticket, code))
+
+    def _ticket_fields(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> dict[str, object]:
+        started_at = ticket.started_at if ticket.has_started else now_ms
+        return {
+            "request": self._request_id(ticket),
+            "route": ticket.call.route,
+            "code": code.number,
+            "cause": code.name,
+            "rank": ticket.rank,
+            "nested": ticket.call.is_nested,
+            "waited_ms": round(started_at - ticket.arrived_at, 1),
+            "ran_ms": round(now_ms - started_at, 1),
+            "left_ms": round(ticket.expires_at - now_ms, 1),
+        }
+
+    def _request_id(self, ticket: Ticket) -> str:
+        for name, value in ticket.call.headers:
+            if name == self._names.request_id:
+                return value.decode("latin-1")
+        return ""
+
+    def _take(self, now_ms: Millis, event: LogEvent) -> bool:
+        budget = self._budgets[event.number]
+        if not budget.take(now_ms):
+            return False
+        if budget.suppressed:
+            log(LINES_SUPPRESSED, of_event=event.number, lines=budget.suppressed)
+            budget.suppressed = 0
+        return True
--- /dev/null
+++ b/gooseberrydock/mesh/door.py
@@ -0,0 +1,201 @@
+"""Admission at a target's own node: what runs now, what waits, and what is turned away.
+
+Answers the load of one target. No more calls run there than its slots allow with some left free,
+because targets slow down when they are nearly full. What has to wait is ordered by rank, then by
+arrival; a call that can no longer finish in time leaves the queue as not run, before it costs
+anything. Controller without I/O.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import NOT_DISPATCHED, TARGET_BUSY, ErrorCode
+from gooseberrydock.mesh.pressure import PressureController
+from gooseberrydock.messages import RoutedCall, TargetReport
+
+_USABLE_SLOT_SHARE: Final = 0.94
+"""Share of the announced slots in use at most: fuller targets may slow down."""
+_TIME_WEIGHT: Final = 0.05
+"""Weight of one run in the mean time of its route."""
+_MAX_WAIT_SHARE: Final = 0.25
+"""Part of its remaining time that a caller's request may be expected to wait."""
+_NESTED_WAIT_SHARE: Final = 0.7
+"""The same for a call of a request already admitted: work has been spent on it."""
+_LEAST_RUN_SHARE: Final = 0.5
+"""Part of the mean run time that must be left when a waiting call starts."""
+NESTED_RANK: Final = 0
+"""Calls of admitted requests rank with the most important requests."""
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """Hold one call at the target's node; ``started_at`` is negative while it waits."""
+
+    run_id: int
+    link_id: str
+    call: RoutedCall
+    rank: int
+    arrived_at: Millis
+    expires_at: Millis
+    started_at: Millis = -1.0
+    is_withdrawn: bool = False
+
+    @property
+    def has_started(self) -> bool:
+        """Say whether the call was handed to the target."""
+        return self.started_at >= 0
+
+
+@attrs.define
+class Door:
+    """Admit calls to one target."""
+
+    _pressure: PressureController
+    _slots: int = 0
+    _running: dict[int, Ticket] = attrs.field(factory=dict)
+    _queue: list[tuple[int, int, Ticket]] = attrs.field(factory=list)
+    _waiting: int = 0
+    _serials: Iterator[int] = attrs.field(factory=itertools.count)
+    _route_ms: dict[str, Millis] = attrs.field(factory=dict)
+    _mean_ms: Millis = 0.0
+    _route_shares: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def running(self) -> dict[int, Ticket]:
+        """Return the calls handed to the target, by run id."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of calls that wait."""
+        return self._waiting
+
+    @property
+    def limit(self) -> int:
+        """Return the number of calls that may run at once."""
+        return max(1, int(self._slots * _USABLE_SLOT_SHARE)) if self._slots else 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls that run or wait."""
+        return len(self._running) + self._waiting
+
+    @property
+    def pressure(self) -> PressureController:
+        """Return the controller of how much work to admit."""
+        return self._pressure
+
+    def set_slots(self, slots: int) -> None:
+        """Take over the slots that the target announced."""
+        self._slots = slots
+
+    def forget_times(self) -> None:
+        """Forget run times after another instance took the target's place."""
+        self._route_ms.clear()
+        self._mean_ms = 0.0
+
+    def submit(self, now_ms: Millis, ticket: Ticket) -> ErrorCode | None:
+        """Start a call, let it wait, or return why it is refused."""
+        if self._waiting == 0 and len(self._running) < self.limit:
+            self._start(now_ms, ticket)
+            return None
+        share = _NESTED_WAIT_SHARE if ticket.call.is_nested else _MAX_WAIT_SHARE
+        if self.expected_wait(ticket.rank) > share * ticket.call.remaining_ms:
+            return TARGET_BUSY
+        heapq.heappush(self._queue, (ticket.rank, next(self._serials), ticket))
+        self._waiting += 1
+        self._note(now_ms)
+        return None
+
+    def expected_wait(self, rank: int) -> Millis:
+        """Return how long a call of a rank would wait, by the calls ahead of it."""
+        ahead = sum(1 for item in self._queue if item[0] <= rank and not item[2].is_withdrawn)
+        return (ahead + 1) * self._mean_ms / max(1, self.limit)
+
+    def finish(self, now_ms: Millis, ticket: Ticket, has_run: bool) -> None:
+        """Take a call out, run or not."""
+        if self._running.pop(ticket.run_id, None) is None:
+            if not ticket.is_withdrawn and not ticket.has_started:
+                ticket.is_withdrawn = True
+                self._waiting -= 1
+        elif has_run:
+            self._learn(ticket.call.route, now_ms - ticket.started_at)
+        self._note(now_ms)
+
+    def start_next(self, now_ms: Millis) -> tuple[list[Ticket], list[Ticket]]:
+        """Return the waiting calls that start now and those that are too late to start."""
+        started: list[Ticket] = []
+        late: list[Ticket] = []
+        while self._queue and len(self._running) < self.limit:
+            ticket = heapq.heappop(self._queue)[2]
+            if ticket.is_withdrawn:
+                continue
+            self._waiting -= 1
+            if self._is_late(now_ms, ticket):
+                ticket.is_withdrawn = True
+                late.append(ticket)
+            else:
+                self._start(now_ms, ticket)
+                started.append(ticket)
+        return started, late
+
+    def drop_late(self, now_ms: Millis) -> list[Ticket]:
+        """Return the waiting calls that can no longer finish in time, taken out of the queue."""
+        late = [
+            item[2]
+            for item in self._queue
+            if not item[2].is_withdrawn and self._is_late(now_ms, item[2])
+        ]
+        for ticket in late:
+            ticket.is_withdrawn = True
+            self._waiting -= 1
+        if late:
+            self._queue = [item for item in self._queue if not item[2].is_withdrawn]
+            heapq.heapify(self._queue)
+        self._note(now_ms)
+        return late
+
+    def set_route_share(self, route: str, share: float) -> None:
+        """Set how much of a route the services below it can take."""
+        self._route_shares[route] = share
+
+    def report(self, route: str) -> TargetReport:
+        """Return what callers' nodes need to know of this target for a route."""
+        return TargetReport(
+            in_flight=self.in_flight,
+            limit=self.limit,
+            service_ms=self._route_ms.get(route, 0.0),
+            admitted_share=min(self._pressure.share, self._route_shares.get(route, 1.0)),
+        )
+
+    def _start(self, now_ms: Millis, ticket: Ticket) -> None:
+        ticket.started_at = now_ms
+        self._running[ticket.run_id] = ticket
+        self._note(now_ms)
+
+    def _is_late(self, now_ms: Millis, ticket: Ticket) -> bool:
+        needed_ms = self._route_ms.get(ticket.call.route, 0.0) * _LEAST_RUN_SHARE
+        return ticket.expires_at - now_ms < needed_ms
+
+    def _learn(self, route: str, run_ms: Millis) -> None:
+        known_ms = self._route_ms.get(route, run_ms)
+        self._route_ms[route] = known_ms + (run_ms - known_ms) * _TIME_WEIGHT
+        mean_ms = self._mean_ms or run_ms
+        self._mean_ms = mean_ms + (run_ms - mean_ms) * _TIME_WEIGHT
+
+    def _note(self, now_ms: Millis) -> None:
+        self._pressure.note(now_ms, self.in_flight, self.limit)
+
+
+def create_door() -> Door:
+    """Make a door for a target that announced nothing yet."""
+    return Door(PressureController())
+
+
+LATE_CODE: Final = NOT_DISPATCHED
+"""What a call is refused with that waited too long to start."""
--- /dev/null
+++ b/gooseberrydock/mesh/entry.py
@@ -0,0 +1,401 @@
+"""The calling side of a node: from a request read to its final answer.
+
+Chooses route, service and host, sends the call, and decides what to do with each ending: pass the
+answer on, try another host, or answer in its own name. Exactly one answer is given to each
+request. A request that may not be repeated is sent again only where it surely did not run.
+Controller without I/O; ``EntryEffects`` carries out what it decides.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from typing import Final, Protocol
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import (
+    DEADLINE_UNKNOWN,
+    MALFORMED_REQUEST,
+    NO_CONFIGURATION,
+    NO_ROUTE,
+    NO_TARGET,
+    NOT_DISPATCHED,
+    PEER_LOST,
+    SHED_AT_ENTRY,
+    ErrorCode,
+    error_code,
+)
+from gooseberrydock.http_messages import (
+    CONNECTION_HEADERS,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+)
+from gooseberrydock.mesh.directory import Directory
+from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Route, RouteTable
+from gooseberrydock.mesh.nesting import NestedRoutes
+from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.placement import Placement
+from gooseberrydock.mesh.retry_budget import RetryBudget
+from gooseberrydock.mesh.shares import AdmittedShares
+from gooseberrydock.mesh.splits import SplitChooser
+from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
+
+_SERVER_ERROR: Final = 500
+_MAX_DEADLINE_MS: Final[Millis] = 600_000.0
+"""Longest deadline taken from a caller; longer ones are certainly mistaken."""
+_LEAST_RETRY_MS: Final[Millis] = 30.0
+"""Time that must be left for another attempt to be of use."""
+_MAX_REFUSALS: Final = 4
+"""How many hosts may refuse a request unseen by their target before it is given up."""
+
+Caller = object
+"""Whoever waits for an answer; only the shell looks into it."""
+
+
+class EntryEffects(Protocol):
+    """Carry out what the entry decides."""
+
+    def answer(self, caller: Caller, exchange: "Exchange", response: HttpResponse) -> None:
+        """Pass on a target's answer."""
+
+    def refuse(
+        self, caller: Caller, exchange: "Exchange", code: ErrorCode, retry_after_ms: Millis
+    ) -> None:
+        """Answer in the node's own name."""
+
+    def send_call(self, node_id: str, call: RoutedCall) -> None:
+        """Send a call to a target's node."""
+
+    def send_cancel(self, node_id: str, cancel: Cancel) -> None:
+        """Withdraw a call."""
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """Track one request from its arrival until it is answered.
+
+    ``may_have_run`` says that some attempt may have reached a target and that nobody told
+    otherwise. ``offers`` counts the targets that the request was sent to.
+    """
+
+    exchange_id: int
+    caller: Caller
+    request: HttpRequest
+    request_id: str
+    route: Route
+    service: str
+    received_at: Millis
+    deadline_at: Millis
+    is_nested: bool
+    headers: Headers
+    call_id: int = 0
+    node_id: str = ""
+    sent_at: Millis = 0.0
+    tried: set[str] = attrs.field(factory=set)
+    offers: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    is_done: bool = False
+    last_code: ErrorCode = NO_TARGET
+
+
+@attrs.define(eq=False)
+class Entry:
+    """Serve the requests that begin on this host."""
+
+    _effects: EntryEffects
+    _directory: Directory
+    _placement: Placement
+    _budget: RetryBudget
+    _shares: AdmittedShares
+    _nested: NestedRoutes
+    _names: HeaderNames
+    _own_service: str
+    _table: RouteTable = EMPTY_TABLE
+    _splits: SplitChooser = attrs.field(factory=SplitChooser)
+    _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
+    _calls: dict[int, Exchange] = attrs.field(factory=dict)
+    _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+    _stripped: frozenset[bytes] = attrs.field(init=False)
+
+    @_stripped.default
+    def _stripped_headers(self) -> frozenset[bytes]:
+        names = self._names
+        own = (names.deadline_ms, names.expected_instance, names.caller_service)
+        return CONNECTION_HEADERS | frozenset(own)
+
+    @property
+    def table(self) -> RouteTable:
+        """Return the route table in force."""
+        return self._table
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that are not answered yet."""
+        return len(self._exchanges)
+
+    @property
+    def placement(self) -> Placement:
+        """Return the controller that chooses hosts."""
+        return self._placement
+
+    def set_table(self, table: RouteTable) -> None:
+        """Put a route table in force for requests from now on."""
+        self._table = table
+
+    def set_own_service(self, service: str) -> None:
+        """Take over the service of the target on this host."""
+        self._own_service = service
+
+    def on_request(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange | None:
+        """Take in a request; return its exchange unless it was answered at once."""
+        host, request_id, deadline_text = self._read_headers(request.headers)
+        exchange = self._open(now_ms, caller, request, request_id)
+        if self._table.version == 0:
+            self._refuse(now_ms, exchange, NO_CONFIGURATION)
+            return None
+        route = self._table.find(host, request.path)
+        if route is None:
+            self._refuse(now_ms, exchange, NO_ROUTE)
+            return None
+        try:
+            limit_ms = float(deadline_text) if deadline_text else route.timeout_ms
+        except ValueError:
+            self._refuse(now_ms, exchange, MALFORMED_REQUEST)
+            return None
+        if not 0 <= limit_ms <= _MAX_DEADLINE_MS:
+            limit_ms = route.timeout_ms
+        exchange.route = route
+        exchange.deadline_at = now_ms + min(limit_ms, route.timeout_ms)
+        exchange.is_nested = self._nested.is_nested(route.name)
+        exchange.service = self._splits.choose(route)
+        if not exchange.is_nested and not self._shares.admits(now_ms, route.name, route.priority):
+            self._refuse(now_ms, exchange, SHED_AT_ENTRY)
+            return None
+        exchange.headers = self._forwarded_headers(request.headers)
+        self._exchanges[exchange.exchange_id] = exchange
+        heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
+        self._budget.on_request(exchange.service)
+        self._send(now_ms, exchange)
+        return None if exchange.is_done else exchange
+
+    def on_answer(self, now_ms: Millis, answer: RoutedAnswer) -> None:
+        """Take in the answer of a target's node."""
+        exchange = self._calls.pop(answer.call_id, None)
+        if exchange is None or exchange.call_id != answer.call_id:
+            return
+        node_id, route = exchange.node_id, exchange.route
+        has_failed = answer.result is RunResult.UNKNOWN or (
+            answer.result is RunResult.ANSWERED and answer.status >= _SERVER_ERROR
+        )
+        self._placement.on_answer(node_id, route.name, answer.report, has_failed)
+        report = answer.report
+        self._shares.on_report(now_ms, route.name, node_id, report.admitted_share, report.limit)
+        exchange.call_id = 0
+        if answer.was_offered:
+            exchange.offers += 1
+        if answer.result is RunResult.ANSWERED:
+            self._on_target_answer(now_ms, exchange, answer)
+        elif answer.result is RunResult.NOT_RUN:
+            self._on_not_run(now_ms, exchange, answer)
+        else:
+            exchange.may_have_run = True
+            self._on_unknown(now_ms, exchange, error_code(answer.code))
+
+    def on_calls_lost(
+        self, now_ms: Millis, node_id: str, unsent: list[int], sent: list[int]
+    ) -> None:
+        """Take in that the link to a node closed; unsent calls surely did not run."""
+        if unsent or sent:
+            self._placement.on_unreached(now_ms, node_id)
+        for call_id in unsent:
+            exchange = self._drop_call(call_id)
+            if exchange is not None:
+                exchange.refusals += 1
+                self._try_again(now_ms, exchange, PEER_LOST)
+        for call_id in sent:
+            exchange = self._drop_call(call_id)
+            if exchange is not None:
+                exchange.may_have_run = True
+                exchange.offers += 1
+                self._on_unknown(now_ms, exchange, PEER_LOST)
+
+    def on_caller_gone(self, exchange: Exchange) -> None:
+        """Withdraw a request whose caller left."""
+        if not exchange.is_done:
+            self._withdraw(exchange)
+            self._close(exchange)
+
+    def tick(self, now_ms: Millis) -> None:
+        """Answer the requests whose deadline passed."""
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            exchange = self._exchanges.get(heapq.heappop(self._deadlines)[1])
+            if exchange is None:
+                continue
+            if exchange.call_id:
+                # The call is under way: only its target's node knows whether it began.
+                exchange.may_have_run = True
+                self._withdraw(exchange)
+            code = DEADLINE_UNKNOWN if exchange.may_have_run else NOT_DISPATCHED
+            self._refuse(now_ms, exchange, code)
+
+    def _open(
+        self, now_ms: Millis, caller: Caller, request: HttpRequest, request_id: str
+    ) -> Exchange:
+        return Exchange(
+            exchange_id=next(self._ids),
+            caller=caller,
+            request=request,
+            request_id=request_id,
+            route=EMPTY_ROUTE,
+            service="",
+            received_at=now_ms,
+            deadline_at=now_ms,
+            is_nested=False,
+            headers=[],
+        )
+
+    def _read_headers(self, headers: Headers) -> tuple[str, str, str]:
+        """Return host, request id and deadline as the caller wrote them."""
+        host = request_id = deadline = b""
+        names = self._names
+        for name, value in headers:
+            if name == b"host":
+                host = value
+            elif name == names.request_id:
+                request_id = value
+            elif name == names.deadline_ms:
+                deadline = value
+        host_name = host.decode("latin-1").lower()
+        if ":" in host_name and not host_name.endswith("]"):
+            host_name = host_name.rpartition(":")[0]
+        return host_name, request_id.decode("latin-1"), deadline.decode("latin-1").strip()
+
+    def _forwarded_headers(self, headers: Headers) -> Headers:
+        """Return the headers that travel on to the target."""
+        stripped = self._stripped
+        for name, value in headers:
+            if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+                listed = {token.strip().lower() for token in value.split(b",")}
+                stripped = stripped | listed
+        return [header for header in headers if header[0] not in stripped]
+
+    def _send(self, now_ms: Millis, exchange: Exchange) -> None:
+        """Send the call to the best host left, or give the request up."""
+        hosts = self._directory.hosts_of(exchange.service)
+        host = self._placement.choose(now_ms, exchange.route, hosts, exchange.tried)
+        if host is None:
+            self._give_up(now_ms, exchange)
+            return
+        call_id = next(self._ids)
+        exchange.call_id = call_id
+        exchange.node_id = host.node_id
+        exchange.sent_at = now_ms
+        exchange.tried.add(host.node_id)
+        self._calls[call_id] = exchange
+        self._placement.on_sent(host.node_id)
+        request, route = exchange.request, exchange.route
+        self._effects.send_call(
+            host.node_id,
+            RoutedCall(
+                call_id=call_id,
+                route=route.name,
+                service=exchange.service,
+                caller_service=self._own_service,
+                method=request.method,
+                target=request.path,
+                headers=exchange.headers,
+                body=request.body,
+                remaining_ms=max(0.0, exchange.deadline_at - now_ms),
+                priority=route.priority,
+                is_nested=exchange.is_nested,
+            ),
+        )
+
+    def _on_target_answer(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
+        """Pass an answer on, unless a failure may still be made good elsewhere."""
+        if answer.status >= _SERVER_ERROR and self._may_repeat(now_ms, exchange):
+            exchange.may_have_run = True
+            self._send(now_ms, exchange)
+            return
+        response = HttpResponse(answer.status, answer.headers, answer.body)
+        self._close(exchange)
+        self._effects.answer(exchange.caller, exchange, response)
+
+    def _on_not_run(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
+        code = error_code(answer.code)
+        if not answer.was_offered:
+            exchange.refusals += 1
+            self._try_again(now_ms, exchange, code)
+        elif self._has_attempt(now_ms, exchange) and self._budget.try_spend(exchange.service):
+            exchange.last_code = code
+            self._send(now_ms, exchange)
+        else:
+            self._refuse(now_ms, exchange, code)
+
+    def _on_unknown(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
+        exchange.last_code = code
+        if self._may_repeat(now_ms, exchange):
+            self._send(now_ms, exchange)
+        else:
+            self._refuse(now_ms, exchange, code)
+
+    def _try_again(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
+        """Send a request that no target has seen to another host."""
+        exchange.last_code = code
+        if exchange.refusals <= _MAX_REFUSALS and self._has_time(now_ms, exchange):
+            self._send(now_ms, exchange)
+        else:
+            self._give_up(now_ms, exchange)
+
+    def _may_repeat(self, now_ms: Millis, exchange: Exchange) -> bool:
+        """Say whether a request that may have run is sent once more, and pay for it."""
+        if not exchange.route.is_idempotent or not self._has_attempt(now_ms, exchange):
+            return False
+        hosts = self._directory.hosts_of(exchange.service)
+        if all(host.node_id in exchange.tried for host in hosts):
+            return False
+        return self._budget.try_spend(exchange.service)
+
+    def _has_attempt(self, now_ms: Millis, exchange: Exchange) -> bool:
+        return exchange.offers < exchange.route.max_attempts and self._has_time(now_ms, exchange)
+
+    def _has_time(self, now_ms: Millis, exchange: Exchange) -> bool:
+        return exchange.deadline_at - now_ms >= _LEAST_RETRY_MS
+
+    def _give_up(self, now_ms: Millis, exchange: Exchange) -> None:
+        self._refuse(now_ms, exchange, exchange.last_code)
+
+    def _refuse(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
+        """Answer in the node's own name; promise "not run" only where that is certain."""
+        self._close(exchange)
+        if exchange.may_have_run and code.outcome is code.outcome.NOT_RUN:
+            code = PEER_LOST
+        retry_after_ms = self._retry_after(now_ms, exchange)
+        self._effects.refuse(exchange.caller, exchange, code, retry_after_ms)
+
+    def _retry_after(self, now_ms: Millis, exchange: Exchange) -> Millis:
+        """Return when a refused caller had best come back."""
+        return self._shares.retry_after(now_ms, exchange.route)
+
+    def _withdraw(self, exchange: Exchange) -> None:
+        if exchange.call_id:
+            self._calls.pop(exchange.call_id, None)
+            self._placement.on_dropped(exchange.node_id)
+            self._effects.send_cancel(exchange.node_id, Cancel(exchange.call_id))
+            exchange.call_id = 0
+
+    def _drop_call(self, call_id: int) -> Exchange | None:
+        exchange = self._calls.pop(call_id, None)
+        if exchange is None or exchange.call_id != call_id:
+            return None
+        self._placement.on_dropped(exchange.node_id)
+        exchange.call_id = 0
+        return exchange
+
+    def _close(self, exchange: Exchange) -> None:
+        exchange.is_done = True
+        self._exchanges.pop(exchange.exchange_id, None)
--- /dev/null
+++ b/gooseberrydock/mesh/metrics.py
@@ -0,0 +1,68 @@
+"""Metrics of a node on the routed call path, in the Prometheus text format.
+
+Collectors are filled from the node's counters at the moment of a scrape.
+"""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.stream import Stream
+
+_PREFIX: Final = "gooseberrydock_"
+
+
+async def serve_metrics(node: MeshNode, stream: Stream) -> None:
+    """Serve one connection of whoever reads metrics; every path gives the page."""
+
+    def on_request(connection: HttpConnection, request: HttpRequest) -> None:
+        content, content_type = render_metrics(node)
+        headers = [(b"content-type", content_type.encode("ascii"))]
+        connection.respond(HttpResponse(200, headers, content))
+
+    await serve_http(stream, on_request)
+
+
+def render_metrics(node: MeshNode) -> tuple[bytes, str]:
+    """Return the metrics page and its content type."""
+    registry = Registry()
+    _add_counters(registry, node)
+    _add_gauges(registry, node)
+    content, headers = render(registry, [])
+    return content, headers["Content-Type"]
+
+
+def _add_counters(registry: Registry, node: MeshNode) -> None:
+    refused = Counter(_PREFIX + "refused", "Answers in the node's own name", registry=registry)
+    for code, count in node.decision_log.refused.items():
+        refused.set({"code": str(code)}, count)
+    values = {
+        "answered": (node.decision_log.answered, "Answers of targets passed on"),
+        "repeats": (node.parts.budget.spent, "Requests sent once more"),
+        "repeats_denied": (node.parts.budget.denied, "Repeats that the budget did not allow"),
+        "link_bytes_sent": (node.links.bytes_sent, "Bytes sent on links to other nodes"),
+        "link_bytes_received": (node.links.bytes_received, "Bytes received on these links"),
+        "target_connections_opened": (node.pool.opened, "Connections opened to the target"),
+    }
+    for name, (value, text) in values.items():
+        Counter(_PREFIX + name, text, registry=registry).set({}, value)
+
+
+def _add_gauges(registry: Registry, node: MeshNode) -> None:
+    door = node.door
+    values = {
+        "table_version": (node.table.version, "Version of the route table in force"),
+        "nodes": (node.parts.directory.node_count, "Known nodes with this one"),
+        "requests_in_flight": (node.entry.in_flight, "Requests that began here"),
+        "runs": (len(door.running), "Calls at the target"),
+        "waiting": (door.waiting, "Calls that wait for the target"),
+        "limit": (door.limit, "Calls that may run at once"),
+        "admitted_share": (door.pressure.share, "Share of less important work to admit"),
+        "target_connections": (node.pool.open_connections, "Open connections to the target"),
+    }
+    for name, (value, text) in values.items():
+        Gauge(_PREFIX + name, text, registry=registry).set({}, value)
--- /dev/null
+++ b/gooseberrydock/mesh/model.py
@@ -0,0 +1,108 @@
+"""The route table and what it says of requests: values that every part of the call path shares.
+
+A table is immutable and replaced as a whole. Nothing here knows how a table is written or stored;
+readers of foreign formats build these types once.
+"""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+
+
+class RequestKind(enum.Enum):
+    """Say whether a request may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+@attrs.frozen
+class ServiceShare:
+    """Give a service its share of a route's requests; weights are relative."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Say how requests with one host and path prefix are served.
+
+    ``max_attempts`` counts targets that one request may be sent to. Priority 0 is shed last.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_ms: Millis
+    target_latency_ms: Millis
+    max_attempts: int
+    priority: int
+    shares: tuple[ServiceShare, ...]
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Say whether a request on this route may be repeated."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+@attrs.frozen
+class ClientLimits:
+    """Bound what a caller may send and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: Millis = 3_000.0
+    idle_timeout_ms: Millis = 15_000.0
+
+
+DEFAULT_LIMITS: Final = ClientLimits()
+
+
+@attrs.frozen
+class RouteTable:
+    """Hold one version of all routes; version 0 means that none is known yet."""
+
+    version: int
+    routes: Mapping[str, Route]
+    services: frozenset[str]
+    limits: ClientLimits
+    _by_host: Mapping[str, Mapping[str, Route]]
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path."""
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def create_route_table(
+    version: int,
+    routes: Iterable[Route],
+    services: Iterable[str],
+    limits: ClientLimits = DEFAULT_LIMITS,
+) -> RouteTable:
+    """Index routes by host and prefix."""
+    by_name = {route.name: route for route in routes}
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in by_name.values():
+        by_host.setdefault(route.host, {})[route.prefix] = route
+    return RouteTable(version, by_name, frozenset(services), limits, by_host)
+
+
+EMPTY_TABLE: Final = create_route_table(0, (), ())
+EMPTY_ROUTE: Final = Route("", "", "/", RequestKind.NON_IDEMPOTENT, 1_000.0, 1_000.0, 1, 0, ())
+"""Stands for the route of a request that has none."""
--- /dev/null
+++ b/gooseberrydock/mesh/parts.py
@@ -0,0 +1,74 @@
+"""The controllers of a node, made and joined in one place."""
+
+from collections.abc import Callable
+
+import attrs
+
+from gooseberrydock.mesh.directory import Directory, create_directory
+from gooseberrydock.mesh.door import Door, create_door
+from gooseberrydock.mesh.entry import Entry, EntryEffects
+from gooseberrydock.mesh.model import RouteTable
+from gooseberrydock.mesh.nesting import NestedRoutes
+from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.placement import create_placement
+from gooseberrydock.mesh.retry_budget import RetryBudget, create_retry_budget
+from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
+from gooseberrydock.mesh.target_registration import (
+    TargetRegistration,
+    create_target_registration,
+)
+
+TableDecoder = Callable[[bytes], RouteTable]
+"""Read a route table, raising ``CONFIGURATION_INVALID`` where it is not a valid one."""
+
+
+@attrs.frozen
+class StoreKeys:
+    """Name where the store holds the route table and the nodes' records."""
+
+    table: str
+    nodes: str
+
+
+@attrs.define(eq=False)
+class NodeParts:
+    """Hold the controllers of a node."""
+
+    keys: StoreKeys
+    decode_table: TableDecoder
+    registration: TargetRegistration
+    directory: Directory
+    door: Door
+    budget: RetryBudget
+    shares: AdmittedShares
+    nested: NestedRoutes
+    entry: Entry = attrs.field(init=False)
+
+    def join(self, options: MeshOptions, effects: EntryEffects, seed: int) -> None:
+        """Make the entry, which needs all others and the shell."""
+        self.entry = Entry(
+            effects=effects,
+            directory=self.directory,
+            placement=create_placement(options.failure_domain, seed),
+            budget=self.budget,
+            shares=self.shares,
+            nested=self.nested,
+            names=options.headers,
+            own_service=options.service,
+        )
+
+
+def create_parts(
+    options: MeshOptions, keys: StoreKeys, decode_table: TableDecoder, seed: int
+) -> NodeParts:
+    """Make the controllers of a node."""
+    return NodeParts(
+        keys=keys,
+        decode_table=decode_table,
+        registration=create_target_registration(options.target_address, options.drain_ms),
+        directory=create_directory(options.node_id),
+        door=create_door(),
+        budget=create_retry_budget(options.retry_budget),
+        shares=create_admitted_shares(seed),
+        nested=NestedRoutes(),
+    )
--- /dev/null
+++ b/gooseberrydock/mesh/placement.py
@@ -0,0 +1,184 @@
+"""The choice of a host for a call: the one expected to finish it soonest at least cost.
+
+Answers the load of a service whose hosts differ in speed and fill up unevenly: a host's cost is
+its own mean time for the route, stretched as it fills up, plus a surcharge for leaving the failure
+domain and for failures. Hosts with the same cost share the load by their speed, because faster
+ones fill up later. Controller without I/O.
+"""
+
+import random
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.members import Member
+from gooseberrydock.mesh.model import Route
+from gooseberrydock.messages import TargetReport
+
+_SERVICE_TIME_WEIGHT: Final = 0.3
+"""Weight of a new report against the mean so far; reports are means themselves."""
+_FILL_START: Final = 0.75
+"""Share of the slots in use from which a host's cost rises."""
+_FILL_SLOPE: Final = 6.0
+"""How many service times a host costs more per share of its slots beyond the start."""
+_DOMAIN_SURCHARGE: Final = 0.1
+"""Share of the target latency that leaving the failure domain is taken to cost."""
+_FAILURE_SURCHARGE: Final = 0.5
+"""Share of the target latency that a host is taken to cost where all its requests fail."""
+_FAILURE_WEIGHT: Final = 0.05
+"""Weight of one more result in a host's share of failures."""
+_COLD_FACTOR: Final = 2.0
+"""How much slower a host is taken to be while it is cold, until reports say otherwise."""
+_HOLD_MS: Final[Millis] = 300.0
+"""How long a host is left out after a call did not reach its target."""
+_MAX_HOLD_MS: Final[Millis] = 3_000.0
+"""The longest such time; it doubles with each failure in a row."""
+_SAMPLE_OWN: Final = 3
+_SAMPLE_OTHER: Final = 2
+"""How many hosts inside and outside the failure domain are compared in a large service."""
+
+
+@attrs.define
+class HostEvidence:
+    """Hold what this node's own calls showed of one host."""
+
+    own_calls: int = 0
+    sent_since_report: int = 0
+    reported_calls: int = 0
+    limit: int = 0
+    failure_share: float = 0.0
+    held_until: Millis = 0.0
+    unreached_in_row: int = 0
+    service_ms: dict[str, Millis] = attrs.field(factory=dict)
+
+    @property
+    def fill(self) -> float:
+        """Return the share of the slots in use once one more call is sent."""
+        if not self.limit:
+            return 0.0
+        in_flight = max(self.own_calls, self.reported_calls + self.sent_since_report)
+        return (in_flight + 1) / self.limit
+
+
+@attrs.define
+class Placement:
+    """Choose hosts and learn from what became of the calls."""
+
+    _failure_domain: str
+    _random: random.Random
+    _evidence: dict[str, HostEvidence] = attrs.field(factory=dict)
+    _route_ms: dict[str, Millis] = attrs.field(factory=dict)
+
+    @property
+    def evidence(self) -> dict[str, HostEvidence]:
+        """Return what is known of each host, by node id."""
+        return self._evidence
+
+    def choose(
+        self, now_ms: Millis, route: Route, hosts: list[Member], tried: set[str]
+    ) -> Member | None:
+        """Return the host with the least expected cost, or None where none is left."""
+        best: Member | None = None
+        best_cost = float("inf")
+        held: list[Member] = []
+        for host in self._sample(hosts):
+            if host.node_id in tried:
+                continue
+            if self._of(host.node_id).held_until > now_ms:
+                held.append(host)
+                continue
+            cost = self.cost(route, host)
+            if cost < best_cost:
+                best, best_cost = host, cost
+        if best is None:
+            best = self._choose_rest(now_ms, hosts, tried, held)
+        return best
+
+    def cost(self, route: Route, host: Member) -> Millis:
+        """Return what a call is expected to cost at a host."""
+        evidence = self._of(host.node_id)
+        known_ms = evidence.service_ms.get(route.name)
+        if known_ms is None:
+            known_ms = self._route_ms.get(route.name, 0.0)
+            if host.is_cold:
+                known_ms *= _COLD_FACTOR
+        cost = known_ms
+        fill = evidence.fill
+        if fill > _FILL_START:
+            cost += known_ms * (fill - _FILL_START) * _FILL_SLOPE
+        scale_ms = min(route.target_latency_ms, route.timeout_ms)
+        if host.failure_domain != self._failure_domain:
+            cost += _DOMAIN_SURCHARGE * scale_ms
+        return cost + _FAILURE_SURCHARGE * scale_ms * evidence.failure_share
+
+    def on_sent(self, node_id: str) -> None:
+        """Count a call that was sent to a host."""
+        evidence = self._of(node_id)
+        evidence.own_calls += 1
+        evidence.sent_since_report += 1
+
+    def on_answer(self, node_id: str, route: str, report: TargetReport, has_failed: bool) -> None:
+        """Learn from an answer of a host."""
+        evidence = self._of(node_id)
+        evidence.own_calls = max(0, evidence.own_calls - 1)
+        evidence.sent_since_report = 0
+        evidence.reported_calls = report.in_flight
+        evidence.limit = report.limit
+        evidence.unreached_in_row = 0
+        evidence.failure_share += (has_failed - evidence.failure_share) * _FAILURE_WEIGHT
+        if report.service_ms > 0:
+            evidence.service_ms[route] = report.service_ms
+            mean_ms = self._route_ms.get(route, report.service_ms)
+            mean_ms += (report.service_ms - mean_ms) * _SERVICE_TIME_WEIGHT
+            self._route_ms[route] = mean_ms
+
+    def on_unreached(self, now_ms: Millis, node_id: str) -> None:
+        """Leave a host out for a while after a call did not reach its target."""
+        evidence = self._of(node_id)
+        evidence.own_calls = max(0, evidence.own_calls - 1)
+        hold_ms = min(_MAX_HOLD_MS, _HOLD_MS * 2.0**evidence.unreached_in_row)
+        evidence.held_until = max(evidence.held_until, now_ms + hold_ms)
+        evidence.unreached_in_row += 1
+
+    def on_dropped(self, node_id: str) -> None:
+        """Forget a call whose answer will not come."""
+        evidence = self._of(node_id)
+        evidence.own_calls = max(0, evidence.own_calls - 1)
+
+    def forget(self, node_id: str) -> None:
+        """Forget a host that restarted or left."""
+        self._evidence.pop(node_id, None)
+
+    def _of(self, node_id: str) -> HostEvidence:
+        evidence = self._evidence.get(node_id)
+        if evidence is None:
+            evidence = self._evidence[node_id] = HostEvidence()
+        return evidence
+
+    def _sample(self, hosts: list[Member]) -> list[Member]:
+        """Return all hosts of a small service, or some inside and some outside the domain."""
+        if len(hosts) <= _SAMPLE_OWN + _SAMPLE_OTHER:
+            return hosts
+        own = [host for host in hosts if host.failure_domain == self._failure_domain]
+        other = [host for host in hosts if host.failure_domain != self._failure_domain]
+        sampled = self._random.sample(own, min(len(own), _SAMPLE_OWN))
+        return sampled + self._random.sample(other, min(len(other), _SAMPLE_OTHER))
+
+    def _choose_rest(
+        self, now_ms: Millis, hosts: list[Member], tried: set[str], held: list[Member]
+    ) -> Member | None:
+        """Choose among hosts outside the sample, and at last among those left out."""
+        rest = [host for host in hosts if host.node_id not in tried]
+        usable = [host for host in rest if self._of(host.node_id).held_until <= now_ms]
+        if usable:
+            return self._random.choice(usable)
+        candidates = held or rest
+        if not candidates:
+            return None
+        return min(candidates, key=lambda host: self._of(host.node_id).held_until)
+
+
+def create_placement(failure_domain: str, seed: int) -> Placement:
+    """Make a placement controller with its own seeded random generator."""
+    return Placement(failure_domain, random.Random(seed))
--- /dev/null
+++ b/gooseberrydock/mesh/retry_budget.py
@@ -0,0 +1,73 @@
+"""The fleet-wide budget of repeats, kept by each node from its own traffic.
+
+Nodes do not talk about it: each may repeat a small part of what it sent itself, so that all parts
+together stay below the bound however traffic is spread. Answers the load that repeats add where a
+service already fails: without a bound they grow with each hop of a call path.
+"""
+
+from typing import Final
+
+import attrs
+
+from gooseberrydock.mesh.options import RetryBudgetOptions
+
+_RATIO_PART: Final = 0.35
+"""Part of the ratio that nodes spend; the rest covers calls that repeated requests repeat."""
+_SLACK_PART: Final = 0.5
+"""Part of the slack shared out among nodes, for the same reason."""
+
+
+@attrs.define
+class RetryBudget:
+    """Count the tokens of each service: requests earn them, repeats spend them."""
+
+    _options: RetryBudgetOptions
+    _node_count: int = 1
+    _tokens: dict[str, float] = attrs.field(factory=dict)
+    _spent: int = 0
+    _denied: int = 0
+
+    @property
+    def spent(self) -> int:
+        """Return the repeats granted so far."""
+        return self._spent
+
+    @property
+    def denied(self) -> int:
+        """Return the repeats denied so far."""
+        return self._denied
+
+    def set_node_count(self, count: int) -> None:
+        """Share the slack among this many nodes."""
+        self._node_count = max(1, count)
+
+    def on_request(self, service: str) -> None:
+        """Earn a part of a token for a request sent for the first time."""
+        earned = self._options.ratio * _RATIO_PART
+        self._tokens[service] = min(self._cap(), self._balance(service) + earned)
+
+    def try_spend(self, service: str) -> bool:
+        """Take one token, or say that there is none."""
+        balance = self._balance(service)
+        if balance < 1.0:
+            self._denied += 1
+            return False
+        self._tokens[service] = balance - 1.0
+        self._spent += 1
+        return True
+
+    def _balance(self, service: str) -> float:
+        return self._tokens.get(service, self._cap() / 2)
+
+    def _cap(self) -> float:
+        return max(1.0, self._options.slack * _SLACK_PART / self._node_count)
+
+
+def create_retry_budget(options: RetryBudgetOptions) -> RetryBudget:
+    """Make an untouched budget."""
+    return RetryBudget(options)
+
+
+def window_bound(options: RetryBudgetOptions, requests: int) -> float:
+    """Return how many repeats a window with this many requests may hold in the whole fleet."""
+    return options.ratio * requests + options.slack
--- /dev/null
+++ b/gooseberrydock/mesh/run.py
@@ -0,0 +1,216 @@
+"""The life of a node on the routed call path: start, timers, and the end that loses nothing."""
+
+import gc
+import random
+import signal
+from typing import Final, Protocol
+
+import attrs
+import trio
+
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis, system_clock
+from gooseberrydock.events import NODE_STARTED, NODE_STOPPED, NODE_STOPPING, STOP_TIMED_OUT
+from gooseberrydock.logs import log
+from gooseberrydock.members import Address, Member, MemberState
+from gooseberrydock.mesh.decision_log import DecisionLog
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.parts import StoreKeys, TableDecoder, create_parts
+from gooseberrydock.mesh.store import Store
+from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.stream import Listener, Stream, StreamHandler, listen
+
+_TICK_MS: Final[Millis] = 25.0
+"""How late a deadline may be noticed."""
+_SLOW_TICK_MS: Final[Millis] = 500.0
+_GC_PAUSE_MS: Final[Millis] = 1_000.0
+_GC_FULL_EVERY: Final = 30
+_STOP_LINGER_MS: Final[Millis] = 2_600.0
+"""How long a stopping node takes new connections: callers ask about it once a second, twice."""
+_STOP_MARGIN_MS: Final[Millis] = 150.0
+"""Time kept back of the grace for the last lines and calls."""
+_RELOAD_CHECK_MS: Final[Millis] = 1_000.0
+"""How often changed settings are looked for, since they may change without a signal."""
+
+
+class Surroundings(Protocol):
+    """Join a node to the place where it runs: its store, its target's announcements, settings."""
+
+    @property
+    def keys(self) -> StoreKeys:
+        """Return where the store holds what nodes follow."""
+
+    @property
+    def decode_table(self) -> TableDecoder:
+        """Return the reader of route tables."""
+
+    def open_store(self, nursery: trio.Nursery) -> Store:
+        """Return the store."""
+
+    async def serve_control(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of the local target."""
+
+    async def serve_ready(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of whoever asks whether the node is ready."""
+
+    async def serve_metrics(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of whoever reads metrics."""
+
+    def reload(self) -> MeshOptions | None:
+        """Return the settings if they changed and are valid."""
+
+
+@attrs.define(eq=False)
+class MeshRunner:
+    """Run one node."""
+
+    _options: MeshOptions
+    _surroundings: Surroundings
+    _clock: Clock
+    _random: random.Random
+    _stop: trio.Event = attrs.field(factory=trio.Event)
+    _listeners: list[Listener] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Run until a signal ends it."""
+        gc.disable()
+        async with trio.open_nursery() as nursery:
+            node = self._create_node(nursery)
+            sync = self._create_sync(node, nursery)
+            node.attach_store(sync)
+            self._listen(nursery, node)
+            nursery.start_soon(self._handle_signals, node)
+            for prefix in (self._surroundings.keys.table, self._surroundings.keys.nodes):
+                nursery.start_soon(sync.follow, prefix)
+            nursery.start_soon(sync.keep_record)
+            nursery.start_soon(self._tick, node)
+            nursery.start_soon(self._tick_slowly, node)
+            nursery.start_soon(self._watch_settings, node)
+            nursery.start_soon(_collect_garbage)
+            log(NODE_STARTED, node=self._options.node_id, service=self._options.service)
+            await self._stop.wait()
+            await self._end(node, sync)
+            nursery.cancel_scope.cancel()
+        log(NODE_STOPPED, node=self._options.node_id)
+
+    def _create_node(self, nursery: trio.Nursery) -> MeshNode:
+        options, surroundings = self._options, self._surroundings
+        seed = self._random.getrandbits(32)
+        parts = create_parts(options, surroundings.keys, surroundings.decode_table, seed)
+        node = MeshNode(
+            options=options,
+            clock=self._clock,
+            nursery=nursery,
+            parts=parts,
+            record=_create_record(options, self._clock),
+            log=DecisionLog(options.headers),
+        )
+        parts.join(options, node, seed)
+        return node
+
+    def _create_sync(self, node: MeshNode, nursery: trio.Nursery) -> StoreSync:
+        return StoreSync(
+            store=self._surroundings.open_store(nursery),
+            sink=node,
+            clock=self._clock,
+            random=self._random,
+            node_prefix=self._surroundings.keys.nodes,
+        )
+
+    def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
+        options, surroundings = self._options, self._surroundings
+
+        async def serve_control(stream: Stream) -> None:
+            await surroundings.serve_control(node, stream)
+
+        async def serve_ready(stream: Stream) -> None:
+            await surroundings.serve_ready(node, stream)
+
+        async def serve_metrics(stream: Stream) -> None:
+            await surroundings.serve_metrics(node, stream)
+
+        served: list[tuple[Address | None, StreamHandler]] = [
+            (options.entry_listen, node.serve_front),
+            (options.peer_listen, node.links.serve),
+            (options.control_listen, serve_control),
+            (options.ready_listen, serve_ready),
+            (options.metrics_listen, serve_metrics),
+        ]
+        for address, handler in served:
+            if address is not None:
+                listener = listen(address)
+                self._listeners.append(listener)
+                nursery.start_soon(listener.serve, handler)
+
+    async def _handle_signals(self, node: MeshNode) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload(node)
+                else:
+                    self._stop.set()
+
+    async def _watch_settings(self, node: MeshNode) -> None:
+        while True:
+            await trio.sleep(_RELOAD_CHECK_MS / MS_PER_SECOND)
+            self._reload(node)
+
+    def _reload(self, node: MeshNode) -> None:
+        options = self._surroundings.reload()
+        if options is not None:
+            node.set_options(options)
+
+    async def _tick(self, node: MeshNode) -> None:
+        while True:
+            await trio.sleep(_TICK_MS / MS_PER_SECOND)
+            node.tick(self._clock.now_ms())
+
+    async def _tick_slowly(self, node: MeshNode) -> None:
+        while True:
+            pause_ms = _SLOW_TICK_MS * self._random.uniform(0.8, 1.2)
+            await trio.sleep(pause_ms / MS_PER_SECOND)
+            node.tick_slowly(self._clock.now_ms())
+
+    async def _end(self, node: MeshNode, sync: StoreSync) -> None:
+        """Let callers and other nodes turn away, then wait for what is under way."""
+        begun_at = self._clock.now_ms()
+        log(NODE_STOPPING, in_flight=node.in_flight)
+        node.begin_stop()
+        await trio.sleep(_STOP_LINGER_MS / MS_PER_SECOND)
+        node.close_idle_fronts()
+        ends_at = begun_at + self._options.stop_grace_ms - _STOP_MARGIN_MS
+        while node.in_flight and self._clock.now_ms() < ends_at:
+            await trio.sleep(_TICK_MS / MS_PER_SECOND)
+            node.close_idle_fronts()
+        if node.in_flight:
+            log(STOP_TIMED_OUT, in_flight=node.in_flight)
+        await sync.remove_record(_STOP_MARGIN_MS / 2)
+
+
+async def _collect_garbage() -> None:
+    """Collect garbage at set moments instead of in the middle of a call."""
+    count = 0
+    while True:
+        await trio.sleep(_GC_PAUSE_MS / MS_PER_SECOND)
+        count += 1
+        gc.collect(2 if count % _GC_FULL_EVERY == 0 else 1)
+
+
+def _create_record(options: MeshOptions, clock: Clock) -> Member:
+    return Member(
+        node_id=options.node_id,
+        incarnation=int(clock.wall_ms()),
+        version=0,
+        state=MemberState.ALIVE,
+        peer_address=options.peer_listen,
+        gossip_address=options.peer_listen,
+        region="",
+        failure_domain=options.failure_domain,
+        service="",
+        slots=0,
+    )
+
+
+async def run_mesh_node(options: MeshOptions, surroundings: Surroundings) -> None:
+    """Run a node until it is told to stop."""
+    await MeshRunner(options, surroundings, system_clock(), random.Random()).run()
--- /dev/null
+++ b/gooseberrydock/mesh/runs.py
@@ -0,0 +1,88 @@
+"""One call at the target: its bytes, and what its target's answer makes of it."""
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.http_messages import CONNECTION_HEADERS, HttpResponse, header_value
+from gooseberrydock.mesh.door import Ticket
+from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.target_answers import judge_answer
+from gooseberrydock.mesh.target_connections import PendingRun
+from gooseberrydock.messages import RoutedAnswer, RoutedCall, RunResult, TargetReport
+
+if TYPE_CHECKING:
+    from gooseberrydock.mesh.node import MeshNode
+
+_NO_REPORT: Final = TargetReport(0, 0, 0.0, 1.0)
+_BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+
+
+@attrs.define(eq=False)
+class Run:
+    """Watch one call from the queue to its answer."""
+
+    ticket: Ticket
+    _node: "MeshNode"
+    _names: HeaderNames
+    pending: PendingRun | None = None
+
+    def accepts(self, response: HttpResponse) -> bool:
+        """Say whether a response is to this call, by the request id that targets echo."""
+        name = self._names.request_id
+        own_id = header_value(self.ticket.call.headers, name)
+        echoed = header_value(response.headers, name)
+        if echoed:
+            return echoed == own_id
+        return bool(header_value(response.headers, self._names.not_executed)) or not own_id
+
+    def on_response(self, response: HttpResponse) -> None:
+        """Answer the call by what the target's answer says."""
+        verdict = judge_answer(response, self._names)
+        if verdict.is_other_instance:
+            self._node.on_other_instance()
+        if verdict.result is RunResult.ANSWERED:
+            headers = [item for item in response.headers if item[0] not in CONNECTION_HEADERS]
+            self._finish(verdict.result, 0, response.status, headers, response.body)
+            return
+        self._node.decision_log.on_call_failed(
+            self._node.now_ms(), self.ticket, verdict.code, response.status
+        )
+        self._finish(verdict.result, verdict.code.number, verdict.code.status, [], b"")
+
+    def on_failure(self, code: ErrorCode, was_sent: bool) -> None:
+        """Answer the call as not run where it was not sent, and as unknown otherwise."""
+        self._node.decision_log.on_call_failed(self._node.now_ms(), self.ticket, code, 0)
+        result = RunResult.UNKNOWN if was_sent else RunResult.NOT_RUN
+        self._finish(result, code.number, code.status, [], b"", was_offered=was_sent)
+
+    def _finish(
+        self,
+        result: RunResult,
+        code: int,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        was_offered: bool = True,
+    ) -> None:
+        call_id = self.ticket.call.call_id
+        answer = RoutedAnswer(call_id, result, code, status, headers, body, was_offered, _NO_REPORT)
+        self._node.finish_run(self, answer)
+
+
+def request_bytes(
+    call: RoutedCall, names: HeaderNames, instance_id: str, remaining_ms: Millis
+) -> bytes:
+    """Return the request as it goes to the target."""
+    parts = [call.method.encode("ascii"), b" ", call.target.encode("latin-1"), b" HTTP/1.1\r\n"]
+    for name, value in call.headers:
+        parts += (name, b": ", value, b"\r\n")
+    parts += (names.deadline_ms, b": %d\r\n" % max(0, int(remaining_ms)))
+    parts += (names.expected_instance, b": ", instance_id.encode("latin-1"), b"\r\n")
+    parts += (names.caller_service, b": ", call.caller_service.encode("latin-1"), b"\r\n")
+    if call.body or call.method not in _BODILESS_METHODS:
+        parts.append(b"content-length: %d\r\n" % len(call.body))
+    parts += (b"\r\n", call.body)
+    return b"".join(parts)
--- /dev/null
+++ b/gooseberrydock/mesh/shares.py
@@ -0,0 +1,86 @@
+"""Which requests the entry turns away when a service on their path is short of room.
+
+Answers a whole path's overload before any work is done on it: targets' nodes report how much of a
+route they and everything below them can take, and the entry admits that share of the less
+important requests. Requests of priority 0 pass until nothing else is left to turn away.
+Controller without I/O.
+"""
+
+import random
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.mesh.model import Route
+
+_REPORT_LIFETIME_MS: Final[Millis] = 1_000.0
+"""How long a report counts; a host that is not heard of again says nothing."""
+_IMPORTANT_FLOOR: Final = 0.12
+"""Share of the others below which important requests are turned away too."""
+_RETURN_MIN_SHARE: Final = 0.2
+_RETURN_MAX_SHARE: Final = 0.5
+"""Shares of the target latency after which refused callers may return."""
+_PROBE_SHARE: Final = 0.05
+"""Least share admitted, so that recovery shows."""
+
+
+@attrs.frozen
+class ShareReport:
+    """Hold what one host reported of a route."""
+
+    share: float
+    limit: int
+    heard_at: Millis
+
+
+@attrs.define
+class AdmittedShares:
+    """Keep the share of each route that its hosts can take, and decide by it."""
+
+    _random: random.Random
+    _reports: dict[str, dict[str, ShareReport]] = attrs.field(factory=dict)
+
+    def on_report(self, now_ms: Millis, route: str, node_id: str, share: float, limit: int) -> None:
+        """Take in what a host reported of a route."""
+        reports = self._reports.get(route)
+        if reports is None:
+            reports = self._reports[route] = {}
+        reports[node_id] = ShareReport(share, limit, now_ms)
+
+    def share_of(self, now_ms: Millis, route: str) -> float:
+        """Return the share of a route to admit: the hosts' mean, weighted by their slots."""
+        reports = self._reports.get(route)
+        if not reports:
+            return 1.0
+        oldest = now_ms - _REPORT_LIFETIME_MS
+        weight = 0
+        total = 0.0
+        for report in reports.values():
+            if report.heard_at >= oldest:
+                weight += report.limit
+                total += report.share * report.limit
+        return total / weight if weight else 1.0
+
+    def admits(self, now_ms: Millis, route: str, priority: int) -> bool:
+        """Decide about one request."""
+        share = self.share_of(now_ms, route)
+        if share >= 1.0:
+            return True
+        if priority == 0:
+            share = 1.0 if share >= _IMPORTANT_FLOOR else max(0.5, share / _IMPORTANT_FLOOR)
+        return self._random.random() < max(share, _PROBE_SHARE)
+
+    def retry_after(self, now_ms: Millis, route: Route) -> Millis:
+        """Return when a refused caller had best come back: soon enough to be in time still.
+
+        The less room there is, the later; spread, so that the refused do not return together.
+        """
+        shortage = 1.0 - self.share_of(now_ms, route.name)
+        wait_share = _RETURN_MIN_SHARE + (_RETURN_MAX_SHARE - _RETURN_MIN_SHARE) * shortage
+        return route.target_latency_ms * wait_share * self._random.uniform(0.7, 1.3)
+
+
+def create_admitted_shares(seed: int) -> AdmittedShares:
+    """Make a controller with its own seeded random generator."""
+    return AdmittedShares(random.Random(seed))
--- /dev/null
+++ b/gooseberrydock/mesh/store_sync.py
@@ -0,0 +1,234 @@
+"""The tasks that keep a node and the store in step: watches, and the node's own record.
+
+Renewals of a lease are cheap and writes are not, so a record is written only when it changes or
+when its lease was lost. All waits between failures are random, so that a store that comes back is
+not met by all nodes at once.
+"""
+
+import random
+from collections.abc import Awaitable
+from typing import Final, Protocol
+
+import attrs
+import trio
+
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
+from gooseberrydock.errorcodes import (
+    CONFIGURATION_CONFLICT,
+    LEASE_ENDED,
+    STORE_HISTORY_GONE,
+    ErrorCode,
+)
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.events import LEASE_LOST, STORE_BACK, STORE_LOST
+from gooseberrydock.logs import log
+from gooseberrydock.members import Member, encode_member
+from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
+
+_WATCH_WAIT_MS: Final[Millis] = 5_000.0
+"""How long one watch waits: bounds how long a silent connection goes unnoticed."""
+_RENEW_SHARE: Final = 0.3
+"""Part of a lease's time after which it is renewed, so that two renewals may fail."""
+_LEASE_MS: Final[Millis] = 9_000.0
+"""How long a node's record outlives the node."""
+_RETRY_MIN_MS: Final[Millis] = 60.0
+_RETRY_MAX_MS: Final[Millis] = 900.0
+"""Bounds of the waits after failures: records are back within two seconds of a store's return."""
+_RETRY_GROWTH: Final = 1.7
+
+
+class StoreSink(Protocol):
+    """Take what the store holds."""
+
+    def on_store_items(self, items: tuple[StoreItem, ...], is_complete: bool) -> None:
+        """Take items; a complete set leaves out what is gone."""
+
+    def on_store_state(self, is_available: bool) -> None:
+        """Take in whether the store answers this node."""
+
+
+@attrs.define
+class RetryPause:
+    """Compute random waits that grow with each failure in a row."""
+
+    _random: random.Random
+    _failures: int = 0
+
+    def reset(self) -> None:
+        """Count a success."""
+        self._failures = 0
+
+    async def wait(self) -> None:
+        """Count a failure and wait."""
+        bound = min(_RETRY_MAX_MS, _RETRY_MIN_MS * _RETRY_GROWTH**self._failures)
+        self._failures += 1
+        await trio.sleep(self._random.uniform(_RETRY_MIN_MS, bound) / MS_PER_SECOND)
+
+
+@attrs.define(eq=False)
+class StoreSync:
+    """Follow the store and keep the node's own record in it."""
+
+    _store: Store
+    _sink: StoreSink
+    _clock: Clock
+    _random: random.Random
+    _node_prefix: str
+    _is_available: bool = True
+    _answered_at: Millis = 0.0
+    _record: Member | None = None
+    _written: Member | None = None
+    _revision: int = 0
+    _lease: Lease | None = None
+    _renewed_at: Millis = 0.0
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def is_available(self) -> bool:
+        """Say whether the store answered the last call."""
+        return self._is_available
+
+    def set_record(self, member: Member) -> None:
+        """Have this node's record written."""
+        self._record = member
+        self._changed.set()
+
+    async def follow(self, prefix: str) -> None:
+        """Hand everything under a prefix to the sink, now and whenever it changes."""
+        pause = RetryPause(self._random)
+        revision = -1
+        while True:
+            try:
+                revision = await self._follow_step(prefix, revision)
+                pause.reset()
+            except GooseberrydockError as error:
+                if error.code is STORE_HISTORY_GONE:
+                    revision = -1
+                self._note_failure(error)
+                await pause.wait()
+
+    async def _follow_step(self, prefix: str, revision: int) -> int:
+        """Read all once, then wait for changes; return the revision seen."""
+        if revision < 0:
+            changes = await self._timed(self._store.read_prefix(prefix))
+        else:
+            changes = await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
+        if changes.items or revision < 0:
+            self._sink.on_store_items(changes.items, is_complete=revision < 0)
+        return max(revision, changes.revision)
+
+    async def _timed(self, call: Awaitable[StoreChanges]) -> StoreChanges:
+        changes = await call
+        self._note_success()
+        return changes
+
+    async def keep_record(self) -> None:
+        """Keep the record written and its lease alive."""
+        pause = RetryPause(self._random)
+        while True:
+            try:
+                await self._keep_step()
+                pause.reset()
+                await self._wait_for_work()
+            except GooseberrydockError as error:
+                self._note_failure(error)
+                await pause.wait()
+
+    async def remove_record(self, timeout_ms: Millis) -> None:
+        """End the lease, and the record with it, if the store answers in time."""
+        lease = self._lease
+        if lease is None:
+            return
+        with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+            try:
+                await self._store.end_lease(lease.lease_id)
+            except GooseberrydockError as error:
+                # The record ends with its lease anyway, only later.
+                self._note_failure(error)
+
+    async def _keep_step(self) -> None:
+        """Do what is due: renew, get a lease, write."""
+        lease = self._lease
+        if lease is not None and self._renewal_due(lease):
+            await self._renew(lease)
+        if self._record is None:
+            return
+        if self._lease is None:
+            self._lease = await self._store.grant_lease(_LEASE_MS)
+            self._renewed_at = self._clock.now_ms()
+            self._written = None
+        if self._written is not self._record:
+            await self._write(self._record, self._lease)
+
+    async def _renew(self, lease: Lease) -> None:
+        try:
+            await self._store.renew_lease(lease.lease_id)
+            self._renewed_at = self._clock.now_ms()
+            self._note_success()
+        except GooseberrydockError as error:
+            if error.code is not LEASE_ENDED:
+                raise
+            log(LEASE_LOST, lease=lease.lease_id, code=error.code.number)
+            self._lease = None
+
+    async def _write(self, record: Member, lease: Lease) -> None:
+        key = self._node_prefix + record.node_id
+        try:
+            self._revision = await self._store.write(
+                key, encode_member(record), lease.lease_id, self._revision
+            )
+            self._written = record
+            self._note_success()
+        except GooseberrydockError as error:
+            if error.code is CONFIGURATION_CONFLICT:
+                await self._learn_revision(key)
+            elif error.code is LEASE_ENDED:
+                self._lease = None
+            raise
+
+    async def _learn_revision(self, key: str) -> None:
+        """Find out at which revision the own record is, after a lost answer or a restart."""
+        item = await self._store.read(key)
+        self._revision = item.revision if item is not None else 0
+
+    async def _wait_for_work(self) -> None:
+        """Wait until the record changes or the lease is to be renewed."""
+        if self._written is not self._record:
+            return
+        lease = self._lease
+        wait_ms = lease.ttl_ms * _RENEW_SHARE if lease is not None else _LEASE_MS
+        with trio.move_on_after(wait_ms * self._random.uniform(0.8, 1.0) / MS_PER_SECOND):
+            await self._changed.wait()
+        self._changed = trio.Event()
+
+    def _renewal_due(self, lease: Lease) -> bool:
+        return self._clock.now_ms() - self._renewed_at >= lease.ttl_ms * _RENEW_SHARE * 0.7
+
+    def on_own_record_gone(self) -> None:
+        """Take in that the store dropped this node's record; write it again."""
+        self._written = None
+        self._revision = 0
+        self._lease = None
+        self._changed.set()
+
+    def _note_failure(self, error: GooseberrydockError) -> None:
+        if error.code in _HARMLESS:
+            return
+        if self._is_available:
+            self._is_available = False
+            log(STORE_LOST, code=error.code.number, peer=error.peer, detail=error.detail)
+            self._sink.on_store_state(is_available=False)
+
+    def _note_success(self) -> None:
+        now_ms = self._clock.now_ms()
+        if not self._is_available:
+            self._is_available = True
+            log(STORE_BACK, away_ms=round(now_ms - self._answered_at))
+            self._sink.on_store_state(is_available=True)
+        self._answered_at = now_ms
+
+
+_HARMLESS: Final[frozenset[ErrorCode]] = frozenset(
+    (STORE_HISTORY_GONE, CONFIGURATION_CONFLICT, LEASE_ENDED)
+)
+"""Failures that say the store works."""
--- /dev/null
+++ b/gooseberrydock/mesh/target_connections.py
@@ -0,0 +1,266 @@
+"""Connections to the target beside this node: one request at a time on each.
+
+A connection is used again only after exactly one whole answer, with nothing unread behind it, and
+only for as long as the target said that it keeps it.
+"""
+
+import re
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import attrs
+import trio
+
+from gooseberrydock import defaults
+from gooseberrydock.clock import Clock, Millis
+from gooseberrydock.errorcodes import TARGET_LOST, TARGET_UNREACHABLE, ErrorCode
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.http_messages import HttpResponse, header_value
+from gooseberrydock.http_parsing import ResponseReader
+from gooseberrydock.logs import containing_faults
+from gooseberrydock.members import Address
+from gooseberrydock.stream import Stream, connect
+
+_MAX_HEADER_BYTES: Final = 64 * 1024
+_MAX_ANSWER_BYTES: Final = defaults.MAX_PEER_MESSAGE_BYTES - _MAX_HEADER_BYTES
+"""The largest answer that fits on a link between nodes."""
+_IDLE_DEFAULT_MS: Final[Millis] = 4_000.0
+"""How long a connection is kept where the target names no time."""
+_IDLE_MARGIN_MS: Final[Millis] = 1_000.0
+"""How long before the named time a connection is no longer used."""
+_FRESH_MS: Final[Millis] = 500.0
+"""How lately a connection must have been used for a request that may not be repeated."""
+_CONNECT_TIMEOUT_MS: Final[Millis] = 1_000.0
+"""The target is on this host: a connection that takes longer will not come."""
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
+
+
+class RunObserver(Protocol):
+    """Take what becomes of one request to the target."""
+
+    def accepts(self, response: HttpResponse) -> bool:
+        """Say whether a response belongs to this request."""
+
+    def on_response(self, response: HttpResponse) -> None:
+        """Take the whole answer."""
+
+    def on_failure(self, code: ErrorCode, was_sent: bool) -> None:
+        """Take in that no whole answer comes."""
+
+
+@attrs.define(eq=False)
+class TargetConnection:
+    """Hold one connection."""
+
+    _stream: Stream
+    _clock: Clock
+    _on_idle: Callable[["TargetConnection"], None]
+    _reader: ResponseReader = attrs.field(
+        factory=lambda: ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
+    )
+    _observer: RunObserver | None = None
+    _is_reusable: bool = True
+    _usable_until: Millis = 0.0
+    _used_at: Millis = 0.0
+
+    @property
+    def is_closed(self) -> bool:
+        """Say whether the connection is closed."""
+        return self._stream.is_closed
+
+    @property
+    def usable_until(self) -> Millis:
+        """Return until when the target keeps the idle connection, less a margin."""
+        return self._usable_until
+
+    @property
+    def used_at(self) -> Millis:
+        """Return when the last answer came."""
+        return self._used_at
+
+    def start(self, data: bytes, observer: RunObserver) -> None:
+        """Send a request."""
+        self._observer = observer
+        self._stream.send(data)
+
+    def abort(self) -> None:
+        """Give up the request in hand with its connection; its observer hears nothing more."""
+        self._observer = None
+        self._stream.close()
+
+    async def run(self) -> None:
+        """Read until either side closes the connection."""
+        stream = self._stream
+        while data := await stream.receive():
+            if not self._feed(data):
+                break
+        else:
+            self._on_end()
+        stream.close()
+
+    def _feed(self, data: bytes) -> bool:
+        """Parse bytes; say whether the connection goes on."""
+        if self._observer is None:
+            # Nothing was asked: the bytes belong to no request.
+            return False
+        try:
+            complete = self._reader.feed(data)
+        except GooseberrydockError as error:
+            self._fail(error.code)
+            return False
+        for response in complete:
+            if self._observer is not None and self._observer.accepts(response):
+                self._finish(response, is_clean=len(complete) == 1)
+            else:
+                self._is_reusable = False
+        return self._observer is not None or self._is_reusable
+
+    def _finish(self, response: HttpResponse, is_clean: bool) -> None:
+        observer, self._observer = self._observer, None
+        now_ms = self._clock.now_ms()
+        self._is_reusable = (
+            self._is_reusable
+            and is_clean
+            and not self._reader.is_spoiled
+            and self._reader.is_between_messages
+            and header_value(response.headers, b"connection").lower() != "close"
+        )
+        if self._is_reusable:
+            self._used_at = now_ms
+            self._usable_until = now_ms + _idle_time(response)
+            self._on_idle(self)
+        if observer is not None:
+            observer.on_response(response)
+
+    def _on_end(self) -> None:
+        """Take in that the target closed the connection."""
+        if self._observer is None:
+            return
+        if self._reader.is_between_messages or self._stream.was_reset:
+            self._fail(TARGET_LOST)
+            return
+        try:
+            response = self._reader.finish()
+        except GooseberrydockError as error:
+            self._fail(error.code)
+            return
+        if self._observer.accepts(response):
+            observer, self._observer = self._observer, None
+            observer.on_response(response)
+        else:
+            self._fail(TARGET_LOST)
+
+    def _fail(self, code: ErrorCode) -> None:
+        observer, self._observer = self._observer, None
+        self._stream.close()
+        if observer is not None:
+            observer.on_failure(code, was_sent=True)
+
+
+@attrs.define(eq=False)
+class PendingRun:
+    """Hold a request that was handed over and may be aborted."""
+
+    connection: TargetConnection | None = None
+    is_aborted: bool = False
+
+    def abort(self) -> None:
+        """Give up the request; its observer hears nothing more."""
+        self.is_aborted = True
+        if self.connection is not None:
+            self.connection.abort()
+
+
+@attrs.define(eq=False)
+class TargetPool:
+    """Keep connections to the target and open more as needed."""
+
+    _address: Address
+    _nursery: trio.Nursery
+    _clock: Clock
+    _idle: list[TargetConnection] = attrs.field(factory=list)
+    _open: int = 0
+    _opened: int = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are open."""
+        return self._open
+
+    @property
+    def opened(self) -> int:
+        """Return how many connections were opened so far."""
+        return self._opened
+
+    def start(self, data: bytes, observer: RunObserver, is_idempotent: bool) -> PendingRun:
+        """Send a request on the connection used last, or on a new one."""
+        pending = PendingRun()
+        connection = self._take_idle(is_idempotent)
+        if connection is not None:
+            pending.connection = connection
+            connection.start(data, observer)
+        else:
+            self._nursery.start_soon(self._start_on_new, pending, data, observer)
+        return pending
+
+    def _idle_again(self, connection: TargetConnection) -> None:
+        self._idle.append(connection)
+
+    def close_idle(self) -> None:
+        """Close all idle connections, as they may lead to another instance."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def sweep(self) -> None:
+        """Close connections that were idle for too long."""
+        now_ms = self._clock.now_ms()
+        kept = [item for item in self._idle if not item.is_closed and item.usable_until > now_ms]
+        dropped = [item for item in self._idle if item.usable_until <= now_ms]
+        self._idle = kept
+        for connection in dropped:
+            connection.abort()
+
+    def _take_idle(self, is_idempotent: bool) -> TargetConnection | None:
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_closed or connection.usable_until <= now_ms:
+                connection.abort()
+                continue
+            if not is_idempotent and now_ms - connection.used_at > _FRESH_MS:
+                # The target may just be closing it, and then nobody knows whether it ran.
+                self._idle.append(connection)
+                return None
+            return connection
+        return None
+
+    async def _start_on_new(self, pending: PendingRun, data: bytes, observer: RunObserver) -> None:
+        """Open a connection, send the request on it, and go on reading it."""
+        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS)
+        if pending.is_aborted:
+            if stream is not None:
+                stream.close()
+            return
+        if stream is None:
+            observer.on_failure(TARGET_UNREACHABLE, was_sent=False)
+            return
+        connection = TargetConnection(stream, self._clock, self._idle_again)
+        pending.connection = connection
+        self._open += 1
+        self._opened += 1
+        try:
+            with containing_faults(str(self._address)):
+                connection.start(data, observer)
+                await connection.run()
+        finally:
+            self._open -= 1
+            stream.close()
+
+
+def _idle_time(response: HttpResponse) -> Millis:
+    """Return how long a connection may stay idle, by what the target says."""
+    match = _KEEP_ALIVE_TIMEOUT.search(header_value(response.headers, b"keep-alive"))
+    if match is None:
+        return _IDLE_DEFAULT_MS
+    return max(0.0, float(match.group(1)) * 1_000.0 - _IDLE_MARGIN_MS)
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -4,6 +4,8 @@
 points in time, because hosts do not share a monotonic clock.
 """
 
+import enum
+
 import attrs
 
 from gooseberrydock.clock import Millis
@@ -183,6 +185,65 @@
     payload: bytes
 
 
+@attrs.define
+class RoutedCall:
+    """Ask a target's node to run one request of a route.
+
+    ``is_nested`` marks a call that a target makes for a request already admitted.
+    """
+
+    call_id: int
+    route: str
+    service: str
+    caller_service: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    remaining_ms: Millis
+    priority: int
+    is_nested: bool
+
+
+class RunResult(enum.IntEnum):
+    """State what became of a routed call at the target's node."""
+
+    ANSWERED = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+
+
+@attrs.frozen
+class TargetReport:
+    """Tell the load of a target and how much of a route's requests may be admitted.
+
+    ``service_ms`` is the recent mean of the route's run time there, 0 where none is known.
+    ``admitted_share`` covers the calls below the route too; 1 means no limit.
+    """
+
+    in_flight: int
+    limit: int
+    service_ms: Millis
+    admitted_share: float
+
+
+@attrs.define
+class RoutedAnswer:
+    """Answer a routed call.
+
+    ``was_offered`` says that the call was sent to the target, also where the target refused it.
+    """
+
+    call_id: int
+    result: RunResult
+    code: int
+    status: int
+    headers: Headers
+    body: bytes
+    was_offered: bool
+    report: TargetReport
+
+
 PeerMessage = (
     Call
     | Answer
@@ -197,4 +258,6 @@
     | CrashNotice
     | OwnerBeat
     | OwnerRegister
+    | RoutedCall
+    | RoutedAnswer
 )
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -28,7 +28,16 @@
 from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
 from gooseberrydock.logs import containing_faults, log
 from gooseberrydock.members import Address
-from gooseberrydock.messages import Alive, Answer, Call, Cancel, Hello, PeerMessage
+from gooseberrydock.messages import (
+    Alive,
+    Answer,
+    Call,
+    Cancel,
+    Hello,
+    PeerMessage,
+    RoutedAnswer,
+    RoutedCall,
+)
 from gooseberrydock.stream import Stream, connect
 
 _NONCE_BYTES: Final = 16
@@ -37,6 +46,8 @@
 _SILENT_AFTER_MS: Final[Millis] = 900.0
 """Silence after which such a link is closed."""
 _HANDSHAKE_TIMEOUT_MS: Final[Millis] = 2_000.0
+_CALLS: Final = (Call, RoutedCall)
+_ANSWERS: Final = (Answer, RoutedAnswer)
 
 
 @attrs.define(eq=False)
@@ -90,7 +101,7 @@
 
     def unsent_calls(self) -> list[int]:
         """Return the calls that wait for the link to become ready."""
-        return [message.call_id for message in self._waiting if isinstance(message, Call)]
+        return [message.call_id for message in self._waiting if isinstance(message, _CALLS)]
 
     def sent_calls(self) -> list[int]:
         """Return the calls that were sent and not answered."""
@@ -199,7 +210,7 @@
             self._on_message(message)
 
     def _on_message(self, message: PeerMessage) -> None:
-        if isinstance(message, Answer):
+        if isinstance(message, _ANSWERS):
             self._calls.discard(message.call_id)
         elif isinstance(message, Alive):
             if not message.is_reply:
@@ -250,7 +261,7 @@
 
     def _track(self, message: PeerMessage) -> None:
         """Remember which calls are due, since silence matters only then."""
-        if isinstance(message, Call):
+        if isinstance(message, _CALLS):
             if not self._calls:
                 self._heard_at = self._links.clock.now_ms()
             self._calls.add(message.call_id)
@@ -323,7 +334,7 @@
             link = self._open(node_id)
         link.send(message)
 
-    def answer(self, link_id: str, answer: Answer) -> None:
+    def answer(self, link_id: str, answer: Answer | RoutedAnswer) -> None:
         """Send an answer on the link that the call came on, if it is still open."""
         link = self._by_id.get(link_id)
         if link is not None:
--- /dev/null
+++ b/gooseberrydock/platform/__main__.py
@@ -0,0 +1,42 @@
+"""The role of a node on the platform: ``python3 -m gooseberrydock.platform``."""
+
+import sys
+from pathlib import Path
+
+import click
+import trio
+
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.logs import LOG_LEVELS, set_up_logs
+from gooseberrydock.mesh.run import run_mesh_node
+from gooseberrydock.options import setting
+from gooseberrydock.platform.settings import PATH_VARIABLE
+from gooseberrydock.platform.surroundings import create_surroundings
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    envvar=PATH_VARIABLE,
+    show_envvar=True,
+    required=True,
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="The platform's settings file.",
+)
+@setting("log-level", "Least level to log.", default="info", type=click.Choice(LOG_LEVELS))
+def main(path: Path, log_level: str) -> None:
+    """Run the node beside one target."""
+    try:
+        surroundings = create_surroundings(path)
+        options = surroundings.options
+        set_up_logs(log_level, f"node {options.node_id}")
+        trio.run(run_mesh_node, options, surroundings)
+    except GooseberrydockError as error:
+        raise click.ClickException(str(error)) from error
+    except OSError as error:
+        raise click.ClickException(f"cannot start: {error}") from error
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gooseberrydock/platform/announcements.py
@@ -0,0 +1,118 @@
+"""What targets and the platform ask of a node: announcements, readiness."""
+
+import json
+import urllib.parse
+from typing import Any, Final
+
+from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, NOT_FOUND
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.members import parse_address
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
+from gooseberrydock.stream import Stream
+
+_READY_PATH: Final = "/-/readyz"
+_INSTANCES: Final = "/-/instances/"
+_JSON: Final = [(b"content-type", b"application/json")]
+_STATES: Final = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
+_MAX_SLOTS: Final = 1_000_000
+_MAX_COLD_MS: Final = 600_000.0
+
+
+def parse_announcement(instance_id: str, body: bytes) -> InstanceAnnouncement:
+    """Read a heartbeat, raising ``INVALID_ANNOUNCEMENT`` where a field is missing or wrong."""
+    try:
+        fields = json.loads(body)
+        cold_left_ms = fields["coldLeftMs"]
+        if isinstance(cold_left_ms, bool) or not 0 <= float(cold_left_ms) <= _MAX_COLD_MS:
+            raise ValueError("coldLeftMs is not a duration")
+        return InstanceAnnouncement(
+            instance_id=_name(instance_id),
+            service=_name(fields["service"]),
+            address=parse_address(_name(fields["address"])),
+            # "born" is the start of the process, not of the host.
+            started_wall_ms=_whole(fields.get("born", 0)),
+            sequence=_whole(fields["sequence"]),
+            state=_STATES[fields["state"]],
+            slots=_slots(fields["slots"]),
+            cold_left_ms=float(cold_left_ms),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        detail = f"{type(error).__name__}: {error}"
+        raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
+
+
+async def serve_control(node: MeshNode, stream: Stream) -> None:
+    """Serve heartbeats and farewells of the local target."""
+
+    def on_request(connection: HttpConnection, request: HttpRequest) -> None:
+        connection.respond(_control_response(node, request))
+
+    await serve_http(stream, on_request)
+
+
+async def serve_ready(node: MeshNode, stream: Stream) -> None:
+    """Say whether callers should send requests to a node."""
+
+    def on_request(connection: HttpConnection, request: HttpRequest) -> None:
+        if request.path != _READY_PATH:
+            connection.respond(_plain(NOT_FOUND.status))
+        else:
+            connection.respond(_plain(200 if node.is_ready else 503))
+
+    await serve_http(stream, on_request)
+
+
+def _control_response(node: MeshNode, request: HttpRequest) -> HttpResponse:
+    if not request.path.startswith(_INSTANCES):
+        return _plain(NOT_FOUND.status)
+    instance_id = urllib.parse.unquote(request.path.removeprefix(_INSTANCES))
+    if request.method == "PUT":
+        return _on_heartbeat(node, instance_id, request.body)
+    if request.method == "DELETE":
+        node.on_target_leaving(instance_id, _start_named(request.body))
+        return _plain(200)
+    return _plain(NOT_FOUND.status)
+
+
+def _on_heartbeat(node: MeshNode, instance_id: str, body: bytes) -> HttpResponse:
+    try:
+        announcement = parse_announcement(instance_id, body)
+    except GooseberrydockError as error:
+        node.on_bad_announcement(error.detail)
+        return _plain(error.code.status)
+    is_known = node.on_announcement(announcement)
+    return _plain(200 if is_known else INVALID_ANNOUNCEMENT.status)
+
+
+def _start_named(body: bytes) -> int | None:
+    """Return the start that a farewell names, if any."""
+    try:
+        return _whole(json.loads(body)["born"])
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+
+
+def _plain(status: int) -> HttpResponse:
+    return HttpResponse(status, list(_JSON), b"{}")
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("a name is missing")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _slots(value: Any) -> int:
+    slots = _whole(value)
+    if not 0 < slots <= _MAX_SLOTS:
+        raise ValueError(f"{slots} slots")
+    return slots
--- /dev/null
+++ b/gooseberrydock/platform/settings.py
@@ -0,0 +1,72 @@
+"""The platform's settings file, read into the options of a node."""
+
+import tomllib
+from typing import Any, Final
+
+from gooseberrydock.clock import MS_PER_SECOND
+from gooseberrydock.errorcodes import OPTION_INVALID
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.members import Address, parse_address
+from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
+
+PATH_VARIABLE: Final = "GOOSEBERRYDOCK_CONFIG"
+METRICS_PORT_OFFSET: Final = 1
+"""Which of the ports for the system's own use serves metrics, counted from the last one."""
+
+HEADERS: Final = HeaderNames(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    expected_instance=b"expected-instance",
+    not_executed=b"not-executed",
+    caller_service=b"caller-service",
+    seal=b"server-seal",
+)
+
+
+def parse_settings(text: str) -> MeshOptions:
+    """Build a node's options from the text of a settings file."""
+    try:
+        return _build(tomllib.loads(text))
+    except (tomllib.TOMLDecodeError, KeyError, TypeError, ValueError, IndexError) as error:
+        raise _invalid(f"{type(error).__name__}: {error}") from error
+
+
+def _build(fields: dict[str, Any]) -> MeshOptions:
+    machine, network = fields["self"], fields["network"]
+    # The table named like the platform itself holds its key-value store.
+    store = fields["platform"]["platform"]
+    bounds = fields["terms"]["bounds"]
+    listen = network["listen"]
+    last_port = int(network["portRange"][1])
+    return MeshOptions(
+        node_id=_text(machine["nodeName"]),
+        failure_domain=_text(machine["zone"]),
+        service=_text(machine["service"]),
+        target_address=parse_address(machine["appAddr"]),
+        # Requests that begin on this host go out; those for its target come in.
+        entry_listen=parse_address(listen["outbound"]),
+        peer_listen=parse_address(listen["inbound"]),
+        control_listen=parse_address(listen["control"]),
+        ready_listen=parse_address(listen["ready"]),
+        metrics_listen=Address(_text(machine["ip"]), last_port - METRICS_PORT_OFFSET),
+        store=parse_address(store["address"]),
+        headers=HEADERS,
+        retry_budget=RetryBudgetOptions(
+            ratio=float(bounds["budgetRatio"]),
+            slack=float(bounds["budgetSlack"]),
+            window_ms=float(bounds["budgetWindowS"]) * MS_PER_SECOND,
+        ),
+        drain_ms=float(bounds["drainMs"]),
+        stop_grace_ms=float(bounds["graceS"]) * MS_PER_SECOND,
+        lease_min_ms=float(store["ttlMinMs"]),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("a name is missing")
+    return value
+
+
+def _invalid(detail: str) -> GooseberrydockError:
+    return GooseberrydockError(OPTION_INVALID, Step.SETTINGS, detail=detail)
--- /dev/null
+++ b/gooseberrydock/platform/surroundings.py
@@ -0,0 +1,80 @@
+"""Joins a node to the platform's store, announcements and settings file."""
+
+from pathlib import Path
+
+import attrs
+import trio
+
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.events import SETTINGS_REFUSED, SETTINGS_RELOADED
+from gooseberrydock.logs import log
+from gooseberrydock.mesh.metrics import serve_metrics
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.parts import StoreKeys, TableDecoder
+from gooseberrydock.platform.announcements import serve_control, serve_ready
+from gooseberrydock.platform.configuration import TABLE_KEY, decode_table
+from gooseberrydock.platform.settings import parse_settings
+from gooseberrydock.platform.store import NODES_PREFIX, PlatformStore
+from gooseberrydock.stream import Stream
+
+
+@attrs.define(eq=False)
+class PlatformSurroundings:
+    """Hold where the settings are and what they said last."""
+
+    _path: Path
+    _text: str
+    _options: MeshOptions
+
+    @property
+    def options(self) -> MeshOptions:
+        """Return the settings in force."""
+        return self._options
+
+    @property
+    def keys(self) -> StoreKeys:
+        """Return where the store holds what nodes follow."""
+        return StoreKeys(TABLE_KEY, NODES_PREFIX)
+
+    @property
+    def decode_table(self) -> TableDecoder:
+        """Return the reader of the operator's configuration."""
+        return decode_table
+
+    def open_store(self, nursery: trio.Nursery) -> PlatformStore:
+        """Return a client of the store."""
+        return PlatformStore(self._options.store, nursery)
+
+    async def serve_control(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of the local target."""
+        await serve_control(node, stream)
+
+    async def serve_ready(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of the platform's readiness checks."""
+        await serve_ready(node, stream)
+
+    async def serve_metrics(self, node: MeshNode, stream: Stream) -> None:
+        """Serve one connection of whoever reads metrics."""
+        await serve_metrics(node, stream)
+
+    def reload(self) -> MeshOptions | None:
+        """Return the settings if they changed and are valid."""
+        try:
+            text = self._path.read_text(encoding="utf-8")
+            if text == self._text:
+                return None
+            options = parse_settings(text)
+        except (OSError, UnicodeDecodeError, GooseberrydockError) as error:
+            log(SETTINGS_REFUSED, detail=str(error))
+            return None
+        self._text = text
+        self._options = options
+        log(SETTINGS_RELOADED, service=options.service)
+        return options
+
+
+def create_surroundings(path: Path) -> PlatformSurroundings:
+    """Read the settings for the first time, raising ``OPTION_INVALID`` where they are not valid."""
+    text = path.read_text(encoding="utf-8")
+    return PlatformSurroundings(path, text, parse_settings(text))
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -39,6 +39,12 @@
     _is_closed: bool = False
     _is_flushing: bool = False
     _closes_when_flushed: bool = False
+    _was_reset: bool = False
+
+    @property
+    def was_reset(self) -> bool:
+        """Say whether the connection failed instead of ending in order."""
+        return self._was_reset
 
     @property
     def is_closed(self) -> bool:
@@ -58,7 +64,10 @@
                 return self._socket.recv(defaults.RECEIVE_BYTES)
             except BlockingIOError:
                 continue
-            except (OSError, trio.ClosedResourceError):
+            except OSError:
+                self._was_reset = True
+                return b""
+            except trio.ClosedResourceError:
                 return b""
         return b""
 
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -31,6 +31,8 @@
 TAG_OWNER_BEAT: Final = 11
 TAG_OWNER_REGISTER: Final = 12
 TAG_CRASH_NOTICE: Final = 13
+TAG_ROUTED_CALL: Final = 14
+TAG_ROUTED_ANSWER: Final = 15
 
 
 class _ShapeError(ValueError):
@@ -180,6 +182,43 @@
     return [TAG_OWNER_REGISTER, message.payload]
 
 
+@_to_array.register
+def _routed_call_to_array(message: messages.RoutedCall) -> list[Any]:
+    return [
+        TAG_ROUTED_CALL,
+        message.call_id,
+        message.route,
+        message.service,
+        message.caller_service,
+        message.method,
+        message.target,
+        message.headers,
+        message.body,
+        message.remaining_ms,
+        message.priority,
+        message.is_nested,
+    ]
+
+
+@_to_array.register
+def _routed_answer_to_array(message: messages.RoutedAnswer) -> list[Any]:
+    report = message.report
+    return [
+        TAG_ROUTED_ANSWER,
+        message.call_id,
+        int(message.result),
+        message.code,
+        message.status,
+        message.headers,
+        message.body,
+        message.was_offered,
+        report.in_flight,
+        report.limit,
+        report.service_ms,
+        report.admitted_share,
+    ]
+
+
 def _check_shape(array: list[Any], shape: tuple[type, ...]) -> None:
     """Check that the fields after the tag have exactly these types."""
     if len(array) != len(shape) + 1:
@@ -337,6 +376,33 @@
     return messages.OwnerRegister(*array[1:])
 
 
+_ROUTED_CALL_SHAPE: Final = (int, str, str, str, str, str, list, bytes, float, int, bool)
+
+
+def _to_routed_call(array: list[Any]) -> messages.RoutedCall:
+    _check_shape(array, _ROUTED_CALL_SHAPE)
+    _check_not_negative(array[1], array[9], array[10])
+    array[7] = _to_headers(array[7])
+    return messages.RoutedCall(*array[1:])
+
+
+_ROUTED_ANSWER_SHAPE: Final = (int, int, int, int, list, bytes, bool, int, int, float, float)
+
+
+def _to_routed_answer(array: list[Any]) -> messages.RoutedAnswer:
+    _check_shape(array, _ROUTED_ANSWER_SHAPE)
+    _check_not_negative(array[1], array[8], array[9], array[10], array[11])
+    try:
+        result = messages.RunResult(array[2])
+    except ValueError as error:
+        raise _ShapeError("not a run result") from error
+    report = messages.TargetReport(*array[8:12])
+    headers = _to_headers(array[5])
+    return messages.RoutedAnswer(
+        array[1], result, array[3], array[4], headers, array[6], array[7], report
+    )
+
+
 def _all_of(expected: type, values: list[Any]) -> tuple[Any, ...]:
     if any(type(value) is not expected for value in values):
         raise _ShapeError(f"a list holds more than {expected.__name__}")
@@ -357,4 +423,6 @@
     TAG_CRASH_NOTICE: _to_notice,
     TAG_OWNER_BEAT: _to_beat,
     TAG_OWNER_REGISTER: _to_register,
+    TAG_ROUTED_CALL: _to_routed_call,
+    TAG_ROUTED_ANSWER: _to_routed_answer,
 }
