Tell calls that targets make from callers' requests by where they begin

Cause: a call of admitted work must not be turned away at the entry, and nothing on the wire marks it. Change: a target's node counts beside which services a route's requests begin, and says in its reports whether they come from few only. Not measured yet.

--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -134,7 +134,7 @@
             "code": code.number,
             "cause": code.name,
             "rank": ticket.rank,
-            "nested": ticket.call.is_nested,
+            "nested": ticket.is_nested,
             "waited_ms": round(started_at - ticket.arrived_at, 1),
             "ran_ms": round(now_ms - started_at, 1),
             "left_ms": round(ticket.expires_at - now_ms, 1),
--- a/gooseberrydock/mesh/door.py
+++ b/gooseberrydock/mesh/door.py
@@ -15,6 +15,7 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import NOT_DISPATCHED, TARGET_BUSY, ErrorCode
+from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.pressure import PressureController
 from gooseberrydock.messages import RoutedCall, TargetReport
 
@@ -42,6 +43,7 @@
     rank: int
     arrived_at: Millis
     expires_at: Millis
+    is_nested: bool
     started_at: Millis = -1.0
     is_withdrawn: bool = False
 
@@ -64,6 +66,7 @@
     _route_ms: dict[str, Millis] = attrs.field(factory=dict)
     _mean_ms: Millis = 0.0
     _route_shares: dict[str, float] = attrs.field(factory=dict)
+    _nested: NestedRoutes = attrs.field(factory=NestedRoutes)
 
     @property
     def running(self) -> dict[int, Ticket]:
@@ -99,12 +102,20 @@
         self._route_ms.clear()
         self._mean_ms = 0.0
 
+    def create_ticket(self, now_ms: Millis, run_id: int, link_id: str, call: RoutedCall) -> Ticket:
+        """Rank a call that arrived."""
+        self._nested.on_call(call.route, call.caller_service)
+        is_nested = self._nested.judge(call.route)
+        rank = NESTED_RANK if is_nested else call.priority
+        expires_at = now_ms + call.remaining_ms
+        return Ticket(run_id, link_id, call, rank, now_ms, expires_at, is_nested)
+
     def submit(self, now_ms: Millis, ticket: Ticket) -> ErrorCode | None:
         """Start a call, let it wait, or return why it is refused."""
         if self._waiting == 0 and len(self._running) < self.limit:
             self._start(now_ms, ticket)
             return None
-        share = _NESTED_WAIT_SHARE if ticket.call.is_nested else _MAX_WAIT_SHARE
+        share = _NESTED_WAIT_SHARE if ticket.is_nested else _MAX_WAIT_SHARE
         if self.expected_wait(ticket.rank) > share * ticket.call.remaining_ms:
             return TARGET_BUSY
         heapq.heappush(self._queue, (ticket.rank, next(self._serials), ticket))
@@ -171,6 +182,7 @@
             limit=self.limit,
             service_ms=self._route_ms.get(route, 0.0),
             admitted_share=min(self._pressure.share, self._route_shares.get(route, 1.0)),
+            is_nested=self._nested.judge(route),
         )
 
     def _start(self, now_ms: Millis, ticket: Ticket) -> None:
@@ -192,9 +204,9 @@
         self._pressure.note(now_ms, self.in_flight, self.limit)
 
 
-def create_door() -> Door:
+def create_door(nested: NestedRoutes) -> Door:
     """Make a door for a target that announced nothing yet."""
-    return Door(PressureController())
+    return Door(PressureController(), nested=nested)
 
 
 LATE_CODE: Final = NOT_DISPATCHED
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -194,6 +194,7 @@
         self._placement.on_answer(node_id, route.name, answer.report, has_failed)
         report = answer.report
         self._shares.on_report(now_ms, route.name, node_id, report.admitted_share, report.limit)
+        self._nested.on_told(route.name, report.is_nested)
         exchange.call_id = 0
         if answer.was_offered:
             exchange.offers += 1
@@ -311,7 +312,6 @@
                 body=request.body,
                 remaining_ms=max(0.0, exchange.deadline_at - now_ms),
                 priority=route.priority,
-                is_nested=exchange.is_nested,
             ),
         )
 
--- a/gooseberrydock/mesh/nesting.py
+++ b/gooseberrydock/mesh/nesting.py
@@ -1,41 +1,76 @@
 """Which routes are calls that targets make while they run a request.
 
 Nothing on the wire links a call to the request it is made for. But callers send their requests to
-every node, while a target sends its calls only to the node on its own host. A route whose requests
-begin on the hosts of some services only, and on all of those, is taken for a call of theirs.
-Controller without I/O.
+nodes beside targets of every service, while a target sends its calls only to the node on its own
+host. So a target's node takes a route for a call where its requests begin beside targets of few
+services only, and tells the nodes that send them. Controller without I/O.
 """
 
 from typing import Final
 
 import attrs
 
-_LEAST_REQUESTS: Final = 12
+_LEAST_REQUESTS: Final = 16
 """Requests of a route that must have been seen before it is judged."""
-_FOREIGN_SHARE: Final = 0.04
-"""Share of requests from other services up to which a route still counts as a call."""
+_STRAY_SHARE: Final = 0.04
+"""Share of a route's requests below which a service does not count as their origin."""
+_MOST_ORIGINS_SHARE: Final = 0.5
+"""Share of the services that the calls of targets may come from; callers use all nodes alike."""
+_HALVE_AT: Final = 4_000
+"""Counts are halved at this total, so that a changed call graph shows."""
 
 
 @attrs.define
 class RouteOrigins:
-    """Count where the requests of one route began."""
+    """Count beside which services the requests of one route began."""
 
     by_service: dict[str, int] = attrs.field(factory=dict)
     total: int = 0
 
+    def add(self, service: str) -> None:
+        """Count one request."""
+        self.by_service[service] = self.by_service.get(service, 0) + 1
+        self.total += 1
+        if self.total >= _HALVE_AT:
+            self.by_service = {name: count // 2 for name, count in self.by_service.items()}
+            self.total = sum(self.by_service.values())
+
+    def origins(self) -> int:
+        """Return the number of services that the requests begin beside."""
+        least = self.total * _STRAY_SHARE
+        return sum(1 for count in self.by_service.values() if count >= least)
+
 
 @attrs.define
 class NestedRoutes:
-    """Learn from the services of the hosts where requests begin."""
+    """Judge routes by the requests that reach this node's target."""
 
+    _service_count: int = 0
     _origins: dict[str, RouteOrigins] = attrs.field(factory=dict)
-    _nested: frozenset[str] = frozenset()
+    _told: dict[str, bool] = attrs.field(factory=dict)
+
+    def set_service_count(self, count: int) -> None:
+        """Take over how many services have hosts."""
+        self._service_count = count
+
+    def on_call(self, route: str, caller_service: str) -> None:
+        """Count a request that reached this node."""
+        origins = self._origins.get(route)
+        if origins is None:
+            origins = self._origins[route] = RouteOrigins()
+        origins.add(caller_service)
+
+    def judge(self, route: str) -> bool:
+        """Say whether the requests seen here are calls that targets make."""
+        origins = self._origins.get(route)
+        if origins is None or origins.total < _LEAST_REQUESTS or self._service_count < 2:
+            return False
+        return origins.origins() <= self._service_count * _MOST_ORIGINS_SHARE
 
-    @property
-    def routes(self) -> frozenset[str]:
-        """Return the routes taken for calls of targets."""
-        return self._nested
+    def on_told(self, route: str, is_nested: bool) -> None:
+        """Take over what a target's node judged of a route."""
+        self._told[route] = is_nested
 
     def is_nested(self, route: str) -> bool:
-        """Say whether requests of a route are calls that a target makes."""
-        return route in self._nested
+        """Say whether requests of a route that begin here are calls of the local target."""
+        return self._told.get(route, False)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -31,7 +31,7 @@
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address, Member, MemberState, decode_member, encode_member
 from gooseberrydock.mesh.decision_log import DecisionLog
-from gooseberrydock.mesh.door import LATE_CODE, NESTED_RANK, Door, Ticket
+from gooseberrydock.mesh.door import LATE_CODE, Door, Ticket
 from gooseberrydock.mesh.entry import Caller, Entry, Exchange
 from gooseberrydock.mesh.front import FrontConnection, create_front_connection
 from gooseberrydock.mesh.model import EMPTY_TABLE, RouteTable
@@ -224,9 +224,7 @@
             self._answer_call(link_id, call, _not_run(self._parts.door, call, code, False))
             return
         self._next_run_id += 1
-        rank = NESTED_RANK if call.is_nested else call.priority
-        expires_at = now_ms + call.remaining_ms
-        ticket = Ticket(self._next_run_id, link_id, call, rank, now_ms, expires_at)
+        ticket = self._parts.door.create_ticket(now_ms, self._next_run_id, link_id, call)
         code_or_none = self._parts.door.submit(now_ms, ticket)
         if code_or_none is not None:
             self._log.on_call_refused(now_ms, ticket, code_or_none)
@@ -494,6 +492,7 @@
             return
         self._table = table
         self._table_payload = payload
+        self._parts.nested.set_service_count(len(table.services))
         self._parts.entry.set_table(table)
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
 
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -62,13 +62,14 @@
     options: MeshOptions, keys: StoreKeys, decode_table: TableDecoder, seed: int
 ) -> NodeParts:
     """Make the controllers of a node."""
+    nested = NestedRoutes()
     return NodeParts(
         keys=keys,
         decode_table=decode_table,
         registration=create_target_registration(options.target_address, options.drain_ms),
         directory=create_directory(options.node_id),
-        door=create_door(),
+        door=create_door(nested),
         budget=create_retry_budget(options.retry_budget),
         shares=create_admitted_shares(seed),
-        nested=NestedRoutes(),
+        nested=nested,
     )
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -187,10 +187,7 @@
 
 @attrs.define
 class RoutedCall:
-    """Ask a target's node to run one request of a route.
-
-    ``is_nested`` marks a call that a target makes for a request already admitted.
-    """
+    """Ask a target's node to run one request of a route."""
 
     call_id: int
     route: str
@@ -202,7 +199,6 @@
     body: bytes
     remaining_ms: Millis
     priority: int
-    is_nested: bool
 
 
 class RunResult(enum.IntEnum):
@@ -218,13 +214,15 @@
     """Tell the load of a target and how much of a route's requests may be admitted.
 
     ``service_ms`` is the recent mean of the route's run time there, 0 where none is known.
-    ``admitted_share`` covers the calls below the route too; 1 means no limit.
+    ``admitted_share`` covers the calls below the route too; 1 means no limit. ``is_nested`` says
+    that the route's requests are calls that other targets make.
     """
 
     in_flight: int
     limit: int
     service_ms: Millis
     admitted_share: float
+    is_nested: bool = False
 
 
 @attrs.define
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -196,7 +196,6 @@
         message.body,
         message.remaining_ms,
         message.priority,
-        message.is_nested,
     ]
 
 
@@ -216,6 +215,7 @@
         report.limit,
         report.service_ms,
         report.admitted_share,
+        report.is_nested,
     ]
 
 
@@ -376,7 +376,7 @@
     return messages.OwnerRegister(*array[1:])
 
 
-_ROUTED_CALL_SHAPE: Final = (int, str, str, str, str, str, list, bytes, float, int, bool)
+_ROUTED_CALL_SHAPE: Final = (int, str, str, str, str, str, list, bytes, float, int)
 
 
 def _to_routed_call(array: list[Any]) -> messages.RoutedCall:
@@ -386,7 +386,7 @@
     return messages.RoutedCall(*array[1:])
 
 
-_ROUTED_ANSWER_SHAPE: Final = (int, int, int, int, list, bytes, bool, int, int, float, float)
+_ROUTED_ANSWER_SHAPE: Final = (int, int, int, int, list, bytes, bool, int, int, float, float, bool)
 
 
 def _to_routed_answer(array: list[Any]) -> messages.RoutedAnswer:
@@ -396,7 +396,7 @@
         result = messages.RunResult(array[2])
     except ValueError as error:
         raise _ShapeError("not a run result") from error
-    report = messages.TargetReport(*array[8:12])
+    report = messages.TargetReport(*array[8:13])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
         array[1], result, array[3], array[4], headers, array[6], array[7], report
