--- /dev/null
+++ b/tests/test_mesh_hosts.py
@@ -0,0 +1,209 @@
+"""Which hosts there are and which one a call goes to."""
+
+import unittest
+
+import attrs
+
+from gooseberrydock.members import MemberState
+from gooseberrydock.mesh.directory import create_directory
+from gooseberrydock.mesh.model import ServiceShare
+from gooseberrydock.mesh.options import RetryBudgetOptions
+from gooseberrydock.mesh.placement import create_placement
+from gooseberrydock.mesh.retry_budget import create_retry_budget, window_bound
+from gooseberrydock.mesh.shares import create_admitted_shares
+from gooseberrydock.mesh.splits import SplitChooser
+from gooseberrydock.messages import TargetReport
+from tests.mesh_helpers import make_member, make_route
+
+_ROUTE = make_route()
+
+
+def _report(in_flight: int = 0, limit: int = 10, service_ms: float = 20.0) -> TargetReport:
+    return TargetReport(in_flight, limit, service_ms, 1.0)
+
+
+class DirectoryCases(unittest.TestCase):
+    """What is believed of other nodes."""
+
+    def test_newer_record_wins_whatever_the_source(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a", version=3))
+        self.assertFalse(directory.on_heard(0.0, make_member("a", "bank", version=2)))
+        self.assertTrue(directory.on_heard(0.0, make_member("a", "bank", version=4)))
+        self.assertFalse(directory.on_stored(make_member("a", version=3)))
+        self.assertEqual(["a"], [item.node_id for item in directory.hosts_of("bank")])
+
+    def test_ended_record_lives_on_for_a_while(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a"))
+        directory.on_ended(1_000.0, "a")
+        self.assertEqual([], directory.tick(2_900.0, store_is_away=False))
+        self.assertEqual(["a"], [item.node_id for item in directory.tick(3_100.0, False)])
+        self.assertEqual([], directory.hosts_of("shop"))
+
+    def test_ended_record_of_a_node_that_speaks_stays(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a"))
+        directory.on_ended(0.0, "a")
+        for step in range(20):
+            directory.on_alive(step * 1_000.0, "a")
+            self.assertEqual([], directory.tick(step * 1_000.0, store_is_away=False))
+
+    def test_records_stay_while_the_store_is_away(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a"))
+        directory.on_ended(0.0, "a")
+        for step in range(20):
+            self.assertEqual([], directory.tick(step * 1_000.0, store_is_away=True))
+        self.assertEqual([], directory.tick(20_000.0, store_is_away=False))
+        self.assertEqual(1, len(directory.tick(21_500.0, store_is_away=False)))
+
+    def test_leaving_node_gets_nothing_new(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a"))
+        leaving = attrs.evolve(make_member("a", version=2), state=MemberState.LEAVING)
+        directory.on_heard(0.0, leaving)
+        self.assertEqual([], directory.hosts_of("shop"))
+
+    def test_snapshot_ends_what_it_leaves_out(self) -> None:
+        directory = create_directory("me")
+        directory.on_stored(make_member("a"))
+        directory.on_snapshot(0.0, [make_member("b")])
+        directory.tick(2_500.0, store_is_away=False)
+        self.assertEqual(["b"], [item.node_id for item in directory.hosts_of("shop")])
+
+
+class PlacementCases(unittest.TestCase):
+    """Answers the load of a service whose hosts differ."""
+
+    def test_own_domain_is_preferred_while_it_has_room(self) -> None:
+        placement = create_placement("d1", 1)
+        hosts = [make_member("near", domain="d1"), make_member("far", domain="d2")]
+        for host in hosts:
+            placement.on_sent(host.node_id)
+            placement.on_answer(host.node_id, _ROUTE.name, _report(), False)
+        near = placement.choose(0.0, _ROUTE, hosts, set())
+        self.assertEqual("near", near.node_id if near else "")
+        placement.on_answer("near", _ROUTE.name, _report(in_flight=14), False)
+        far = placement.choose(0.0, _ROUTE, hosts, set())
+        self.assertEqual("far", far.node_id if far else "")
+
+    def test_fast_host_gets_more(self) -> None:
+        """Three hosts in one domain, one twice as fast, a steady load of two thirds."""
+        placement = create_placement("d1", 1)
+        hosts = [make_member(name) for name in ("slow1", "slow2", "fast")]
+        speed = {"slow1": 40.0, "slow2": 40.0, "fast": 20.0}
+        running: list[tuple[float, str]] = []
+        sent: dict[str, int] = dict.fromkeys(speed, 0)
+        for step in range(4_000):
+            now_ms = step * 1.5
+            ended = [item for item in running if item[0] <= now_ms]
+            running = [item for item in running if item[0] > now_ms]
+            for _, name in ended:
+                load = sum(1 for _, other in running if other == name)
+                report = _report(load, 10, speed[name])
+                placement.on_answer(name, _ROUTE.name, report, False)
+            host = placement.choose(now_ms, _ROUTE, hosts, set())
+            assert host is not None
+            placement.on_sent(host.node_id)
+            sent[host.node_id] += 1
+            running.append((now_ms + speed[host.node_id], host.node_id))
+        self.assertGreater(sent["fast"], 1.3 * sent["slow1"])
+        self.assertGreater(min(sent.values()), 400)
+
+    def test_failing_host_is_avoided(self) -> None:
+        placement = create_placement("d1", 1)
+        hosts = [make_member("good"), make_member("grey")]
+        for _ in range(40):
+            for host in hosts:
+                placement.on_sent(host.node_id)
+                failed = host.node_id == "grey"
+                placement.on_answer(host.node_id, _ROUTE.name, _report(), failed)
+        chosen = placement.choose(0.0, _ROUTE, hosts, set())
+        self.assertEqual("good", chosen.node_id if chosen else "")
+
+    def test_unreached_host_is_left_out_for_a_while(self) -> None:
+        placement = create_placement("d1", 1)
+        hosts = [make_member("a"), make_member("b", domain="d2")]
+        placement.on_unreached(0.0, "a")
+        first = placement.choose(100.0, _ROUTE, hosts, set())
+        later = placement.choose(400.0, _ROUTE, hosts, set())
+        self.assertEqual(("b", "a"), (first and first.node_id, later and later.node_id))
+
+    def test_all_left_out_still_gives_a_host(self) -> None:
+        placement = create_placement("d1", 1)
+        placement.on_unreached(0.0, "a")
+        self.assertIsNotNone(placement.choose(1.0, _ROUTE, [make_member("a")], set()))
+        self.assertIsNone(placement.choose(1.0, _ROUTE, [make_member("a")], {"a"}))
+
+    def test_large_service_is_sampled_and_spread(self) -> None:
+        placement = create_placement("d1", 1)
+        hosts = [make_member(f"n{n}", domain=f"d{n % 3}") for n in range(30)]
+        chosen = set()
+        for _ in range(300):
+            host = placement.choose(0.0, _ROUTE, hosts, set())
+            assert host is not None
+            chosen.add(host.node_id)
+        self.assertGreaterEqual(len(chosen), 10)
+
+
+class BudgetCases(unittest.TestCase):
+    """Repeats of all nodes together stay below the bound."""
+
+    def test_sum_over_nodes(self) -> None:
+        options = RetryBudgetOptions(ratio=0.2, slack=47.0)
+        for nodes, requests in ((1, 50), (12, 0), (12, 400), (76, 30), (76, 1_000)):
+            with self.subTest(nodes=nodes, requests=requests):
+                repeats = 0
+                for _ in range(nodes):
+                    budget = create_retry_budget(options)
+                    budget.set_node_count(nodes)
+                    for _ in range(requests):
+                        budget.on_request("shop")
+                        repeats += budget.try_spend("shop")
+                    while budget.try_spend("shop"):
+                        repeats += 1
+                self.assertLessEqual(repeats, window_bound(options, nodes * requests))
+
+
+class ShareCases(unittest.TestCase):
+    """Answers overload of a path: what the entry turns away."""
+
+    def test_important_requests_are_turned_away_last(self) -> None:
+        shares = create_admitted_shares(1)
+        shares.on_report(0.0, "booking", "a", 0.3, 10)
+        admitted = sum(shares.admits(0.0, "booking", 0) for _ in range(100))
+        ordinary = sum(shares.admits(0.0, "booking", 2) for _ in range(100))
+        self.assertEqual(100, admitted)
+        self.assertTrue(15 <= ordinary <= 45)
+
+    def test_old_reports_do_not_count(self) -> None:
+        shares = create_admitted_shares(1)
+        shares.on_report(0.0, "lookup", "a", 0.1, 10)
+        self.assertEqual(1.0, shares.share_of(2_000.0, "lookup"))
+
+    def test_mean_is_weighted_by_slots(self) -> None:
+        shares = create_admitted_shares(1)
+        shares.on_report(0.0, "lookup", "a", 0.5, 30)
+        shares.on_report(0.0, "lookup", "b", 1.0, 10)
+        self.assertAlmostEqual(0.625, shares.share_of(0.0, "lookup"))
+
+    def test_refused_callers_return_in_time_and_spread(self) -> None:
+        shares = create_admitted_shares(1)
+        shares.on_report(0.0, _ROUTE.name, "a", 0.5, 30)
+        waits = [shares.retry_after(0.0, _ROUTE) for _ in range(50)]
+        self.assertLess(max(waits), _ROUTE.target_latency_ms)
+        self.assertGreater(max(waits) - min(waits), 0.1 * _ROUTE.target_latency_ms)
+
+
+class SplitCases(unittest.TestCase):
+    """Weights are kept exactly."""
+
+    def test_weights(self) -> None:
+        route = make_route(shares=(ServiceShare("a", 90.0), ServiceShare("b", 10.0)))
+        chooser = SplitChooser()
+        chosen = [chooser.choose(route) for _ in range(100)]
+        self.assertEqual(10, chosen.count("b"))
+        changed = make_route(shares=(ServiceShare("a", 1.0), ServiceShare("b", 1.0)))
+        chosen = [chooser.choose(changed) for _ in range(100)]
+        self.assertEqual(50, chosen.count("b"))
--- /dev/null
+++ b/tests/test_mesh_target.py
@@ -0,0 +1,259 @@
+"""The target's side: who may be sent to it, what waits, what its answers mean."""
+
+import unittest
+from typing import Any
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock.errorcodes import TARGET_BUSY
+from gooseberrydock.http_messages import Headers, HttpResponse
+from gooseberrydock.members import Address
+from gooseberrydock.mesh.door import Door, Ticket, create_door
+from gooseberrydock.mesh.nesting import NestedRoutes
+from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.target_answers import judge_answer
+from gooseberrydock.mesh.target_registration import (
+    InstanceAnnouncement,
+    TargetRegistration,
+    TargetState,
+    create_target_registration,
+)
+from gooseberrydock.messages import RoutedCall, RunResult
+
+_ADDRESS = Address("10.0.0.1", 80)
+_DRAIN_MS = 2_000.0
+_FIRST = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1_000, 1, TargetState.READY, 10, 0.0)
+
+
+def _registered() -> TargetRegistration:
+    registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+    registration.announce(0.0, _FIRST)
+    return registration
+
+
+def _change(**changes: Any) -> InstanceAnnouncement:
+    return attrs.evolve(_FIRST, **changes)
+
+
+class RegistrationCases(unittest.TestCase):
+    """Which instance may be sent requests."""
+
+    def test_nothing_is_accepted_before_an_announcement(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        self.assertFalse(registration.accepts(0.0, "shop"))
+
+    def test_another_service_is_not_accepted(self) -> None:
+        self.assertFalse(_registered().accepts(0.0, "bank"))
+
+    def test_leaving_ends_work_before_the_drain_time(self) -> None:
+        registration = _registered()
+        registration.announce(100.0, _change(state=TargetState.LEAVING, sequence=2))
+        self.assertEqual("", registration.service)
+        self.assertTrue(registration.accepts(200.0, "shop"))
+        self.assertFalse(registration.accepts(100.0 + _DRAIN_MS - 500.0, "shop"))
+
+    def test_leaving_holds_though_overtaken(self) -> None:
+        registration = _registered()
+        registration.announce(10.0, _change(sequence=5))
+        registration.announce(20.0, _change(state=TargetState.LEAVING, sequence=4))
+        registration.announce(30.0, _change(sequence=6))
+        self.assertTrue(registration.is_leaving)
+
+    def test_farewell_without_notice(self) -> None:
+        registration = _registered()
+        self.assertTrue(registration.leave(0.0, "i-1", None))
+        self.assertFalse(registration.accepts(_DRAIN_MS, "shop"))
+
+    def test_farewell_of_an_earlier_start_is_ignored(self) -> None:
+        registration = _registered()
+        registration.announce(10.0, _change(started_wall_ms=2_000))
+        self.assertFalse(registration.leave(20.0, "i-1", 1_000))
+        self.assertEqual("shop", registration.service)
+
+    def test_late_announcement_of_an_earlier_start_is_ignored(self) -> None:
+        registration = _registered()
+        newer = _change(instance_id="i-2", started_wall_ms=2_000, sequence=1)
+        registration.announce(10.0, newer)
+        self.assertFalse(registration.announce(20.0, _change(sequence=9)))
+        self.assertEqual("i-2", registration.instance_id)
+
+    def test_same_id_may_start_again(self) -> None:
+        registration = _registered()
+        registration.leave(0.0, "i-1", None)
+        registration.announce(50.0, _change(started_wall_ms=2_000))
+        self.assertEqual("shop", registration.service)
+
+    def test_another_address_is_ignored(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        registration.announce(0.0, _change(address=Address("10.0.0.2", 80)))
+        self.assertEqual("", registration.service)
+
+    def test_mismatch_waits_for_the_next_announcement(self) -> None:
+        registration = _registered()
+        self.assertTrue(registration.on_mismatch("i-1"))
+        self.assertFalse(registration.accepts(1.0, "shop"))
+        registration.announce(2.0, _change(sequence=2))
+        self.assertTrue(registration.accepts(3.0, "shop"))
+
+
+def _ticket(
+    door: Door,
+    number: int,
+    route: str = "a",
+    priority: int = 2,
+    left: float = 1_000.0,
+    now_ms: float = 0.0,
+    service: str = "web",
+) -> Ticket:
+    call = RoutedCall(number, route, "shop", service, "GET", "/a/", [], b"", left, priority)
+    return door.create_ticket(now_ms, number, "link", call)
+
+
+def _door(slots: int = 2) -> Door:
+    door = create_door(NestedRoutes())
+    door.set_slots(slots)
+    return door
+
+
+class DoorCases(unittest.TestCase):
+    """What runs, what waits, and in which order."""
+
+    def test_no_more_run_than_the_limit(self) -> None:
+        door = _door(slots=10)
+        for number in range(30):
+            door.submit(0.0, _ticket(door, number))
+        self.assertEqual(door.limit, len(door.running))
+        self.assertLess(door.limit, 10)
+
+    def test_waiting_calls_start_by_rank_then_arrival(self) -> None:
+        door = _door(slots=2)
+        first = _ticket(door, 0)
+        door.submit(0.0, first)
+        for number, priority in ((1, 2), (2, 0), (3, 2), (4, 0)):
+            door.submit(0.0, _ticket(door, number, priority=priority))
+        order = []
+        running = first
+        for _ in range(4):
+            door.finish(10.0, running, has_run=True)
+            running = door.start_next(10.0)[0][0]
+            order.append(running.run_id)
+        self.assertEqual([2, 4, 1, 3], order)
+
+    def test_late_call_leaves_as_not_run(self) -> None:
+        door = _door(slots=2)
+        running = _ticket(door, 0)
+        door.submit(0.0, running)
+        door.submit(0.0, _ticket(door, 1, left=50.0))
+        self.assertEqual([1], [ticket.run_id for ticket in door.drop_late(60.0)])
+        door.finish(70.0, running, has_run=True)
+        self.assertEqual(([], []), door.start_next(70.0))
+        self.assertEqual(0, door.in_flight)
+
+    def test_long_wait_is_refused_at_once(self) -> None:
+        door = _door(slots=2)
+        for number in range(40):
+            running = _ticket(door, number)
+            door.submit(0.0, running)
+            door.finish(200.0, running, has_run=True)
+        door.submit(200.0, _ticket(door, 100))
+        codes = [door.submit(200.0, _ticket(door, 101 + number)) for number in range(4)]
+        self.assertEqual([None, TARGET_BUSY, TARGET_BUSY, TARGET_BUSY], codes)
+
+    def test_withdrawn_call_never_starts(self) -> None:
+        door = _door(slots=2)
+        running, waiting = _ticket(door, 0), _ticket(door, 1)
+        door.submit(0.0, running)
+        door.submit(0.0, waiting)
+        door.finish(1.0, waiting, has_run=False)
+        door.finish(2.0, running, has_run=True)
+        self.assertEqual(([], []), door.start_next(2.0))
+
+    def test_overload_lowers_the_share_and_quiet_raises_it(self) -> None:
+        door = _door(slots=10)
+        for number in range(30):
+            door.submit(number * 0.1, _ticket(door, number, left=60_000.0))
+        for step in range(40):
+            door.drop_late(step * 50.0)
+        low = door.report("a").admitted_share
+        self.assertLess(low, 0.3)
+        for ticket in list(door.running.values()):
+            door.finish(2_100.0, ticket, has_run=True)
+            door.start_next(2_100.0)
+        for step in range(200):
+            for ticket in list(door.running.values()):
+                door.finish(2_200.0, ticket, has_run=True)
+                door.start_next(2_200.0)
+            door.drop_late(2_200.0 + step * 50.0)
+        self.assertEqual(1.0, door.report("a").admitted_share)
+
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2)), max_size=60))
+    def test_each_call_ends_once(self, steps: list[tuple[int, int]]) -> None:
+        """Keep counts right through any order of arrivals, ends and withdrawals."""
+        door = _door(slots=4)
+        waiting: dict[int, Ticket] = {}
+        running: dict[int, Ticket] = {}
+        for number, (kind, priority) in enumerate(steps):
+            now_ms = number * 20.0
+            if kind <= 1:
+                ticket = _ticket(door, number, priority=priority, now_ms=now_ms)
+                if door.submit(now_ms, ticket) is None:
+                    (running if ticket.has_started else waiting)[number] = ticket
+            elif running and kind == 2:
+                ticket = running.pop(next(iter(running)))
+                door.finish(now_ms, ticket, has_run=True)
+                started, late = door.start_next(now_ms)
+                for item in started:
+                    running[item.run_id] = waiting.pop(item.run_id)
+                for item in late:
+                    del waiting[item.run_id]
+            elif waiting:
+                ticket = waiting.pop(next(iter(waiting)))
+                door.finish(now_ms, ticket, has_run=False)
+            self.assertEqual(len(running) + len(waiting), door.in_flight)
+            self.assertLessEqual(len(door.running), door.limit)
+
+
+class NestingCases(unittest.TestCase):
+    """Calls of targets are told from callers' requests."""
+
+    def test_one_origin_of_four_is_a_call(self) -> None:
+        nested = NestedRoutes()
+        nested.set_service_count(4)
+        for _ in range(40):
+            nested.on_call("inner", "shop")
+            for service in ("web", "shop", "bank", "post"):
+                nested.on_call("outer", service)
+        self.assertTrue(nested.judge("inner"))
+        self.assertFalse(nested.judge("outer"))
+
+    def test_few_requests_are_not_judged(self) -> None:
+        nested = NestedRoutes()
+        nested.set_service_count(4)
+        nested.on_call("inner", "shop")
+        self.assertFalse(nested.judge("inner"))
+
+
+_NAMES = HeaderNames(seal=b"seal")
+_SEAL = (b"seal", b"1")
+_ANSWERS: list[tuple[str, int, Headers, RunResult]] = [
+    ("success", 200, [_SEAL], RunResult.ANSWERED),
+    ("success without seal", 200, [], RunResult.UNKNOWN),
+    ("encoded body", 200, [_SEAL, (b"content-encoding", b"gzip")], RunResult.UNKNOWN),
+    ("own failure", 500, [_SEAL], RunResult.ANSWERED),
+    ("not executed", 503, [(_NAMES.not_executed, b"1")], RunResult.NOT_RUN),
+    ("busy without a promise", 503, [_SEAL], RunResult.UNKNOWN),
+    ("too many without a promise", 429, [], RunResult.UNKNOWN),
+    ("another instance", 421, [], RunResult.NOT_RUN),
+]
+
+
+class AnswerCases(unittest.TestCase):
+    """What a target's answer promises."""
+
+    def test_answers(self) -> None:
+        for title, status, headers, expected in _ANSWERS:
+            with self.subTest(title):
+                verdict = judge_answer(HttpResponse(status, headers, b""), _NAMES)
+                self.assertEqual(expected, verdict.result)
