Test the path on the platform's stand-ins with real node processes

The stand-ins speak the platform's store and servers. One start in 27 missed its limit in the first run: a node's port, picked free, had been given to an outgoing connection meanwhile; ports now come from below that range.

--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,249 @@
+"""A small fleet on the platform's stand-ins: real node processes, one server beside each."""
+
+import base64
+import itertools
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+import trio
+
+from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.members import Address, decode_member
+from gooseberrydock.platform.store import NODES_PREFIX
+from tests.platform_standins import ServerStandin, StoreStandin
+
+_HOST = "127.0.0.1"
+_START_LIMIT_S = 10.0
+_BEAT_S = 0.4
+
+
+_PORTS = itertools.count(21_000 + os.getpid() % 800 * 10)
+"""Ports below those that the kernel gives to outgoing connections, which would take them."""
+
+
+def _free_ports(count: int) -> list[int]:
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        try:
+            socket.create_server((_HOST, port)).close()
+        except OSError:
+            continue
+        ports.append(port)
+    return ports
+
+
+def settings_text(
+    node_id: str, service: str, zone: str, app: Address, store: Address, ports: list[int]
+) -> str:
+    """Return a settings file as the platform writes it."""
+    outbound, inbound, control, ready, metrics = ports
+    return f"""
+[self]
+nodeName = "{node_id}"
+ip = "{_HOST}"
+zone = "{zone}"
+firstStart = true
+appAddr = "{app}"
+service = "{service}"
+[network]
+portRange = [{metrics - 1}, {metrics + 1}]
+seedNodes = []
+[network.listen]
+inbound = "{_HOST}:{inbound}"
+outbound = "{_HOST}:{outbound}"
+ready = "{_HOST}:{ready}"
+control = "{_HOST}:{control}"
+[platform.platform]
+address = "{store}"
+ttlMinMs = 1000
+[terms.bounds]
+drainMs = 2000
+graceS = 6
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 47
+"""
+
+
+@attrs.define(eq=False)
+class FleetNode:
+    """Hold a node process, its addresses and the server beside it."""
+
+    node_id: str
+    settings: Path
+    entry: Address
+    ready: Address
+    metrics: Address
+    server: ServerStandin
+    process: subprocess.Popen[bytes] | None = None
+    is_beating: bool = True
+
+    def start(self, log: Path) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "gooseberrydock.platform", "--settings"]
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [*command, str(self.settings)], stdout=output, stderr=output
+            )
+
+    def kill(self) -> None:
+        """Kill the process."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+@attrs.define(eq=False)
+class PlatformFleet:
+    """Hold the fleet with the store."""
+
+    nursery: trio.Nursery
+    directory: Path
+    store: StoreStandin
+    nodes: list[FleetNode] = attrs.field(factory=list)
+    version: int = 0
+
+    async def add(self, service: str, zone: str = "z1") -> FleetNode:
+        """Start a server with its node."""
+        node_id = f"node-{len(self.nodes)}"
+        ports = _free_ports(5)
+        addresses = [Address(_HOST, port) for port in ports]
+        server = ServerStandin(self.nursery, service, f"i-{len(self.nodes)}", addresses[2])
+        self.nursery.start_soon(server.serve)
+        path = self.directory / f"{node_id}.toml"
+        store = self.store.listener.address
+        path.write_text(
+            settings_text(node_id, service, zone, server.listener.address, store, ports)
+        )
+        node = FleetNode(node_id, path, addresses[0], addresses[3], addresses[4], server)
+        self.nodes.append(node)
+        node.start(self.log)
+        self.nursery.start_soon(self._beat, node)
+        return node
+
+    @property
+    def log(self) -> Path:
+        """Return the file that all nodes log to."""
+        return self.directory / "nodes.log"
+
+    async def _beat(self, node: FleetNode) -> None:
+        while True:
+            if node.is_beating:
+                await node.server.announce()
+            await trio.sleep(_BEAT_S)
+
+    def configure(self, routes: dict[str, dict[str, object]], services: list[str]) -> None:
+        """Write a configuration as the operator does."""
+        self.version += 3
+        fields = {
+            "version": f"{self.version:08x}",
+            "routes": routes,
+            "services": {name: {"healthPath": "/healthz"} for name in services},
+            "limits": {
+                "maxHeaderBytes": 16_384,
+                "maxBodyBytes": 1_000_000,
+                "headerTimeoutMs": 1_000,
+                "idleTimeoutMs": 5_000,
+            },
+        }
+        self.store.put("op/config", json.dumps(fields).encode())
+
+    async def send(
+        self,
+        node: FleetNode,
+        path: str,
+        request_id: str = "r1",
+        timeout_s: float = 5.0,
+        deadline_ms: int = 4_000,
+    ) -> HttpResponse | None:
+        """Send a request to a node as a caller beside it does."""
+        pool = ClientPool(node.entry, self.nursery)
+        headers = [
+            (b"request-id", request_id.encode()),
+            (b"deadline-ms", str(deadline_ms).encode()),
+            (b"caller-service", b"forged"),
+        ]
+        # The client library writes the address as the host, which routes here name.
+        response = await fetch(pool, HttpRequest("GET", path, headers, b""), timeout_s)
+        pool.close()
+        return response
+
+    async def status(self, node: FleetNode, path: str) -> int:
+        """Send a request and return the status, 0 for none."""
+        response = await self.send(node, path)
+        return response.status if response is not None else 0
+
+    async def is_ready(self, node: FleetNode) -> bool:
+        """Ask a node as the platform does."""
+        pool = ClientPool(node.ready, self.nursery)
+        response = await fetch(pool, HttpRequest("GET", "/-/readyz", [], b""), 1.0)
+        pool.close()
+        return response is not None and response.status == 200
+
+    async def until_known(self) -> None:
+        """Wait until the store holds the service beside each node."""
+        with trio.fail_after(_START_LIMIT_S):
+            while len(self._known_services()) < len(self.nodes):
+                await trio.sleep(0.05)
+        # One more watch answer and every node knows it too.
+        await trio.sleep(0.1)
+
+    def _known_services(self) -> list[str]:
+        values = [base64.b64decode(item["value"]) for item in self.store.items.values()]
+        keys = list(self.store.items)
+        members = [
+            decode_member(value)
+            for key, value in zip(keys, values, strict=True)
+            if key.startswith(NODES_PREFIX)
+        ]
+        return [member.service for member in members if member.service]
+
+    async def until_served(self, node: FleetNode, path: str) -> None:
+        """Wait until a request is served."""
+        with trio.fail_after(_START_LIMIT_S):
+            while await self.status(node, path) != 200:
+                await trio.sleep(0.05)
+
+
+def make_route_fields(service: str, prefix: str, **changes: object) -> dict[str, object]:
+    """Return one route as the operator writes it."""
+    fields: dict[str, object] = {
+        "host": _HOST,
+        "prefix": prefix,
+        "service": service,
+        "kind": "idempotent",
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 500,
+        "priority": 2,
+        "maxAttempts": 2,
+    }
+    return {**fields, **changes}
+
+
+@asynccontextmanager
+async def running_platform_fleet(directory: Path) -> AsyncIterator[PlatformFleet]:
+    """Run a store; end all processes at the end."""
+    async with trio.open_nursery() as nursery:
+        store = StoreStandin(nursery)
+        nursery.start_soon(store.serve)
+        fleet = PlatformFleet(nursery, directory, store)
+        try:
+            yield fleet
+        except Exception:
+            print(fleet.log.read_text(encoding="utf-8"))
+            raise
+        finally:
+            for node in fleet.nodes:
+                node.kill()
+                node.server.listener.close()
+            store.listener.close()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,225 @@
+"""Small stand-ins for the users' platform: its store, and servers that announce themselves.
+
+They speak the platform's published protocol over real sockets, and can be told to fail.
+"""
+
+import base64
+import json
+import urllib.parse
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import attrs
+import trio
+
+from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, header_value
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.members import Address
+from gooseberrydock.stream import Listener, Stream, listen
+
+_ANY = Address("127.0.0.1", 0)
+
+
+@attrs.define(eq=False)
+class StoreStandin:
+    """Keep keys, revisions and leases; ``mode`` may be ok, down (503) or silent."""
+
+    nursery: trio.Nursery
+    listener: Listener = attrs.field(factory=lambda: listen(_ANY))
+    items: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    history: list[dict[str, Any]] = attrs.field(factory=list)
+    revision: int = 10
+    compacted: int = 0
+    leases: set[int] = attrs.field(factory=set)
+    mode: str = "ok"
+    calls: int = 0
+    writes: int = 0
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+
+    async def serve(self) -> None:
+        """Accept connections."""
+        await self.listener.serve(partial(serve_http, on_request=self._on_request))
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write a key as the operator does."""
+        self.revision += 1
+        made = self.items.get(key, {}).get("createdRev", self.revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "createdRev": made,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        self.leases.discard(lease)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.revision += 1
+            del self.items[key]
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.compacted = self.revision
+        self.history.clear()
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
+        self.calls += 1
+        if self.mode == "silent":
+            return
+        if self.mode == "down":
+            connection.respond(HttpResponse(503, [], b""))
+            return
+        path, _, query_text = request.path.partition("?")
+        query = dict(urllib.parse.parse_qsl(query_text))
+        if path == "/-/kv-watch":
+            self.nursery.start_soon(self._watch, connection, query)
+            return
+        status, fields = self._answer(request, path, query)
+        connection.respond(HttpResponse(status, [], json.dumps(fields).encode()))
+
+    def _answer(
+        self, request: HttpRequest, path: str, query: dict[str, str]
+    ) -> tuple[int, dict[str, Any]]:
+        fields = json.loads(request.body or b"{}")
+        if path == "/-/kv-key":
+            item = self.items.get(query["key"])
+            return (200, {**item, "storeRevision": self.revision}) if item else (404, {})
+        if path == "/-/kv-range":
+            items = [item for key, item in sorted(self.items.items()) if self._in(key, query)]
+            page = {"items": items, "truncated": False, "storeRevision": self.revision}
+            return 200, page
+        if path == "/-/kv-txn":
+            return self._transact(fields)
+        if path == "/-/kv-lease":
+            lease = 1_000 + len(self.leases) + self.revision
+            self.revision += 1
+            self.leases.add(lease)
+            return 200, {"lease": lease, "ttlMs": fields["ttlMs"]}
+        lease = int(path.rpartition("/")[2])
+        if path.startswith("/-/kv-keep/"):
+            return (200, {"ttlMs": 9_000}) if lease in self.leases else (404, {})
+        self.end_lease(lease)
+        return 200, {}
+
+    def _transact(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in fields["expected"]:
+            if self.items.get(row["key"], {}).get("revision", 0) != row["revision"]:
+                return 412, {"items": []}
+        for put in fields["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return 404, {}
+            self.writes += 1
+            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        return 200, {"revision": self.revision}
+
+    def _in(self, key: str, query: dict[str, str]) -> bool:
+        return key.startswith(query["prefix"]) and key > query.get("after", "")
+
+    async def _watch(self, connection: HttpConnection, query: dict[str, str]) -> None:
+        after = int(query["after"])
+        if after < self.compacted:
+            connection.respond(HttpResponse(410, [], b"{}"))
+            return
+        events: list[dict[str, Any]] = []
+        with trio.move_on_after(int(query["waitMs"]) / 1_000):
+            while not events:
+                changed = self._changed
+                events = [
+                    event
+                    for event in self.history
+                    if event["revision"] > after and event["key"].startswith(query["prefix"])
+                ]
+                if not events:
+                    await changed.wait()
+        body = json.dumps({"events": events, "storeRevision": self.revision}).encode()
+        connection.respond(HttpResponse(200, [], body))
+
+
+Behaviour = Callable[[HttpRequest], HttpResponse | None]
+
+
+@attrs.define(eq=False)
+class ServerStandin:
+    """Serve one service and announce it; ``behaviour`` may answer in its place."""
+
+    nursery: trio.Nursery
+    service: str
+    instance_id: str
+    control: Address
+    listener: Listener = attrs.field(factory=lambda: listen(_ANY))
+    work_s: float = 0.0
+    state: str = "ready"
+    slots: int = 20
+    sequence: int = 0
+    born: int = 1_000
+    runs: list[HttpRequest] = attrs.field(factory=list)
+    aborted: int = 0
+    behaviour: Behaviour | None = None
+
+    async def serve(self) -> None:
+        """Accept connections."""
+        await self.listener.serve(self._serve)
+
+    async def _serve(self, stream: Stream) -> None:
+        await serve_http(stream, self._on_request, on_gone=self._on_gone)
+
+    def _on_gone(self, connection: HttpConnection) -> None:
+        self.aborted += 1
+
+    def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
+        expected = header_value(request.headers, b"expected-instance")
+        if expected and expected != self.instance_id:
+            connection.respond(HttpResponse(421, [(b"instance-id", b"other")], b""))
+            return
+        self.runs.append(request)
+        self.nursery.start_soon(self._run, connection, request)
+
+    async def _run(self, connection: HttpConnection, request: HttpRequest) -> None:
+        await trio.sleep(self.work_s)
+        response = self.behaviour(request) if self.behaviour else None
+        connection.respond(response or self.own_answer(request))
+
+    def own_answer(self, request: HttpRequest) -> HttpResponse:
+        """Return a whole answer with the seal."""
+        request_id = header_value(request.headers, b"request-id").encode()
+        headers = [(b"request-id", request_id), (b"server-seal", self.instance_id.encode())]
+        return HttpResponse(200, headers, f"{self.service} {request.path}".encode())
+
+    async def announce(self) -> int:
+        """Send one heartbeat; return the status of the answer."""
+        self.sequence += 1
+        fields = {
+            "service": self.service,
+            "address": str(self.listener.address),
+            "zone": "z1",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        return await self._tell("PUT", json.dumps(fields).encode())
+
+    async def leave(self) -> int:
+        """Say farewell; return the status of the answer."""
+        return await self._tell("DELETE", b"")
+
+    async def _tell(self, method: str, body: bytes) -> int:
+        pool = ClientPool(self.control, self.nursery)
+        request = HttpRequest(method, f"/-/instances/{self.instance_id}", [], body)
+        response = await fetch(pool, request, 1.0)
+        pool.close()
+        return response.status if response is not None else 0
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,179 @@
+"""The whole path on the platform's stand-ins, with real node processes."""
+
+import signal
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import trio
+
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, header_value
+from tests.platform_fleet import FleetNode, PlatformFleet, make_route_fields, running_platform_fleet
+
+_ROUTES = {
+    "look": make_route_fields("shop", "/look/"),
+    "book": make_route_fields("shop", "/book/", kind="non_idempotent", priority=0),
+}
+_CONFIG_LIMIT_S = 2.0
+_DRAIN_LIMIT_S = 2.0
+
+
+class PlatformPathCases(unittest.TestCase):
+    """Two hosts of one service, one of another."""
+
+    def _run(self, scenario: Callable[[PlatformFleet], Awaitable[None]]) -> None:
+        async def main() -> None:
+            with tempfile.TemporaryDirectory() as name:
+                async with running_platform_fleet(Path(name)) as fleet:
+                    await fleet.add("shop")
+                    await fleet.add("shop", "z2")
+                    await fleet.add("web")
+                    fleet.configure(_ROUTES, ["shop", "web"])
+                    await fleet.until_known()
+                    for node in fleet.nodes:
+                        await fleet.until_served(node, "/look/1")
+                    await scenario(fleet)
+
+        trio.run(main)
+
+    def test_request_reaches_the_server_unchanged(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            web = fleet.nodes[2]
+            response = await fleet.send(web, "/look/a/b?c=%2Fd", "id-7")
+            assert response is not None
+            self.assertEqual((200, b"shop /look/a/b?c=%2Fd"), (response.status, response.body))
+            self.assertTrue(header_value(response.headers, b"server-seal"))
+            runs = [run for node in fleet.nodes for run in node.server.runs]
+            run = next(item for item in runs if item.path.startswith("/look/a"))
+            self.assertEqual("web", header_value(run.headers, b"caller-service"))
+            self.assertEqual("id-7", header_value(run.headers, b"request-id"))
+            left_ms = int(header_value(run.headers, b"deadline-ms"))
+            self.assertTrue(2_500 < left_ms <= 3_000)
+            self.assertEqual(404, await fleet.status(web, "/nothing/"))
+
+        self._run(scenario)
+
+    def test_configuration_is_in_force_in_time_also_without_the_store(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.configure({**_ROUTES, "new": make_route_fields("web", "/new/")}, ["shop", "web"])
+            with trio.fail_after(_CONFIG_LIMIT_S):
+                for node in fleet.nodes:
+                    while await fleet.status(node, "/new/1") != 200:
+                        await trio.sleep(0.02)
+            fleet.store.mode = "down"
+            await trio.sleep(1.0)
+            for node in fleet.nodes:
+                self.assertEqual(200, await fleet.status(node, "/new/1"))
+
+        self._run(scenario)
+
+    def test_leaving_server_gets_nothing_after_the_drain_time(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            leaving = fleet.nodes[0]
+            leaving.is_beating = False
+            leaving.server.state = "draining"
+            self.assertEqual(200, await leaving.server.announce())
+            await trio.sleep(_DRAIN_LIMIT_S)
+            before = len(leaving.server.runs)
+            statuses = [await fleet.status(node, "/look/2") for node in fleet.nodes * 4]
+            self.assertEqual([200] * 12, statuses)
+            self.assertEqual(before, len(leaving.server.runs))
+
+        self._run(scenario)
+
+    def test_killed_node_is_passed_by_and_comes_back(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            killed, other, web = fleet.nodes
+            killed.kill()
+            for number in range(6):
+                self.assertEqual(200, await fleet.status(web, f"/look/{number}"))
+            killed.start(fleet.log)
+            await fleet.until_served(killed, "/look/9")
+            other.kill()
+            await fleet.until_served(web, "/look/10")
+
+        self._run(scenario)
+
+    def test_stop_finishes_what_is_under_way(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            stopping, other, web = fleet.nodes
+            for node in (stopping, other):
+                node.server.work_s = 1.0
+            statuses: list[int] = []
+
+            async def send(node: FleetNode) -> None:
+                statuses.append(await fleet.status(node, "/book/1"))
+
+            async with trio.open_nursery() as nursery:
+                for node in (stopping, stopping, web, web):
+                    nursery.start_soon(send, node)
+                await trio.sleep(0.4)
+                assert stopping.process is not None
+                stopping.process.send_signal(signal.SIGTERM)
+                await trio.sleep(0.1)
+                self.assertFalse(await fleet.is_ready(stopping))
+            self.assertEqual([200] * 4, statuses)
+            with trio.fail_after(5):
+                while stopping.process.poll() is None:
+                    await trio.sleep(0.05)
+            self.assertEqual(0, stopping.process.returncode)
+
+        self._run(scenario)
+
+    def test_other_answers_on_a_connection_belong_to_no_request(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            def with_foreign_id(request: HttpRequest) -> HttpResponse:
+                return HttpResponse(200, [(b"request-id", b"x"), (b"server-seal", b"s")], b"no")
+
+            for node in fleet.nodes[:2]:
+                node.server.behaviour = with_foreign_id
+            response = await fleet.send(fleet.nodes[2], "/look/1", deadline_ms=500)
+            self.assertEqual(504, response.status if response else 0)
+
+        self._run(scenario)
+
+    def test_lapsed_entries_are_back_after_the_store(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            store = fleet.store
+            store.mode = "down"
+            await trio.sleep(1.0)
+            for lease in list(store.leases):
+                store.end_lease(lease)
+            store.compact()
+            web = fleet.nodes[2]
+            self.assertEqual(200, await fleet.status(web, "/look/1"))
+            store.mode = "ok"
+            with trio.fail_after(2.0):
+                while sum(key.startswith("gooseberrydock/nodes/") for key in store.items) < 3:
+                    await trio.sleep(0.02)
+            self.assertEqual(200, await fleet.status(web, "/look/2"))
+
+        self._run(scenario)
+
+    def test_bad_announcements_change_nothing(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            server = fleet.nodes[0].server
+            for service, slots, state in (
+                ("", 5, "ready"),
+                ("shop", -1, "ready"),
+                ("shop", 5, "x"),
+            ):
+                server.service, server.slots, server.state = service, slots, state
+                self.assertEqual(400, await server.announce())
+            server.service, server.slots, server.state = "shop", 20, "ready"
+            self.assertEqual(200, await fleet.status(fleet.nodes[2], "/look/1"))
+
+        self._run(scenario)
+
+    def test_caller_gone_ends_the_run(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            for node in fleet.nodes[:2]:
+                node.server.work_s = 2.0
+            response = await fleet.send(fleet.nodes[2], "/look/1", timeout_s=0.3)
+            self.assertIsNone(response)
+            with trio.fail_after(0.5):
+                while not any(node.server.aborted for node in fleet.nodes):
+                    await trio.sleep(0.02)
+
+        self._run(scenario)
