Learn which runs make which calls, and report room for the whole path below

Change: a target's node explains the calls that begin beside it by its active runs (ridge regression) and lowers a route's admitted share by what its calls below report.

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -32,6 +32,7 @@
     HttpRequest,
     HttpResponse,
 )
+from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
 from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Route, RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
@@ -111,6 +112,7 @@
     _budget: RetryBudget
     _shares: AdmittedShares
     _nested: NestedRoutes
+    _graph: CallGraph
     _names: HeaderNames
     _own_service: str
     _table: RouteTable = EMPTY_TABLE
@@ -175,6 +177,8 @@
         if not exchange.is_nested and not self._shares.admits(now_ms, route.name, route.priority):
             self._refuse(now_ms, exchange, SHED_AT_ENTRY)
             return None
+        if exchange.is_nested:
+            self._graph.on_call(now_ms, route.name)
         exchange.headers = self._forwarded_headers(request.headers)
         self._exchanges[exchange.exchange_id] = exchange
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -247,6 +247,7 @@
         """Hand a run to the target."""
         now_ms = self._clock.now_ms()
         ticket = run.ticket
+        self._parts.graph.on_start(now_ms, ticket.call.route)
         registration = self._parts.registration
         if not registration.accepts(now_ms, ticket.call.service):
             self.finish_run(run, _not_run(self._parts.door, ticket.call, NODE_LEAVING, False))
@@ -288,6 +289,8 @@
 
     def _forget(self, run: Run) -> None:
         ticket = run.ticket
+        if ticket.has_started:
+            self._parts.graph.on_end(self._clock.now_ms(), ticket.call.route)
         self._runs.pop(ticket.run_id, None)
         self._run_of_call.pop((ticket.link_id, ticket.call.call_id), None)
 
@@ -511,6 +514,15 @@
                 run.pending.abort()
             run.on_failure(TARGET_TIMEOUT, was_sent=run.ticket.has_started)
 
+    def pass_on_shares(self, now_ms: Millis) -> None:
+        """Let the reports of each route cover the calls that its runs make."""
+        shares = self._parts.shares
+        for route, needs in self._parts.graph.needs.items():
+            least = 1.0
+            for called, need in needs.items():
+                least = min(least, 1.0 - need * (1.0 - shares.share_of(now_ms, called)))
+            self._parts.door.set_route_share(route, least)
+
     def tick_slowly(self, now_ms: Millis) -> None:
         """Run the timers of connections and records."""
         for connection in list(self._fronts):
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gooseberrydock.mesh.call_graph import CallGraph, create_call_graph
 from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.door import Door, create_door
 from gooseberrydock.mesh.entry import Entry, EntryEffects
@@ -42,6 +43,7 @@
     budget: RetryBudget
     shares: AdmittedShares
     nested: NestedRoutes
+    graph: CallGraph
     entry: Entry = attrs.field(init=False)
 
     def join(self, options: MeshOptions, effects: EntryEffects, seed: int) -> None:
@@ -53,6 +55,7 @@
             budget=self.budget,
             shares=self.shares,
             nested=self.nested,
+            graph=self.graph,
             names=options.headers,
             own_service=options.service,
         )
@@ -72,4 +75,5 @@
         budget=create_retry_budget(options.retry_budget),
         shares=create_admitted_shares(seed),
         nested=nested,
+        graph=create_call_graph(),
     )
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -1,6 +1,7 @@
 """The life of a node on the routed call path: start, timers, and the end that loses nothing."""
 
 import gc
+import itertools
 import random
 import signal
 from typing import Final, Protocol
@@ -22,6 +23,8 @@
 
 _TICK_MS: Final[Millis] = 25.0
 """How late a deadline may be noticed."""
+_SHARES_EVERY: Final = 4
+"""Every how many ticks the shares of services below are passed on in reports."""
 _SLOW_TICK_MS: Final[Millis] = 500.0
 _GC_PAUSE_MS: Final[Millis] = 1_000.0
 _GC_FULL_EVERY: Final = 30
@@ -161,9 +164,13 @@
             node.set_options(options)
 
     async def _tick(self, node: MeshNode) -> None:
+        counts = itertools.count()
         while True:
             await trio.sleep(_TICK_MS / MS_PER_SECOND)
-            node.tick(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            node.tick(now_ms)
+            if next(counts) % _SHARES_EVERY == 0:
+                node.pass_on_shares(now_ms)
 
     async def _tick_slowly(self, node: MeshNode) -> None:
         while True:
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -5,6 +5,7 @@
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address, Member, MemberState
+from gooseberrydock.mesh.call_graph import create_call_graph
 from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.entry import Caller, Entry, Exchange
 from gooseberrydock.mesh.model import (
@@ -151,6 +152,7 @@
         budget=create_retry_budget(budget or RetryBudgetOptions()),
         shares=create_admitted_shares(1),
         nested=NestedRoutes(),
+        graph=create_call_graph(),
         names=NAMES,
         own_service="web",
     )
