Find nodes, and hosts without a target, from links instead of failed calls

Cause: a host that lost power took a batch of calls each time its hold ended, each for the second that its connection took to fail; a node whose store is away learned of nobody; a crashed server cost every call a detour; a node whose clock went back at a restart was not believed. Change: hosts without a link are left out until a link is open; links are reopened, spoken on twice a second and closed when silent; records pass on new links; a target without connections that refuses one is withdrawn until it announces itself; a record of a later incarnation is outranked.

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -20,9 +20,11 @@
     NO_CONFIGURATION,
     NO_ROUTE,
     NO_TARGET,
+    NODE_LEAVING,
     NOT_DISPATCHED,
     PEER_LOST,
     SHED_AT_ENTRY,
+    TARGET_UNREACHABLE,
     ErrorCode,
     error_code,
 )
@@ -51,6 +53,11 @@
 _MAX_REFUSALS: Final = 4
 """How many hosts may refuse a request unseen by their target before it is given up."""
 
+_TURNED_AWAY: Final = frozenset(
+    code.number for code in (NO_TARGET, NODE_LEAVING, TARGET_UNREACHABLE)
+)
+"""Refusals that say that a node has no target for its calls now."""
+
 Caller = object
 """Whoever waits for an answer; only the shell looks into it."""
 
@@ -195,7 +202,10 @@
         has_failed = answer.result is RunResult.UNKNOWN or (
             answer.result is RunResult.ANSWERED and answer.status >= _SERVER_ERROR
         )
-        self._placement.on_answer(node_id, route.name, answer.report, has_failed)
+        if answer.code in _TURNED_AWAY:
+            self._placement.on_turned_away(now_ms, node_id)
+        else:
+            self._placement.on_answer(node_id, route.name, answer.report, has_failed)
         report = answer.report
         self._shares.on_report(now_ms, route.name, node_id, report.admitted_share, report.limit)
         self._nested.on_told(route.name, report.is_nested)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -4,6 +4,7 @@
 what they decide.
 """
 
+import random
 from functools import singledispatch
 from typing import Final
 
@@ -57,6 +58,12 @@
 _RUN_SLACK_MS: Final[Millis] = 150.0
 """How long a run may outlast its time before it is broken off: the target ends it first."""
 _RETRY_AFTER: Final = b"retry-after"
+_INTRODUCED: Final = 128
+"""How many records a node tells on a new link; a newcomer has many links."""
+_REOPENED: Final = 16
+"""How many missing links are opened in one round."""
+_UNHEARD_ROUNDS: Final = 4
+"""After how many rounds without a word a link is closed; a pause of this node is one round."""
 _LOCAL_LINK: Final = ""
 """The link id of calls that begin on this node."""
 _EMPTY_BODY: Final = b""
@@ -94,6 +101,7 @@
             on_lost=self._on_link_lost,
             find_address=self._find_peer_address,
             key=b"",
+            on_opened=self._on_link_opened,
         )
         self._pool = TargetPool(self._options.target_address, self._nursery, self._clock)
         self._parts.directory.set_own(self._record)
@@ -273,8 +281,13 @@
         self._answer_call(run.ticket.link_id, call, attrs.evolve(answer, report=report))
         self._start_waiting()
 
+    def on_target_unreachable(self) -> None:
+        """Take in that the target took no connection; one that has others may just be full."""
+        if self._pool.open_connections == 0:
+            self.on_other_instance()
+
     def on_other_instance(self) -> None:
-        """Take in that another instance answers at the target's address."""
+        """Take in that the announced instance is not at the target's address."""
         registration = self._parts.registration
         if registration.on_mismatch(registration.instance_id):
             self._pool.close_idle()
@@ -388,12 +401,20 @@
         """Withdraw a call for the local target."""
         self._on_cancel(link.link_id, cancel)
 
+    def _on_link_opened(self, link: PeerLink) -> None:
+        """Exchange what both know, so that a node finds all others without the store."""
+        self._parts.entry.placement.on_reached(link.node_id)
+        others = self._parts.directory.others
+        if len(others) > _INTRODUCED:
+            others = random.sample(others, _INTRODUCED)
+        records = [encode_member(member) for member in (self._record, *others)]
+        link.send(MemberSync(tuple(records), ()))
+        link.send(ConfigurationRequest(self._table.version))
+
     def on_member_sync(self, message: MemberSync, link: PeerLink) -> None:
-        """Take in records that a node sends of itself."""
+        """Take in records; those of third nodes soon end unless these speak for themselves."""
         for data in message.members:
-            member = decode_member(data, link.node_id)
-            if member.node_id == link.node_id:
-                self._take_heard(member)
+            self._take_heard(decode_member(data, link.node_id))
 
     def on_configuration_request(self, request: ConfigurationRequest, link: PeerLink) -> None:
         """Send a node the route table if this one's is newer."""
@@ -405,7 +426,16 @@
         if push.generation > self._table.version:
             self._take_table(push.payload, "peer")
 
+    def _outrank(self, member: Member) -> None:
+        """Outrank a record of an earlier start of this node, left by a clock that ran ahead."""
+        if member.incarnation > self._record.incarnation:
+            self._record = attrs.evolve(self._record, incarnation=member.incarnation + 1)
+            self._publish()
+
     def _take_heard(self, member: Member) -> None:
+        if member.node_id == self._options.node_id:
+            self._outrank(member)
+            return
         before = self._parts.directory.find(member.node_id)
         if self._parts.directory.on_heard(self._clock.now_ms(), member):
             self._note_member(member, before)
@@ -426,7 +456,6 @@
     def _greet(self, member: Member) -> None:
         """Open the link to a node before the first call needs it."""
         if member.state is not MemberState.DEAD:
-            self._links.send(member.node_id, MemberSync((encode_member(self._record),), ()))
             self._links.send(member.node_id, ConfigurationRequest(self._table.version))
 
     def _find_peer_address(self, node_id: str) -> Address | None:
@@ -478,6 +507,9 @@
         except GooseberrydockError as error:
             log(RECORD_REFUSED, key=item.key, revision=item.revision, detail=error.detail)
             return None
+        if node_id == self._options.node_id:
+            self._outrank(member)
+            return None
         return member if member.node_id == node_id else None
 
     def on_store_state(self, is_available: bool) -> None:
@@ -528,8 +560,7 @@
         for connection in list(self._fronts):
             connection.sweep(now_ms, self._table.limits)
         self._pool.sweep()
-        for link in self._links.open_links:
-            link.send(ConfigurationRequest(self._table.version))
+        self._check_links(now_ms)
         for member in self._parts.directory.tick(now_ms, self._is_store_away):
             self._parts.entry.placement.forget(member.node_id)
             log(MEMBER_CHANGED, member=member.node_id, state="forgotten", service=member.service)
@@ -537,6 +568,21 @@
         if record.is_cold and not self._parts.registration.is_cold(now_ms):
             self._publish()
 
+    def _check_links(self, now_ms: Millis) -> None:
+        """Speak on every link, close those on which nobody does, and open those that lack."""
+        for link in self._links.open_links:
+            link.send(ConfigurationRequest(self._table.version))
+        self._links.close_unheard(_UNHEARD_ROUNDS)
+        missing = [
+            member
+            for member in self._parts.directory.others
+            if not self._links.has_link(member.node_id)
+        ]
+        if len(missing) > _REOPENED:
+            missing = random.sample(missing, _REOPENED)
+        for member in missing:
+            self._greet(member)
+
     def set_options(self, options: MeshOptions) -> None:
         """Put changed settings in force."""
         self._options = options
--- a/gooseberrydock/mesh/placement.py
+++ b/gooseberrydock/mesh/placement.py
@@ -31,9 +31,15 @@
 _COLD_FACTOR: Final = 2.0
 """How much slower a host is taken to be while it is cold, until reports say otherwise."""
 _HOLD_MS: Final[Millis] = 300.0
-"""How long a host is left out after a call did not reach its target."""
+"""How long a host is left out after its node could not hand on a call."""
 _MAX_HOLD_MS: Final[Millis] = 3_000.0
 """The longest such time; it doubles with each failure in a row."""
+_UNREACHED_HOLD_MS: Final[Millis] = 8_000.0
+"""How long a host is left out whose link was lost, unless a new link is open before."""
+_NEW_HOST_FACTOR: Final = 0.5
+"""How much faster than others a host is taken to be that nothing is known of, so that it gets
+work and shows how fast it is."""
+_MAX_DOUBLINGS: Final = 4
 _SAMPLE_OWN: Final = 3
 _SAMPLE_OTHER: Final = 2
 """How many hosts inside and outside the failure domain are compared in a large service."""
@@ -49,7 +55,7 @@
     limit: int = 0
     failure_share: float = 0.0
     held_until: Millis = 0.0
-    unreached_in_row: int = 0
+    refused_in_row: int = 0
     service_ms: dict[str, Millis] = attrs.field(factory=dict)
 
     @property
@@ -101,8 +107,7 @@
         known_ms = evidence.service_ms.get(route.name)
         if known_ms is None:
             known_ms = self._route_ms.get(route.name, 0.0)
-            if host.is_cold:
-                known_ms *= _COLD_FACTOR
+            known_ms *= _COLD_FACTOR if host.is_cold else _NEW_HOST_FACTOR
         cost = known_ms
         fill = evidence.fill
         if fill > _FILL_START:
@@ -125,7 +130,7 @@
         evidence.sent_since_report = 0
         evidence.reported_calls = report.in_flight
         evidence.limit = report.limit
-        evidence.unreached_in_row = 0
+        evidence.refused_in_row = 0
         evidence.failure_share += (has_failed - evidence.failure_share) * _FAILURE_WEIGHT
         if report.service_ms > 0:
             evidence.service_ms[route] = report.service_ms
@@ -133,13 +138,21 @@
             mean_ms += (report.service_ms - mean_ms) * _SERVICE_TIME_WEIGHT
             self._route_ms[route] = mean_ms
 
-    def on_unreached(self, now_ms: Millis, node_id: str) -> None:
-        """Leave a host out for a while after a call did not reach its target."""
+    def on_turned_away(self, now_ms: Millis, node_id: str) -> None:
+        """Leave a host out for a while whose node has no target for the call."""
         evidence = self._of(node_id)
         evidence.own_calls = max(0, evidence.own_calls - 1)
-        hold_ms = min(_MAX_HOLD_MS, _HOLD_MS * 2.0**evidence.unreached_in_row)
+        hold_ms = min(_MAX_HOLD_MS, _HOLD_MS * 2.0**evidence.refused_in_row)
         evidence.held_until = max(evidence.held_until, now_ms + hold_ms)
-        evidence.unreached_in_row += 1
+        evidence.refused_in_row = min(evidence.refused_in_row + 1, _MAX_DOUBLINGS)
+
+    def on_unreached(self, now_ms: Millis, node_id: str) -> None:
+        """Leave a host out whose link was lost, until a new one is open."""
+        self._of(node_id).held_until = now_ms + _UNREACHED_HOLD_MS
+
+    def on_reached(self, node_id: str) -> None:
+        """Use a host again, now that a link to it is open."""
+        self._of(node_id).held_until = 0.0
 
     def on_dropped(self, node_id: str) -> None:
         """Forget a call whose answer will not come."""
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -30,7 +30,7 @@
 _GC_FULL_EVERY: Final = 30
 _STOP_LINGER_MS: Final[Millis] = 2_600.0
 """How long a stopping node takes new connections: callers ask about it once a second, twice."""
-_STOP_MARGIN_MS: Final[Millis] = 150.0
+_STOP_MARGIN_MS: Final[Millis] = 500.0
 """Time kept back of the grace for the last lines and calls."""
 _RELOAD_CHECK_MS: Final[Millis] = 1_000.0
 """How often changed settings are looked for, since they may change without a signal."""
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -128,7 +128,7 @@
         return True
 
     def on_mismatch(self, instance_id: str) -> bool:
-        """Note that another target answered at the address; wait for its announcement."""
+        """Note that the instance is not at the address; wait for the next announcement."""
         if instance_id != self.instance_id or self._is_mismatched:
             return False
         self._mismatched = instance_id
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -68,6 +68,7 @@
     _heard_at: Millis = 0.0
     _asked_at: Millis = 0.0
     _token: int = 0
+    _unheard_rounds: int = 0
 
     @property
     def link_id(self) -> str:
@@ -129,6 +130,11 @@
             return False
         return now_ms - self._asked_at >= _SILENT_AFTER_MS - _CHECK_AFTER_MS
 
+    def count_unheard(self) -> int:
+        """Count one more round without a word from the peer, and return how many there were."""
+        self._unheard_rounds += 1
+        return self._unheard_rounds
+
     async def run_client(self, address: Address) -> None:
         """Connect, introduce this node, and read until the link ends."""
         protocol = ClientProtocol(
@@ -169,6 +175,7 @@
         if not data:
             return False
         self._heard_at = self._links.clock.now_ms()
+        self._unheard_rounds = 0
         self._links.bytes_received += len(data)
         try:
             protocol.receive_data(data)
@@ -307,6 +314,7 @@
     _on_lost: LinkLossHandler
     _find_address: Callable[[str], Address | None]
     _key: bytes
+    _on_opened: Callable[[PeerLink], None] | None = None
     _by_node: dict[str, PeerLink] = attrs.field(factory=dict)
     _by_id: dict[str, PeerLink] = attrs.field(factory=dict)
     _serials: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
@@ -348,6 +356,19 @@
     def on_ready(self, link: PeerLink) -> None:
         """Use an accepted link for this node's own calls too, if it has no other."""
         self._by_node.setdefault(link.node_id, link)
+        if self._on_opened is not None:
+            self._on_opened(link)
+
+    def has_link(self, node_id: str) -> bool:
+        """Say whether there is a link to a node, open or on its way."""
+        return node_id in self._by_node
+
+    def close_unheard(self, most_rounds: int) -> None:
+        """Close links without a word for more rounds than that, where both sides speak in each."""
+        for link in self.open_links:
+            if link.count_unheard() > most_rounds:
+                log(LINK_SILENT, peer=link.node_id, calls_due=link.calls_due)
+                self._lose(link, PEER_SILENT)
 
     def tick(self, now_ms: Millis) -> None:
         """Close links that went silent."""
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -125,11 +125,28 @@
     def test_unreached_host_is_left_out_for_a_while(self) -> None:
         placement = create_placement("d1", 1)
         hosts = [make_member("a"), make_member("b", domain="d2")]
-        placement.on_unreached(0.0, "a")
+        placement.on_turned_away(0.0, "a")
         first = placement.choose(100.0, _ROUTE, hosts, set())
         later = placement.choose(400.0, _ROUTE, hosts, set())
         self.assertEqual(("b", "a"), (first and first.node_id, later and later.node_id))
 
+    def test_host_without_a_link_is_left_out_until_there_is_one(self) -> None:
+        placement = create_placement("d1", 1)
+        hosts = [make_member("a"), make_member("b", domain="d2")]
+        placement.on_unreached(0.0, "a")
+        first = placement.choose(5_000.0, _ROUTE, hosts, set())
+        placement.on_reached("a")
+        later = placement.choose(5_001.0, _ROUTE, hosts, set())
+        self.assertEqual(("b", "a"), (first and first.node_id, later and later.node_id))
+
+    def test_new_host_gets_work_at_once(self) -> None:
+        placement = create_placement("d1", 1)
+        placement.on_sent("old")
+        placement.on_answer("old", _ROUTE.name, _report(), False)
+        hosts = [make_member("old"), make_member("new")]
+        chosen = placement.choose(0.0, _ROUTE, hosts, set())
+        self.assertEqual("new", chosen.node_id if chosen else "")
+
     def test_all_left_out_still_gives_a_host(self) -> None:
         placement = create_placement("d1", 1)
         placement.on_unreached(0.0, "a")
--- /dev/null
+++ b/tests/test_mesh_node.py
@@ -0,0 +1,107 @@
+"""The node around the decision core, without sockets: records, hand-on, ends of calls."""
+
+import unittest
+from typing import cast
+
+import attrs
+import trio
+
+from gooseberrydock.clock import ManualTime, manual_clock
+from gooseberrydock.errorcodes import TARGET_UNREACHABLE
+from gooseberrydock.members import Address, Member, encode_member
+from gooseberrydock.mesh.decision_log import DecisionLog
+from gooseberrydock.mesh.model import EMPTY_TABLE, create_route_table
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
+from gooseberrydock.mesh.parts import StoreKeys, create_parts
+from gooseberrydock.mesh.runs import Run
+from gooseberrydock.mesh.store import StoreItem
+from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
+from gooseberrydock.messages import RoutedCall
+from tests.mesh_helpers import make_member
+
+_TARGET = Address("10.0.0.1", 80)
+_OPTIONS = MeshOptions(
+    node_id="me",
+    failure_domain="d1",
+    service="shop",
+    target_address=_TARGET,
+    entry_listen=_TARGET,
+    peer_listen=_TARGET,
+    control_listen=_TARGET,
+    ready_listen=_TARGET,
+    metrics_listen=None,
+    store=_TARGET,
+    headers=HeaderNames(),
+    retry_budget=RetryBudgetOptions(),
+    drain_ms=2_000.0,
+    stop_grace_ms=6_000.0,
+    lease_min_ms=1_000.0,
+)
+
+
+class _FakeNursery:
+    """Take tasks and run none of them."""
+
+    def start_soon(self, *task: object) -> None:
+        """Take a task."""
+
+
+def _make_node(incarnation: int = 100) -> MeshNode:
+    parts = create_parts(
+        _OPTIONS,
+        StoreKeys("table", "nodes/"),
+        lambda payload: create_route_table(int(payload), (), ()),
+        seed=1,
+    )
+    node = MeshNode(
+        options=_OPTIONS,
+        clock=manual_clock(ManualTime()),
+        nursery=cast(trio.Nursery, _FakeNursery()),
+        parts=parts,
+        record=attrs.evolve(make_member("me", ""), incarnation=incarnation),
+        log=DecisionLog(_OPTIONS.headers),
+    )
+    parts.join(_OPTIONS, node, 1)
+    return node
+
+
+def _own(node: MeshNode) -> Member:
+    member = node.parts.directory.find("me")
+    assert member is not None
+    return member
+
+
+class NodeCases(unittest.TestCase):
+    """What a node makes of the store and of its target."""
+
+    def test_table_never_goes_back(self) -> None:
+        node = _make_node()
+        for payload in (b"7", b"5", b"7"):
+            node.on_store_items((StoreItem("table", payload, 1),), is_complete=False)
+        self.assertEqual(7, node.table.version)
+        self.assertIsNot(EMPTY_TABLE, node.table)
+
+    def test_record_of_an_earlier_start_with_a_clock_ahead_is_outranked(self) -> None:
+        node = _make_node(incarnation=100)
+        earlier = attrs.evolve(make_member("me", "shop"), incarnation=5_000, version=9)
+        node.on_store_items((StoreItem("nodes/me", encode_member(earlier), 3),), is_complete=True)
+        self.assertGreater(_own(node).order, earlier.order)
+
+    def test_unreachable_target_is_withdrawn_until_it_speaks(self) -> None:
+        node = _make_node()
+        announced = InstanceAnnouncement("i-1", "shop", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
+        node.on_announcement(announced)
+        self.assertEqual("shop", _own(node).service)
+        call = RoutedCall(1, "look", "shop", "web", "GET", "/", [], b"", 1_000.0, 2)
+        ticket = node.door.create_ticket(0.0, 1, "link", call)
+        node.door.submit(0.0, ticket)
+        Run(ticket, node, HeaderNames()).on_failure(TARGET_UNREACHABLE, was_sent=False)
+        self.assertEqual("", _own(node).service)
+        node.on_announcement(attrs.evolve(announced, sequence=2))
+        self.assertEqual("shop", _own(node).service)
+
+    def test_malformed_record_names_nothing(self) -> None:
+        node = _make_node()
+        node.on_store_items((StoreItem("nodes/x", b"\xff\x00", 3),), is_complete=True)
+        self.assertEqual(1, node.parts.directory.node_count)
