--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -114,6 +114,9 @@
 CALL_FAILED: Final = _register(
     1504, "call-failed", _INFO, "A call handed to the target brought no usable answer"
 )
+LOAD_STATE: Final = _register(
+    1505, "load-state", _INFO, "What the local target's load and the services below it allow"
+)
 LINES_SUPPRESSED: Final = _register(
     1599, "lines-suppressed", _INFO, "Lines of an event were left out to bound the volume"
 )
--- a/gooseberrydock/mesh/directory.py
+++ b/gooseberrydock/mesh/directory.py
@@ -34,6 +34,7 @@
     _own_id: str
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
     _by_service: dict[str, list[Member]] = attrs.field(factory=dict)
+    _leaving: dict[str, list[Member]] = attrs.field(factory=dict)
     _own: Member | None = None
 
     @property
@@ -47,8 +48,11 @@
         return [entry.member for entry in self._entries.values()]
 
     def hosts_of(self, service: str) -> list[Member]:
-        """Return the hosts whose targets take new requests of a service."""
-        return self._by_service.get(service, [])
+        """Return the hosts whose targets take new requests of a service.
+
+        Nodes that stop still hand on calls for a while; they count where there are no others.
+        """
+        return self._by_service.get(service) or self._leaving.get(service, [])
 
     def find(self, node_id: str) -> Member | None:
         """Return the record of a node."""
@@ -132,11 +136,15 @@
 
     def _index(self) -> None:
         by_service: dict[str, list[Member]] = {}
+        leaving: dict[str, list[Member]] = {}
         own = [self._own] if self._own is not None else []
         for member in own + self.others:
             if member.is_usable:
                 by_service.setdefault(member.service, []).append(member)
+            elif member.state is MemberState.LEAVING and member.service:
+                leaving.setdefault(member.service, []).append(member)
         self._by_service = by_service
+        self._leaving = leaving
 
 
 def create_directory(own_id: str) -> Directory:
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -23,6 +23,7 @@
     ANNOUNCEMENT_REFUSED,
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_REFUSED,
+    LOAD_STATE,
     MEMBER_CHANGED,
     RECORD_REFUSED,
     TARGET_CHANGED,
@@ -568,6 +569,31 @@
         if record.is_cold and not self._parts.registration.is_cold(now_ms):
             self._publish()
 
+    def log_load(self, now_ms: Millis) -> None:
+        """Log what this node believes of its target's load and of the services below."""
+        door = self._parts.door
+        shares = self._parts.shares
+        log(
+            LOAD_STATE,
+            service=self._parts.registration.service,
+            running=len(door.running),
+            waiting=door.waiting,
+            limit=door.limit,
+            mean_fill=round(door.pressure.mean_fill, 2),
+            admitted_share=round(door.pressure.share, 2),
+            routes={
+                route: round(shares.share_of(now_ms, route), 2)
+                for route in shares.routes
+                if shares.share_of(now_ms, route) < 1.0
+            },
+            needs={
+                route: {called: round(need, 2) for called, need in needs.items()}
+                for route, needs in self._parts.graph.needs.items()
+            },
+            nodes=self._parts.directory.node_count,
+            in_flight=self._parts.entry.in_flight,
+        )
+
     def _check_links(self, now_ms: Millis) -> None:
         """Speak on every link, close those on which nobody does, and open those that lack."""
         for link in self._links.open_links:
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -26,6 +26,8 @@
 _SHARES_EVERY: Final = 4
 """Every how many ticks the shares of services below are passed on in reports."""
 _SLOW_TICK_MS: Final[Millis] = 500.0
+_LOAD_LINE_EVERY: Final = 4
+"""Every how many slow ticks the load is logged."""
 _GC_PAUSE_MS: Final[Millis] = 1_000.0
 _GC_FULL_EVERY: Final = 30
 _STOP_LINGER_MS: Final[Millis] = 2_600.0
@@ -173,10 +175,14 @@
                 node.pass_on_shares(now_ms)
 
     async def _tick_slowly(self, node: MeshNode) -> None:
+        counts = itertools.count(1)
         while True:
             pause_ms = _SLOW_TICK_MS * self._random.uniform(0.8, 1.2)
             await trio.sleep(pause_ms / MS_PER_SECOND)
-            node.tick_slowly(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            node.tick_slowly(now_ms)
+            if next(counts) % _LOAD_LINE_EVERY == 0:
+                node.log_load(now_ms)
 
     async def _end(self, node: MeshNode, sync: StoreSync) -> None:
         """Let callers and other nodes turn away, then wait for what is under way."""
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -41,6 +41,11 @@
     _random: random.Random
     _reports: dict[str, dict[str, ShareReport]] = attrs.field(factory=dict)
 
+    @property
+    def routes(self) -> list[str]:
+        """Return the routes that hosts reported of."""
+        return list(self._reports)
+
     def on_report(self, now_ms: Millis, route: str, node_id: str, share: float, limit: int) -> None:
         """Take in what a host reported of a route."""
         reports = self._reports.get(route)
