--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -162,9 +162,13 @@
         return self._clock.now_ms()
 
     def attach_store(self, sync: StoreSync) -> None:
-        """Keep this node's record by a store."""
+        """Keep this node's record by a store, once its target is known."""
         self._sync = sync
-        sync.set_record(self._record)
+
+    def write_record(self) -> None:
+        """Have the record written as it is."""
+        if self._sync is not None:
+            self._sync.set_record(self._record)
 
     # Callers.
 
@@ -367,8 +371,8 @@
         """Note an announcement that names no target of this node."""
         log(ANNOUNCEMENT_REFUSED, detail=detail)
 
-    def _publish(self) -> None:
-        """Tell all nodes what changed about this node or its target."""
+    def _publish(self, in_store: bool = True) -> None:
+        """Tell all nodes what changed about this node or its target, or only linked ones."""
         registration = self._parts.registration
         record = self._record
         self._record = attrs.evolve(
@@ -381,8 +385,8 @@
         )
         self._parts.directory.set_own(self._record)
         self._links.broadcast(MemberSync((encode_member(self._record),), ()))
-        if self._sync is not None:
-            self._sync.set_record(self._record)
+        if in_store:
+            self.write_record()
 
     # Other nodes.
 
@@ -567,7 +571,7 @@
             log(MEMBER_CHANGED, member=member.node_id, state="forgotten", service=member.service)
         record = self._record
         if record.is_cold and not self._parts.registration.is_cold(now_ms):
-            self._publish()
+            self._publish(in_store=False)
 
     def log_load(self, now_ms: Millis) -> None:
         """Log what this node believes of its target's load and of the services below."""
--- a/gooseberrydock/mesh/placement.py
+++ b/gooseberrydock/mesh/placement.py
@@ -18,10 +18,12 @@
 
 _SERVICE_TIME_WEIGHT: Final = 0.3
 """Weight of a new report against the mean so far; reports are means themselves."""
-_FILL_START: Final = 0.75
+_FILL_START: Final = 0.6
 """Share of the slots in use from which a host's cost rises."""
-_FILL_SLOPE: Final = 6.0
-"""How many service times a host costs more per share of its slots beyond the start."""
+_FILL_SLOPE: Final = 0.7
+"""Shares of the target latency that a host costs more per share of its slots beyond the start.
+
+Other failure domains must be used before the fill at which targets call for less work."""
 _DOMAIN_SURCHARGE: Final = 0.1
 """Share of the target latency that leaving the failure domain is taken to cost."""
 _FAILURE_SURCHARGE: Final = 0.5
@@ -109,10 +111,10 @@
             known_ms = self._route_ms.get(route.name, 0.0)
             known_ms *= _COLD_FACTOR if host.is_cold else _NEW_HOST_FACTOR
         cost = known_ms
+        scale_ms = min(route.target_latency_ms, route.timeout_ms)
         fill = evidence.fill
         if fill > _FILL_START:
-            cost += known_ms * (fill - _FILL_START) * _FILL_SLOPE
-        scale_ms = min(route.target_latency_ms, route.timeout_ms)
+            cost += scale_ms * (fill - _FILL_START) * _FILL_SLOPE
         if host.failure_domain != self._failure_domain:
             cost += _DOMAIN_SURCHARGE * scale_ms
         return cost + _FAILURE_SURCHARGE * scale_ms * evidence.failure_share
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -25,6 +25,10 @@
 """How late a deadline may be noticed."""
 _SHARES_EVERY: Final = 4
 """Every how many ticks the shares of services below are passed on in reports."""
+_RECORDS_PAUSE_MS: Final[Millis] = 400.0
+"""How long changed records gather before they are read; links tell them sooner."""
+_FIRST_RECORD_MS: Final[Millis] = 2_500.0
+"""How long a starting node waits for its target's announcement before it writes its record."""
 _SLOW_TICK_MS: Final[Millis] = 500.0
 _LOAD_LINE_EVERY: Final = 4
 """Every how many slow ticks the load is logged."""
@@ -85,8 +89,9 @@
             node.attach_store(sync)
             self._listen(nursery, node)
             nursery.start_soon(self._handle_signals, node)
-            for prefix in (self._surroundings.keys.table, self._surroundings.keys.nodes):
-                nursery.start_soon(sync.follow, prefix)
+            nursery.start_soon(sync.follow, self._surroundings.keys.table, 0.0)
+            nursery.start_soon(sync.follow, self._surroundings.keys.nodes, _RECORDS_PAUSE_MS)
+            nursery.start_soon(_publish_first_record, node)
             nursery.start_soon(sync.keep_record)
             nursery.start_soon(self._tick, node)
             nursery.start_soon(self._tick_slowly, node)
@@ -200,6 +205,12 @@
         await sync.remove_record(_STOP_MARGIN_MS / 2)
 
 
+async def _publish_first_record(node: MeshNode) -> None:
+    """Write the record of a node whose target does not announce itself."""
+    await trio.sleep(_FIRST_RECORD_MS / MS_PER_SECOND)
+    node.write_record()
+
+
 async def _collect_garbage() -> None:
     """Collect garbage at set moments instead of in the middle of a call."""
     count = 0
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -25,8 +25,9 @@
 from gooseberrydock.members import Member, encode_member
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
 
-_WATCH_WAIT_MS: Final[Millis] = 5_000.0
-"""How long one watch waits: bounds how long a silent connection goes unnoticed."""
+_WATCH_WAIT_MS: Final[Millis] = 12_000.0
+"""How long one watch waits: bounds how long a silent connection goes unnoticed. Until then other
+nodes hand on what it misses."""
 _RENEW_SHARE: Final = 0.3
 """Part of a lease's time after which it is renewed, so that two renewals may fail."""
 _LEASE_MS: Final[Millis] = 9_000.0
@@ -93,14 +94,19 @@
         self._record = member
         self._changed.set()
 
-    async def follow(self, prefix: str) -> None:
-        """Hand everything under a prefix to the sink, now and whenever it changes."""
+    async def follow(self, prefix: str, pause_ms: Millis) -> None:
+        """Hand everything under a prefix to the sink, now and whenever it changes.
+
+        A pause after each answer gathers changes that come close together into one.
+        """
         pause = RetryPause(self._random)
         revision = -1
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
                 pause.reset()
+                if pause_ms:
+                    await trio.sleep(pause_ms / MS_PER_SECOND)
             except GooseberrydockError as error:
                 if error.code is STORE_HISTORY_GONE:
                     revision = -1
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -118,6 +118,17 @@
         self.assertGreater(sent["fast"], 1.3 * sent["slow1"])
         self.assertGreater(min(sent.values()), 400)
 
+    def test_load_leaves_the_domain_before_its_host_is_full(self) -> None:
+        """A near host that fills up must not call for less work while far ones are free."""
+        placement = create_placement("d1", 1)
+        route = make_route("inner", timeout_ms=700.0)
+        hosts = [make_member("near", domain="d1"), make_member("far", domain="d2")]
+        for name, in_flight in (("near", 31), ("far", 8)):
+            placement.on_sent(name)
+            placement.on_answer(name, route.name, _report(in_flight, 40, 22.0), False)
+        chosen = placement.choose(0.0, route, hosts, set())
+        self.assertEqual("far", chosen.node_id if chosen else "")
+
     def test_failing_host_is_avoided(self) -> None:
         placement = create_placement("d1", 1)
         hosts = [make_member("good"), make_member("grey")]
