Keep repeats within the fleet's budget along a whole path; refuse the hopeless

Each of four services in a row spent 0.07 of its requests on repeats, and a repeat above repeats all calls below it. Change: routes whose runs make calls spend a tenth of the ratio and repeat no server error, leaves 0.4; entries turn away most of a route while nearly all of it fails; of one target's work long runs give way first; targets aim at a fill of 0.95 instead of 0.88 (5% were turned away at normal load). Tests: the sum over a path of seven services, hopeless routes, long runs.

--- a/gooseberrydock/mesh/door.py
+++ b/gooseberrydock/mesh/door.py
@@ -29,6 +29,10 @@
 """The same for a call of a request already admitted: work has been spent on it."""
 _LEAST_RUN_SHARE: Final = 0.5
 """Part of the mean run time that must be left when a waiting call starts."""
+_SHORT_EXPONENT: Final = 0.7
+_LONG_EXPONENT: Final = 2.0
+"""Bounds of how a route's run time weighs in its share: more callers are served for a slot where
+runs are short, and the longest runs still get a fair part."""
 NESTED_RANK: Final = 0
 """Calls of admitted requests rank with the most important requests."""
 
@@ -66,6 +70,7 @@
     _route_ms: dict[str, Millis] = attrs.field(factory=dict)
     _mean_ms: Millis = 0.0
     _route_shares: dict[str, float] = attrs.field(factory=dict)
+    _makes_calls: dict[str, bool] = attrs.field(factory=dict)
     _nested: NestedRoutes = attrs.field(factory=NestedRoutes)
 
     @property
@@ -171,9 +176,10 @@
         self._note(now_ms)
         return late
 
-    def set_route_share(self, route: str, share: float) -> None:
-        """Set how much of a route the services below it can take."""
+    def set_below(self, route: str, share: float, makes_calls: bool) -> None:
+        """Set whether runs of a route make calls, and how much of it the services below take."""
         self._route_shares[route] = share
+        self._makes_calls[route] = makes_calls
 
     def report(self, route: str) -> TargetReport:
         """Return what callers' nodes need to know of this target for a route."""
@@ -181,10 +187,19 @@
             in_flight=self.in_flight,
             limit=self.limit,
             service_ms=self._route_ms.get(route, 0.0),
-            admitted_share=min(self._pressure.share, self._route_shares.get(route, 1.0)),
+            admitted_share=min(self._own_share(route), self._route_shares.get(route, 1.0)),
             is_nested=self._nested.judge(route),
+            makes_calls=self._makes_calls.get(route, False),
         )
 
+    def _own_share(self, route: str) -> float:
+        """Return the share of a route to admit: long runs give way to several short ones."""
+        share = self._pressure.share
+        if share >= 1.0 or not self._mean_ms:
+            return share
+        length = self._route_ms.get(route, self._mean_ms) / self._mean_ms
+        return float(share ** min(max(length**0.5, _SHORT_EXPONENT), _LONG_EXPONENT))
+
     def _start(self, now_ms: Millis, ticket: Ticket) -> None:
         ticket.started_at = now_ms
         self._running[ticket.run_id] = ticket
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -43,7 +43,7 @@
 from gooseberrydock.mesh.retry_budget import RetryBudget
 from gooseberrydock.mesh.shares import AdmittedShares
 from gooseberrydock.mesh.splits import SplitChooser
-from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
+from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
 
 _SERVER_ERROR: Final = 500
 _MAX_DEADLINE_MS: Final[Millis] = 600_000.0
@@ -127,6 +127,7 @@
     _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
     _calls: dict[int, Exchange] = attrs.field(factory=dict)
     _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _inner_routes: set[str] = attrs.field(factory=set)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _stripped: frozenset[bytes] = attrs.field(init=False)
 
@@ -189,7 +190,7 @@
         exchange.headers = self._forwarded_headers(request.headers)
         self._exchanges[exchange.exchange_id] = exchange
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
-        self._budget.on_request(exchange.service)
+        self._budget.on_request(exchange.service, self._makes_calls(exchange))
         self._send(now_ms, exchange)
         return None if exchange.is_done else exchange
 
@@ -206,9 +207,10 @@
             self._placement.on_turned_away(now_ms, node_id)
         else:
             self._placement.on_answer(node_id, route.name, answer.report, has_failed)
-        report = answer.report
-        self._shares.on_report(now_ms, route.name, node_id, report.admitted_share, report.limit)
-        self._nested.on_told(route.name, report.is_nested)
+        self._learn_report(now_ms, exchange, answer.report)
+        if answer.was_offered:
+            is_success = answer.result is RunResult.ANSWERED and not has_failed
+            self._shares.on_ending(route.name, is_success)
         exchange.call_id = 0
         if answer.was_offered:
             exchange.offers += 1
@@ -331,7 +333,9 @@
 
     def _on_target_answer(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         """Pass an answer on, unless a failure may still be made good elsewhere."""
-        if answer.status >= _SERVER_ERROR and self._may_repeat(now_ms, exchange):
+        # Where runs make calls, a failure is mostly that of a call: a repeat would repeat all.
+        is_own_failure = answer.status >= _SERVER_ERROR and not self._makes_calls(exchange)
+        if is_own_failure and self._may_repeat(now_ms, exchange):
             exchange.may_have_run = True
             self._send(now_ms, exchange)
             return
@@ -344,7 +348,7 @@
         if not answer.was_offered:
             exchange.refusals += 1
             self._try_again(now_ms, exchange, code)
-        elif self._has_attempt(now_ms, exchange) and self._budget.try_spend(exchange.service):
+        elif self._has_attempt(now_ms, exchange) and self._spend(exchange):
             exchange.last_code = code
             self._send(now_ms, exchange)
         else:
@@ -372,7 +376,24 @@
         hosts = self._directory.hosts_of(exchange.service)
         if all(host.node_id in exchange.tried for host in hosts):
             return False
-        return self._budget.try_spend(exchange.service)
+        return self._spend(exchange)
+
+    def _spend(self, exchange: Exchange) -> bool:
+        """Pay for a repeat, if the budget of its service allows one."""
+        return self._budget.try_spend(exchange.service, self._makes_calls(exchange))
+
+    def _makes_calls(self, exchange: Exchange) -> bool:
+        return exchange.route.name in self._inner_routes
+
+    def _learn_report(self, now_ms: Millis, exchange: Exchange, report: TargetReport) -> None:
+        """Learn from what a target's node reports with an answer."""
+        route = exchange.route.name
+        self._shares.on_report(now_ms, route, exchange.node_id, report.admitted_share, report.limit)
+        self._nested.on_told(route, report.is_nested)
+        if report.makes_calls:
+            self._inner_routes.add(route)
+        else:
+            self._inner_routes.discard(route)
 
     def _has_attempt(self, now_ms: Millis, exchange: Exchange) -> bool:
         return exchange.offers < exchange.route.max_attempts and self._has_time(now_ms, exchange)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -65,6 +65,8 @@
 """How many missing links are opened in one round."""
 _UNHEARD_ROUNDS: Final = 4
 """After how many rounds without a word a link is closed; a pause of this node is one round."""
+_NEEDS_CALL: Final = 0.6
+"""From which need on a route counts as one whose runs make calls."""
 _LOCAL_LINK: Final = ""
 """The link id of calls that begin on this node."""
 _EMPTY_BODY: Final = b""
@@ -558,7 +560,8 @@
             least = 1.0
             for called, need in needs.items():
                 least = min(least, 1.0 - need * (1.0 - shares.share_of(now_ms, called)))
-            self._parts.door.set_route_share(route, least)
+            makes_calls = max(needs.values(), default=0.0) > _NEEDS_CALL
+            self._parts.door.set_below(route, least, makes_calls)
 
     def tick_slowly(self, now_ms: Millis) -> None:
         """Run the timers of connections and records."""
--- a/gooseberrydock/mesh/pressure.py
+++ b/gooseberrydock/mesh/pressure.py
@@ -13,7 +13,7 @@
 
 _WINDOW_MS: Final[Millis] = 100.0
 """Length of a step of control: short against the time a backlog takes to build up."""
-_FILL_AIM: Final = 0.88
+_FILL_AIM: Final = 0.95
 """Mean share of the slots that should be in use under overload."""
 _FALL_EXPONENT: Final = 0.35
 """How strongly one window above the aim lowers the share; the path reacts over some windows."""
--- a/gooseberrydock/mesh/retry_budget.py
+++ b/gooseberrydock/mesh/retry_budget.py
@@ -11,9 +11,12 @@
 
 from gooseberrydock.mesh.options import RetryBudgetOptions
 
-_RATIO_PART: Final = 0.35
-"""Part of the ratio that nodes spend; the rest covers calls that repeated requests repeat."""
-_SLACK_PART: Final = 0.5
+_LEAF_PART: Final = 0.4
+"""Part of the ratio spent on requests whose runs make no calls."""
+_INNER_PART: Final = 0.1
+"""Part of the ratio spent on requests whose runs make calls. A repeat there repeats them all, so
+the parts of all services on a path add up at its end: with six such hops, to the whole ratio."""
+_SLACK_PART: Final = 0.12
 """Part of the slack shared out among nodes, for the same reason."""
 
 
@@ -23,7 +26,7 @@
 
     _options: RetryBudgetOptions
     _node_count: int = 1
-    _tokens: dict[str, float] = attrs.field(factory=dict)
+    _tokens: dict[tuple[str, bool], float] = attrs.field(factory=dict)
     _spent: int = 0
     _denied: int = 0
 
@@ -41,23 +44,25 @@
         """Share the slack among this many nodes."""
         self._node_count = max(1, count)
 
-    def on_request(self, service: str) -> None:
+    def on_request(self, service: str, makes_calls: bool = False) -> None:
         """Earn a part of a token for a request sent for the first time."""
-        earned = self._options.ratio * _RATIO_PART
-        self._tokens[service] = min(self._cap(), self._balance(service) + earned)
+        earned = self._options.ratio * (_INNER_PART if makes_calls else _LEAF_PART)
+        purse = (service, makes_calls)
+        self._tokens[purse] = min(self._cap(), self._balance(purse) + earned)
 
-    def try_spend(self, service: str) -> bool:
+    def try_spend(self, service: str, makes_calls: bool = False) -> bool:
         """Take one token, or say that there is none."""
-        balance = self._balance(service)
+        purse = (service, makes_calls)
+        balance = self._balance(purse)
         if balance < 1.0:
             self._denied += 1
             return False
-        self._tokens[service] = balance - 1.0
+        self._tokens[purse] = balance - 1.0
         self._spent += 1
         return True
 
-    def _balance(self, service: str) -> float:
-        return self._tokens.get(service, self._cap() / 2)
+    def _balance(self, purse: tuple[str, bool]) -> float:
+        return self._tokens.get(purse, self._cap() / 2)
 
     def _cap(self) -> float:
         return max(1.0, self._options.slack * _SLACK_PART / self._node_count)
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -18,6 +18,12 @@
 """How long a report counts; a host that is not heard of again says nothing."""
 _IMPORTANT_FLOOR: Final = 0.12
 """Share of the others below which important requests are turned away too."""
+_ENDING_WEIGHT: Final = 0.04
+"""Weight of one ending in a route's share of successes: some 25 endings show a change."""
+_HOPE_PER_SUCCESS: Final = 3.0
+"""All requests are tried as long as one in three succeeds."""
+_LEAST_HOPE: Final = 0.2
+"""Share tried where nothing succeeds, so that recovery shows within a second."""
 _RETURN_MIN_SHARE: Final = 0.2
 _RETURN_MAX_SHARE: Final = 0.5
 """Shares of the target latency after which refused callers may return."""
@@ -40,6 +46,7 @@
 
     _random: random.Random
     _reports: dict[str, dict[str, ShareReport]] = attrs.field(factory=dict)
+    _success: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def routes(self) -> list[str]:
@@ -53,6 +60,16 @@
             reports = self._reports[route] = {}
         reports[node_id] = ShareReport(share, limit, now_ms)
 
+    def on_ending(self, route: str, is_success: bool) -> None:
+        """Take in how a request that reached a target ended."""
+        known = self._success.get(route, 1.0)
+        self._success[route] = known + (is_success - known) * _ENDING_WEIGHT
+
+    def hope_of(self, route: str) -> float:
+        """Return the share of a route worth trying: few, where nearly all fail."""
+        success = self._success.get(route, 1.0)
+        return min(1.0, max(_LEAST_HOPE, success * _HOPE_PER_SUCCESS))
+
     def share_of(self, now_ms: Millis, route: str) -> float:
         """Return the share of a route to admit: the hosts' mean, weighted by their slots."""
         reports = self._reports.get(route)
@@ -69,6 +86,9 @@
 
     def admits(self, now_ms: Millis, route: str, priority: int) -> bool:
         """Decide about one request."""
+        hope = self.hope_of(route)
+        if hope < 1.0 and self._random.random() >= hope:
+            return False
         share = self.share_of(now_ms, route)
         if share >= 1.0:
             return True
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -215,7 +215,8 @@
 
     ``service_ms`` is the recent mean of the route's run time there, 0 where none is known.
     ``admitted_share`` covers the calls below the route too; 1 means no limit. ``is_nested`` says
-    that the route's requests are calls that other targets make.
+    that the route's requests are calls that other targets make, ``makes_calls`` that its runs make
+    calls of their own.
     """
 
     in_flight: int
@@ -223,6 +224,7 @@
     service_ms: Millis
     admitted_share: float
     is_nested: bool = False
+    makes_calls: bool = False
 
 
 @attrs.define
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -216,6 +216,7 @@
         report.service_ms,
         report.admitted_share,
         report.is_nested,
+        report.makes_calls,
     ]
 
 
@@ -386,7 +387,21 @@
     return messages.RoutedCall(*array[1:])
 
 
-_ROUTED_ANSWER_SHAPE: Final = (int, int, int, int, list, bytes, bool, int, int, float, float, bool)
+_ROUTED_ANSWER_SHAPE: Final = (
+    int,
+    int,
+    int,
+    int,
+    list,
+    bytes,
+    bool,
+    int,
+    int,
+    float,
+    float,
+    bool,
+    bool,
+)
 
 
 def _to_routed_answer(array: list[Any]) -> messages.RoutedAnswer:
@@ -396,7 +411,7 @@
         result = messages.RunResult(array[2])
     except ValueError as error:
         raise _ShapeError("not a run result") from error
-    report = messages.TargetReport(*array[8:13])
+    report = messages.TargetReport(*array[8:14])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
         array[1], result, array[3], array[4], headers, array[6], array[7], report
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -185,6 +185,19 @@
 class BudgetCases(unittest.TestCase):
     """Repeats of all nodes together stay below the bound."""
 
+    def test_parts_of_a_deep_path_add_up_below_the_ratio(self) -> None:
+        """Seven services in a row, each repeating all it may: repeats multiply down the path."""
+        options = RetryBudgetOptions(ratio=0.2, slack=0.0)
+        requests = 5_000
+        repeats = 0
+        for depth in range(7):
+            makes_calls = depth < 6
+            budget = create_retry_budget(options)
+            for _ in range(requests):
+                budget.on_request("shop", makes_calls)
+                repeats += budget.try_spend("shop", makes_calls)
+        self.assertLessEqual(repeats, 0.2 * requests)
+
     def test_sum_over_nodes(self) -> None:
         options = RetryBudgetOptions(ratio=0.2, slack=47.0)
         for nodes, requests in ((1, 50), (12, 0), (12, 400), (76, 30), (76, 1_000)):
@@ -212,6 +225,17 @@
         self.assertEqual(100, admitted)
         self.assertTrue(15 <= ordinary <= 45)
 
+    def test_hopeless_requests_are_refused_but_for_probes(self) -> None:
+        """Answers a service below that fails most calls: an honest refusal instead of a failure."""
+        shares = create_admitted_shares(1)
+        for _ in range(200):
+            shares.on_ending("booking", False)
+        tried = sum(shares.admits(0.0, "booking", 0) for _ in range(200))
+        self.assertTrue(20 <= tried <= 60)
+        for _ in range(25):
+            shares.on_ending("booking", True)
+        self.assertTrue(all(shares.admits(0.0, "booking", 0) for _ in range(100)))
+
     def test_old_reports_do_not_count(self) -> None:
         shares = create_admitted_shares(1)
         shares.on_report(0.0, "lookup", "a", 0.1, 10)
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -215,6 +215,24 @@
             self.assertLessEqual(len(door.running), door.limit)
 
 
+class LongRunCases(unittest.TestCase):
+    """Answers overload of a target that runs short and long requests of one priority."""
+
+    def test_long_runs_give_way_first(self) -> None:
+        door = _door(slots=10)
+        for number in range(200):
+            for offset, route, run_ms in ((0, "short", 20.0), (1_000, "long", 360.0)):
+                ticket = _ticket(door, number + offset, route=route)
+                door.submit(0.0, ticket)
+                door.finish(run_ms, ticket, has_run=True)
+        for number in range(30):
+            door.submit(1_000.0, _ticket(door, 5_000 + number, left=60_000.0, now_ms=1_000.0))
+        for step in range(8):
+            door.drop_late(1_000.0 + step * 50.0)
+        short, long = door.report("short"), door.report("long")
+        self.assertLess(long.admitted_share, 0.8 * short.admitted_share)
+
+
 class NestingCases(unittest.TestCase):
     """Calls of targets are told from callers' requests."""
 
