--- a/gooseberrydock/logs.py
+++ b/gooseberrydock/logs.py
@@ -1,6 +1,7 @@
 """JSON log lines with numbered events."""
 
 import logging
+import os
 import sys
 import traceback
 from collections.abc import Iterator
@@ -16,9 +17,56 @@
 LOG_LEVELS: Final = ("debug", "info", "warning", "error")
 
 
+class LineWriter:
+    """Write lines to a descriptor without ever waiting for its reader.
+
+    Lines that the reader has no room for are dropped and counted; the next line that fits is
+    preceded by their number.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._rest = b""
+        self._dropped = 0
+        if not os.isatty(descriptor):
+            # A terminal shares the flag with the shell that it belongs to.
+            os.set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """Return the lines dropped and not told of yet."""
+        return self._dropped
+
+    def write(self, text: str) -> None:
+        """Write a line, or drop it."""
+        data = text.encode("utf-8", "replace")
+        if self._rest and not self._write_rest():
+            self._dropped += 1
+            return
+        if self._dropped:
+            data = b'{"lines_dropped": %d}\n' % self._dropped + data
+            self._dropped = 0
+        self._rest = data
+        self._write_rest()
+
+    def flush(self) -> None:
+        """Do nothing: lines are written at once or not at all."""
+
+    def _write_rest(self) -> bool:
+        """Write what is left of a line begun; say whether it is out."""
+        try:
+            self._rest = self._rest[os.write(self._descriptor, self._rest) :]
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads the log any more, and there is nowhere else to say so.
+            self._rest = b""
+        return not self._rest
+
+
 def set_up_logs(level: str, process: str) -> None:
-    """Send JSON log lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send JSON log lines to standard output."""
+    handler = logging.StreamHandler(LineWriter(sys.stdout.fileno()))
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
