--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -38,6 +38,7 @@
 class MeshOptions:
     """Hold the settings of one node.
 
+    ``peer_advertised`` is where other nodes reach this one, if not where it listens.
     ``service`` is the service of the target beside this node, which its callers are told.
     ``drain_ms`` is how long a leaving target may still get requests.
     """
@@ -48,6 +49,7 @@
     target_address: Address
     entry_listen: Address
     peer_listen: Address
+    peer_advertised: Address
     control_listen: Address
     ready_listen: Address
     metrics_listen: Address | None
--- a/gooseberrydock/platform/__main__.py
+++ b/gooseberrydock/platform/__main__.py
@@ -3,13 +3,15 @@
 import sys
 from pathlib import Path
 
+import attrs
 import click
 import trio
 
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.logs import LOG_LEVELS, set_up_logs
+from gooseberrydock.members import Address
 from gooseberrydock.mesh.run import run_mesh_node
-from gooseberrydock.options import setting
+from gooseberrydock.options import ADDRESS, setting
 from gooseberrydock.platform.settings import PATH_VARIABLE
 from gooseberrydock.platform.surroundings import create_surroundings
 
@@ -24,12 +26,15 @@
     type=click.Path(path_type=Path, dir_okay=False),
     help="The platform's settings file.",
 )
+@setting("advertise", "Where other nodes reach this one, if not where it listens.", type=ADDRESS)
 @setting("log-level", "Least level to log.", default="info", type=click.Choice(LOG_LEVELS))
-def main(path: Path, log_level: str) -> None:
+def main(path: Path, advertise: Address | None, log_level: str) -> None:
     """Run the node beside one target."""
     try:
         surroundings = create_surroundings(path)
         options = surroundings.options
+        if advertise is not None:
+            options = attrs.evolve(options, peer_advertised=advertise)
         set_up_logs(log_level, f"node {options.node_id}")
         trio.run(run_mesh_node, options, surroundings)
     except GooseberrydockError as error:
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -46,6 +46,7 @@
         # Requests that begin on this host go out; those for its target come in.
         entry_listen=parse_address(listen["outbound"]),
         peer_listen=parse_address(listen["inbound"]),
+        peer_advertised=parse_address(listen["inbound"]),
         control_listen=parse_address(listen["control"]),
         ready_listen=parse_address(listen["ready"]),
         metrics_listen=Address(_text(machine["ip"]), last_port - METRICS_PORT_OFFSET),
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -18,6 +18,7 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address, decode_member
 from gooseberrydock.platform.store import NODES_PREFIX
+from tests.fault_proxy import FaultProxy, create_fault_proxy
 from tests.platform_standins import ServerStandin, StoreStandin
 
 _HOST = "127.0.0.1"
@@ -84,16 +85,19 @@
     ready: Address
     metrics: Address
     server: ServerStandin
+    advertised: Address | None = None
+    proxies: list[FaultProxy] = attrs.field(factory=list)
     process: subprocess.Popen[bytes] | None = None
     is_beating: bool = True
 
     def start(self, log: Path) -> None:
         """Start the process."""
-        command = [sys.executable, "-m", "gooseberrydock.platform", "--settings"]
+        command = [sys.executable, "-m", "gooseberrydock.platform"]
+        command += ["--settings", str(self.settings)]
+        if self.advertised is not None:
+            command += ["--advertise", str(self.advertised)]
         with log.open("ab") as output:
-            self.process = subprocess.Popen(
-                [*command, str(self.settings)], stdout=output, stderr=output
-            )
+            self.process = subprocess.Popen(command, stdout=output, stderr=output)
 
     def kill(self) -> None:
         """Kill the process."""
@@ -112,8 +116,13 @@
     nodes: list[FleetNode] = attrs.field(factory=list)
     version: int = 0
 
-    async def add(self, service: str, zone: str = "z1") -> FleetNode:
-        """Start a server with its node."""
+    def _proxy(self, target: Address) -> FaultProxy:
+        proxy = create_fault_proxy(target)
+        self.nursery.start_soon(proxy.serve)
+        return proxy
+
+    async def add(self, service: str, zone: str = "z1", proxied: bool = False) -> FleetNode:
+        """Start a server with its node; all their connections may go through proxies."""
         node_id = f"node-{len(self.nodes)}"
         ports = _free_ports(5)
         addresses = [Address(_HOST, port) for port in ports]
@@ -121,10 +130,14 @@
         self.nursery.start_soon(server.serve)
         path = self.directory / f"{node_id}.toml"
         store = self.store.listener.address
-        path.write_text(
-            settings_text(node_id, service, zone, server.listener.address, store, ports)
-        )
         node = FleetNode(node_id, path, addresses[0], addresses[3], addresses[4], server)
+        if proxied:
+            to_store, to_node = self._proxy(store), self._proxy(addresses[1])
+            to_server = self._proxy(server.listener.address)
+            node.proxies = [to_store, to_node, to_server]
+            store, node.advertised = to_store.address, to_node.address
+            server.announced = to_server.address
+        path.write_text(settings_text(node_id, service, zone, server.address, store, ports))
         self.nodes.append(node)
         node.start(self.log)
         self.nursery.start_soon(self._beat, node)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -167,6 +167,13 @@
     runs: list[HttpRequest] = attrs.field(factory=list)
     aborted: int = 0
     behaviour: Behaviour | None = None
+    announced: Address | None = None
+    on_run: Callable[[HttpRequest], None] | None = None
+
+    @property
+    def address(self) -> Address:
+        """Return the address that the server announces."""
+        return self.announced or self.listener.address
 
     async def serve(self) -> None:
         """Accept connections."""
@@ -184,6 +191,8 @@
             connection.respond(HttpResponse(421, [(b"instance-id", b"other")], b""))
             return
         self.runs.append(request)
+        if self.on_run is not None:
+            self.on_run(request)
         self.nursery.start_soon(self._run, connection, request)
 
     async def _run(self, connection: HttpConnection, request: HttpRequest) -> None:
@@ -202,7 +211,7 @@
         self.sequence += 1
         fields = {
             "service": self.service,
-            "address": str(self.listener.address),
+            "address": str(self.address),
             "zone": "z1",
             "version": "v1",
             "slots": self.slots,
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -28,6 +28,7 @@
     target_address=_TARGET,
     entry_listen=_TARGET,
     peer_listen=_TARGET,
+    peer_advertised=_TARGET,
     control_listen=_TARGET,
     ready_listen=_TARGET,
     metrics_listen=None,
