--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint bench capacity experiment clean
+.PHONY: demo test lint bench capacity experiment soak clean
 
 demo: $(STAMP)
 	$(PYTHON) -m bench.demo
@@ -21,6 +21,9 @@
 experiment: $(STAMP)
 	$(PYTHON) -m bench.experiment
 
+soak: $(STAMP)
+	$(PYTHON) -m tests.soak --seed 1 --runs 10
+
 capacity: $(STAMP)
 	$(PYTHON) -m bench.capacity
 
