--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -23,6 +23,7 @@
     NODE_LEAVING,
     NOT_DISPATCHED,
     PEER_LOST,
+    QUARANTINED,
     SHED_AT_ENTRY,
     TARGET_UNREACHABLE,
     ErrorCode,
@@ -345,7 +346,9 @@
 
     def _on_not_run(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         code = error_code(answer.code)
-        if not answer.was_offered:
+        if code is QUARANTINED:
+            self._refuse(now_ms, exchange, code)
+        elif not answer.was_offered:
             exchange.refusals += 1
             self._try_again(now_ms, exchange, code)
         elif self._has_attempt(now_ms, exchange) and self._spend(exchange):
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -15,6 +15,7 @@
 from gooseberrydock.errorcodes import (
     NO_TARGET,
     NODE_LEAVING,
+    QUARANTINED,
     TARGET_TIMEOUT,
     ErrorCode,
 )
@@ -26,6 +27,7 @@
     LOAD_STATE,
     MEMBER_CHANGED,
     RECORD_REFUSED,
+    REQUEST_CONVICTED,
     TARGET_CHANGED,
     TARGET_LEAVING,
 )
@@ -48,6 +50,7 @@
     Cancel,
     ConfigurationPush,
     ConfigurationRequest,
+    CrashNotice,
     MemberSync,
     RoutedAnswer,
     RoutedCall,
@@ -238,6 +241,9 @@
             code = NODE_LEAVING if registration.is_leaving else NO_TARGET
             self._answer_call(link_id, call, _not_run(self._parts.door, call, code, False))
             return
+        if self._parts.crashes.refuses(now_ms, call):
+            self._answer_call(link_id, call, _not_run(self._parts.door, call, QUARANTINED, False))
+            return
         self._next_run_id += 1
         ticket = self._parts.door.create_ticket(now_ms, self._next_run_id, link_id, call)
         code_or_none = self._parts.door.submit(now_ms, ticket)
@@ -292,6 +298,23 @@
         """Take in that the target took no connection; one that has others may just be full."""
         if self._pool.open_connections == 0:
             self.on_other_instance()
+            notice = self._parts.crashes.on_target_dead(self._clock.now_ms())
+            if notice is not None:
+                self._links.broadcast(notice)
+                self._log_convicted(notice)
+
+    def on_run_lost(self, call: RoutedCall) -> None:
+        """Note that a run lost its connection, of which the target may have died."""
+        self._parts.crashes.on_run_lost(self._clock.now_ms(), call)
+
+    def on_crash_notice(self, notice: CrashNotice) -> None:
+        """Take in what crashed a target elsewhere."""
+        self._parts.crashes.on_notice(self._clock.now_ms(), notice)
+        self._log_convicted(notice)
+
+    def _log_convicted(self, notice: CrashNotice) -> None:
+        for fingerprint in notice.convicted:
+            log(REQUEST_CONVICTED, fingerprint=f"{fingerprint:016x}")
 
     def on_other_instance(self) -> None:
         """Take in that the announced instance is not at the target's address."""
@@ -569,6 +592,7 @@
             connection.sweep(now_ms, self._table.limits)
         self._pool.sweep()
         self._check_links(now_ms)
+        self._parts.crashes.tick(now_ms)
         for member in self._parts.directory.tick(now_ms, self._is_store_away):
             self._parts.entry.placement.forget(member.node_id)
             log(MEMBER_CHANGED, member=member.node_id, state="forgotten", service=member.service)
@@ -665,6 +689,11 @@
     node.on_cancel(message, link)
 
 
+@handle_message.register
+def _(message: CrashNotice, node: MeshNode, link: PeerLink) -> None:
+    node.on_crash_notice(message)
+
+
 @handle_message.register
 def _(message: MemberSync, node: MeshNode, link: PeerLink) -> None:
     node.on_member_sync(message, link)
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -5,6 +5,7 @@
 import attrs
 
 from gooseberrydock.mesh.call_graph import CallGraph, create_call_graph
+from gooseberrydock.mesh.crash_watch import CrashWatch, create_crash_watch
 from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.door import Door, create_door
 from gooseberrydock.mesh.entry import Entry, EntryEffects
@@ -44,6 +45,7 @@
     shares: AdmittedShares
     nested: NestedRoutes
     graph: CallGraph
+    crashes: CrashWatch
     entry: Entry = attrs.field(init=False)
 
     def join(self, options: MeshOptions, effects: EntryEffects, seed: int) -> None:
@@ -76,4 +78,5 @@
         shares=create_admitted_shares(seed),
         nested=nested,
         graph=create_call_graph(),
+        crashes=create_crash_watch(),
     )
--- a/gooseberrydock/mesh/runs.py
+++ b/gooseberrydock/mesh/runs.py
@@ -5,7 +5,7 @@
 import attrs
 
 from gooseberrydock.clock import Millis
-from gooseberrydock.errorcodes import TARGET_UNREACHABLE, ErrorCode
+from gooseberrydock.errorcodes import TARGET_LOST, TARGET_UNREACHABLE, ErrorCode
 from gooseberrydock.http_messages import CONNECTION_HEADERS, HttpResponse, header_value
 from gooseberrydock.mesh.door import Ticket
 from gooseberrydock.mesh.options import HeaderNames
@@ -57,6 +57,8 @@
         self._node.decision_log.on_call_failed(self._node.now_ms(), self.ticket, code, 0)
         if code is TARGET_UNREACHABLE:
             self._node.on_target_unreachable()
+        elif code is TARGET_LOST:
+            self._node.on_run_lost(self.ticket.call)
         result = RunResult.UNKNOWN if was_sent else RunResult.NOT_RUN
         self._finish(result, code.number, code.status, [], b"", was_offered=was_sent)
 
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -9,6 +9,7 @@
 from gooseberrydock.clock import ManualTime, manual_clock
 from gooseberrydock.errorcodes import TARGET_UNREACHABLE
 from gooseberrydock.members import Address, Member, encode_member
+from gooseberrydock.mesh.crash_watch import create_crash_watch
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.model import EMPTY_TABLE, create_route_table
 from gooseberrydock.mesh.node import MeshNode
@@ -102,6 +103,36 @@
         node.on_announcement(attrs.evolve(announced, sequence=2))
         self.assertEqual("shop", _own(node).service)
 
+    def test_request_that_crashes_targets_is_refused_after_the_second(self) -> None:
+        watch, other = create_crash_watch(), create_crash_watch()
+        bad, good = (
+            RoutedCall(1, "look", "shop", "web", "GET", path, [], b"", 1_000.0, 2)
+            for path in ("/bad", "/good")
+        )
+        watch.on_run_lost(0.0, bad)
+        watch.on_run_lost(0.0, good)
+        first = watch.on_target_dead(100.0)
+        assert first is not None
+        self.assertFalse(watch.refuses(200.0, bad))
+        other.on_notice(200.0, first)
+        other.on_run_lost(300.0, bad)
+        other.on_run_lost(300.0, RoutedCall(2, "a", "b", "c", "GET", "/c", [], b"", 1.0, 2))
+        second = other.on_target_dead(400.0)
+        assert second is not None
+        watch.on_notice(500.0, second)
+        for node in (watch, other):
+            self.assertTrue(node.refuses(600.0, bad))
+            self.assertFalse(node.refuses(600.0, good))
+
+    def test_lost_connections_of_a_living_target_blame_nobody(self) -> None:
+        watch = create_crash_watch()
+        call = RoutedCall(1, "look", "shop", "web", "GET", "/a", [], b"", 1_000.0, 2)
+        for step in range(4):
+            watch.on_run_lost(step * 10_000.0, call)
+            watch.tick(step * 10_000.0 + 5_000.0)
+        self.assertIsNone(watch.on_target_dead(60_000.0))
+        self.assertFalse(watch.refuses(60_000.0, call))
+
     def test_malformed_record_names_nothing(self) -> None:
         node = _make_node()
         node.on_store_items((StoreItem("nodes/x", b"\xff\x00", 3),), is_complete=True)
