Spend fewer system calls on connections of one host, and fewer wake-ups when idle

Change: connections within a host set one; timers run at 100 ms while nothing is under way; reports are not copied.

--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -290,8 +290,8 @@
         has_run = answer.result is RunResult.ANSWERED
         self._parts.door.finish(now_ms, run.ticket, has_run)
         call = run.ticket.call
-        report = self._parts.door.report(call.route)
-        self._answer_call(run.ticket.link_id, call, attrs.evolve(answer, report=report))
+        answer.report = self._parts.door.report(call.route)
+        self._answer_call(run.ticket.link_id, call, answer)
         self._start_waiting()
 
     def on_target_unreachable(self) -> None:
@@ -566,7 +566,6 @@
     def tick(self, now_ms: Millis) -> None:
         """Run the timers of requests and calls."""
         self._parts.entry.tick(now_ms)
-        self._links.tick(now_ms)
         self._refuse_late(now_ms, self._parts.door.drop_late(now_ms))
         expired = [
             run for run in self._runs.values() if run.ticket.expires_at + _RUN_SLACK_MS < now_ms
@@ -576,6 +575,10 @@
                 run.pending.abort()
             run.on_failure(TARGET_TIMEOUT, was_sent=run.ticket.has_started)
 
+    def tick_links(self, now_ms: Millis) -> None:
+        """Ask for a sign of life on links where answers are due."""
+        self._links.tick(now_ms)
+
     def pass_on_shares(self, now_ms: Millis) -> None:
         """Let the reports of each route cover the calls that its runs make."""
         shares = self._parts.shares
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -23,6 +23,8 @@
 
 _TICK_MS: Final[Millis] = 25.0
 """How late a deadline may be noticed."""
+_IDLE_TICK_MS: Final[Millis] = 100.0
+"""The same while nothing is under way; the shortest time limits are some hundred milliseconds."""
 _SHARES_EVERY: Final = 4
 """Every how many ticks the shares of services below are passed on in reports."""
 _RECORDS_PAUSE_MS: Final[Millis] = 400.0
@@ -148,7 +150,7 @@
         ]
         for address, handler in served:
             if address is not None:
-                listener = listen(address)
+                listener = listen(address, is_local=address != options.peer_listen)
                 self._listeners.append(listener)
                 nursery.start_soon(listener.serve, handler)
 
@@ -173,10 +175,12 @@
     async def _tick(self, node: MeshNode) -> None:
         counts = itertools.count()
         while True:
-            await trio.sleep(_TICK_MS / MS_PER_SECOND)
+            wait_ms = _TICK_MS if node.in_flight else _IDLE_TICK_MS
+            await trio.sleep(wait_ms / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
             node.tick(now_ms)
             if next(counts) % _SHARES_EVERY == 0:
+                node.tick_links(now_ms)
                 node.pass_on_shares(now_ms)
 
     async def _tick_slowly(self, node: MeshNode) -> None:
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -237,7 +237,7 @@
 
     async def _start_on_new(self, pending: PendingRun, data: bytes, observer: RunObserver) -> None:
         """Open a connection, send the request on it, and go on reading it."""
-        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS)
+        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True)
         if pending.is_aborted:
             if stream is not None:
                 stream.close()
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -209,7 +209,7 @@
     UNKNOWN = 3
 
 
-@attrs.frozen
+@attrs.define
 class TargetReport:
     """Tell the load of a target and how much of a route's requests may be admitted.
 
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -132,11 +132,13 @@
 StreamHandler = Callable[[Stream], Awaitable[None]]
 
 
-async def connect(address: Address, nursery: trio.Nursery, timeout_ms: Millis) -> Stream | None:
+async def connect(
+    address: Address, nursery: trio.Nursery, timeout_ms: Millis, is_local: bool = False
+) -> Stream | None:
     """Open a connection, or return None where that fails or takes too long."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     new_socket = socket.socket(family, socket.SOCK_STREAM)
-    _configure(new_socket)
+    _configure(new_socket, is_local)
     is_connected = False
     try:
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
@@ -160,6 +162,7 @@
     """Accept TCP connections on one address."""
 
     _socket: socket.socket
+    _is_local: bool = False
 
     @property
     def address(self) -> Address:
@@ -183,7 +186,7 @@
                     # Out of file descriptors: connections that end will free some.
                     await trio.sleep(_ACCEPT_PAUSE_S)
                     continue
-                _configure(accepted)
+                _configure(accepted, self._is_local)
                 stream = Stream(accepted, nursery, str(source[0]))
                 nursery.start_soon(_handle, handler, stream)
 
@@ -193,10 +196,16 @@
         self._socket.close()
 
 
-def _configure(new_socket: socket.socket) -> None:
-    """Send without delay, and let the kernel notice within seconds that a path is gone."""
+def _configure(new_socket: socket.socket, is_local: bool) -> None:
+    """Send without delay, and let the kernel notice within seconds that a path is gone.
+
+    On one host there is no path that goes away, and many connections carry one request only, for
+    which so many system calls cost more than reading it.
+    """
     new_socket.setblocking(False)
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if is_local:
+        return
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
@@ -212,10 +221,11 @@
         stream.close_when_sent()
 
 
-def listen(address: Address, is_open: bool = True) -> Listener:
+def listen(address: Address, is_open: bool = True, is_local: bool = False) -> Listener:
     """Bind a TCP listener; port 0 takes any free port.
 
-    One that is not open refuses connections until it serves.
+    One that is not open refuses connections until it serves. A local one is for processes on the
+    same host.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     new_socket = socket.socket(family, socket.SOCK_STREAM)
@@ -224,4 +234,4 @@
     new_socket.bind((address.host, address.port))
     if is_open:
         new_socket.listen(_BACKLOG)
-    return Listener(new_socket)
+    return Listener(new_socket, is_local)
