Steer admission by the work offered instead of the length of queues

Change: the measure is arrivals times mean run time against the slots; a target that finishes nothing counts as stalled; reports are trusted less and less with age instead of not at all after a second.

--- a/gooseberrydock/mesh/door.py
+++ b/gooseberrydock/mesh/door.py
@@ -110,6 +110,8 @@
     def create_ticket(self, now_ms: Millis, run_id: int, link_id: str, call: RoutedCall) -> Ticket:
         """Rank a call that arrived."""
         self._nested.on_call(call.route, call.caller_service)
+        self._pressure.on_arrival(self._route_ms.get(call.route, self._mean_ms))
+        self._pressure.tick(now_ms, self.limit, self._waiting, self._mean_ms)
         is_nested = self._nested.judge(call.route)
         rank = NESTED_RANK if is_nested else call.priority
         expires_at = now_ms + call.remaining_ms
@@ -125,7 +127,6 @@
             return TARGET_BUSY
         heapq.heappush(self._queue, (ticket.rank, next(self._serials), ticket))
         self._waiting += 1
-        self._note(now_ms)
         return None
 
     def expected_wait(self, rank: int) -> Millis:
@@ -140,8 +141,8 @@
                 ticket.is_withdrawn = True
                 self._waiting -= 1
         elif has_run:
+            self._pressure.on_finish()
             self._learn(ticket.call.route, now_ms - ticket.started_at)
-        self._note(now_ms)
 
     def start_next(self, now_ms: Millis) -> tuple[list[Ticket], list[Ticket]]:
         """Return the waiting calls that start now and those that are too late to start."""
@@ -173,7 +174,7 @@
         if late:
             self._queue = [item for item in self._queue if not item[2].is_withdrawn]
             heapq.heapify(self._queue)
-        self._note(now_ms)
+        self._pressure.tick(now_ms, self.limit, self._waiting, self._mean_ms)
         return late
 
     def set_below(self, route: str, share: float, makes_calls: bool) -> None:
@@ -203,7 +204,6 @@
     def _start(self, now_ms: Millis, ticket: Ticket) -> None:
         ticket.started_at = now_ms
         self._running[ticket.run_id] = ticket
-        self._note(now_ms)
 
     def _is_late(self, now_ms: Millis, ticket: Ticket) -> bool:
         needed_ms = self._route_ms.get(ticket.call.route, 0.0) * _LEAST_RUN_SHARE
@@ -215,9 +215,6 @@
         mean_ms = self._mean_ms or run_ms
         self._mean_ms = mean_ms + (run_ms - mean_ms) * _TIME_WEIGHT
 
-    def _note(self, now_ms: Millis) -> None:
-        self._pressure.note(now_ms, self.in_flight, self.limit)
-
 
 def create_door(nested: NestedRoutes) -> Door:
     """Make a door for a target that announced nothing yet."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -613,7 +613,7 @@
             running=len(door.running),
             waiting=door.waiting,
             limit=door.limit,
-            mean_fill=round(door.pressure.mean_fill, 2),
+            offered=round(door.pressure.offered, 2),
             admitted_share=round(door.pressure.share, 2),
             routes={
                 route: round(shares.share_of(now_ms, route), 2)
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -15,7 +15,11 @@
 from gooseberrydock.mesh.model import Route
 
 _REPORT_LIFETIME_MS: Final[Millis] = 1_000.0
-"""How long a report counts; a host that is not heard of again says nothing."""
+"""How much older than the newest report of a route another one may be to count."""
+_REPORT_HOLD_MS: Final[Millis] = 500.0
+"""How long the newest report counts in full; where few requests pass, few reports come back."""
+_RELAX_MS: Final[Millis] = 5_000.0
+"""Time in which a route without new reports is trusted again."""
 _IMPORTANT_FLOOR: Final = 0.12
 """Share of the others below which important requests are turned away too."""
 _ENDING_WEIGHT: Final = 0.04
@@ -75,14 +79,17 @@
         reports = self._reports.get(route)
         if not reports:
             return 1.0
-        oldest = now_ms - _REPORT_LIFETIME_MS
+        newest = max(report.heard_at for report in reports.values())
         weight = 0
         total = 0.0
         for report in reports.values():
-            if report.heard_at >= oldest:
+            if report.heard_at >= newest - _REPORT_LIFETIME_MS:
                 weight += report.limit
                 total += report.share * report.limit
-        return total / weight if weight else 1.0
+        if not weight:
+            return 1.0
+        relaxed = max(0.0, now_ms - newest - _REPORT_HOLD_MS) / _RELAX_MS
+        return min(1.0, total / weight + relaxed)
 
     def admits(self, now_ms: Millis, route: str, priority: int) -> bool:
         """Decide about one request."""
--- /dev/null
+++ b/tests/test_mesh_overload.py
@@ -0,0 +1,135 @@
+"""Loads played against the decisions of entry and door on a virtual clock: what callers get."""
+
+import heapq
+import itertools
+import random
+import unittest
+from typing import Final
+
+import attrs
+
+from gooseberrydock.mesh.door import Door, Ticket, create_door
+from gooseberrydock.mesh.nesting import NestedRoutes
+from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
+from gooseberrydock.messages import RoutedCall
+
+_SLOTS: Final = 40
+_RUN_MS: Final = 25.0
+_PATH_MS: Final = 300.0
+"""How long after the entry's decision a call reaches the target, and a report the entry."""
+_LIMIT_MS: Final = 700.0
+
+
+@attrs.define
+class Outcome:
+    """Count what became of the requests of one kind in the part that is judged."""
+
+    asked: int = 0
+    refused: int = 0
+    served: int = 0
+    late: int = 0
+
+
+@attrs.define(eq=False)
+class OverloadPlay:
+    """Play one target behind an entry, with the delay of a path between them."""
+
+    _random: random.Random
+    _door: Door
+    _shares: AdmittedShares
+    _judged_from_ms: float
+    _events: list[tuple[float, int, str, Ticket | None]] = attrs.field(factory=list)
+    _serials: "itertools.count[int]" = attrs.field(factory=itertools.count)
+    outcomes: dict[int, Outcome] = attrs.field(factory=lambda: {0: Outcome(), 2: Outcome()})
+
+    def play(self, until_ms: float, rates: dict[int, float]) -> None:
+        """Play requests of priorities at rates per second."""
+        for priority, rate in rates.items():
+            at_ms = 0.0
+            while at_ms < until_ms:
+                at_ms += self._random.expovariate(rate / 1_000.0)
+                self._add(at_ms, f"ask {priority}", None)
+        while self._events:
+            now_ms, _, what, ticket = heapq.heappop(self._events)
+            if what.startswith("ask"):
+                self._ask(now_ms, int(what[4:]))
+            elif ticket is not None and what == "arrive":
+                self._arrive(now_ms, ticket)
+            elif ticket is not None:
+                self._end(now_ms, ticket)
+
+    def _add(self, at_ms: float, what: str, ticket: Ticket | None) -> None:
+        heapq.heappush(self._events, (at_ms, next(self._serials), what, ticket))
+
+    def _outcome(self, sent_ms: float, priority: int) -> Outcome:
+        return self.outcomes[priority] if sent_ms >= self._judged_from_ms else Outcome()
+
+    def _ask(self, now_ms: float, priority: int) -> None:
+        outcome = self._outcome(now_ms, priority)
+        outcome.asked += 1
+        if not self._shares.admits(now_ms, "look", priority):
+            outcome.refused += 1
+            return
+        number = next(self._serials)
+        call = RoutedCall(number, "look", "s", "w", "GET", "/", [], b"", _LIMIT_MS, priority)
+        ticket = Ticket(number, "", call, priority, now_ms, now_ms + _PATH_MS + _LIMIT_MS, False)
+        self._add(now_ms + _PATH_MS, "arrive", ticket)
+
+    def _arrive(self, now_ms: float, sent: Ticket) -> None:
+        ticket = self._door.create_ticket(now_ms, sent.run_id, "", sent.call)
+        if self._door.submit(now_ms, ticket) is not None:
+            self._outcome(now_ms - _PATH_MS, ticket.rank).late += 1
+        elif ticket.has_started:
+            self._run(now_ms, ticket)
+        self._report(now_ms)
+
+    def _run(self, now_ms: float, ticket: Ticket) -> None:
+        self._add(now_ms + self._random.uniform(0.5, 1.5) * _RUN_MS, "end", ticket)
+
+    def _end(self, now_ms: float, ticket: Ticket) -> None:
+        self._door.finish(now_ms, ticket, has_run=True)
+        self._outcome(ticket.arrived_at - _PATH_MS, ticket.rank).served += 1
+        started, late = self._door.start_next(now_ms)
+        for item in started:
+            self._run(now_ms, item)
+        for item in late:
+            self._outcome(item.arrived_at - _PATH_MS, item.rank).late += 1
+        self._report(now_ms)
+
+    def _report(self, now_ms: float) -> None:
+        report = self._door.report("look")
+        self._shares.on_report(now_ms, "look", "host", report.admitted_share, report.limit)
+
+
+def _play(load: float, seed: int, important: float = 0.3) -> OverloadPlay:
+    """Play ten seconds at a multiple of what the target can run; judge the last seven."""
+    door = create_door(NestedRoutes())
+    door.set_slots(_SLOTS)
+    play = OverloadPlay(random.Random(seed), door, create_admitted_shares(seed), 3_000.0)
+    capacity = door.limit / _RUN_MS * 1_000.0
+    play.play(10_000.0, {0: capacity * important, 2: capacity * (load - important)})
+    return play
+
+
+class OverloadCases(unittest.TestCase):
+    """Answers a service that is offered more than it can run, steadily."""
+
+    def test_target_is_kept_busy_and_nothing_is_admitted_in_vain(self) -> None:
+        for load, seed in itertools.product((1.3, 2.0, 3.0), range(3)):
+            with self.subTest(load=load, seed=seed):
+                outcomes = _play(load, seed).outcomes
+                served = sum(outcome.served for outcome in outcomes.values())
+                capacity = 7.0 * 37 / _RUN_MS * 1_000.0
+                self.assertGreater(served / capacity, 0.9)
+                late = sum(outcome.late for outcome in outcomes.values())
+                self.assertLess(late / served, 0.02)
+
+    def test_important_requests_are_all_served(self) -> None:
+        outcome = _play(2.0, 1).outcomes[0]
+        self.assertGreater(outcome.served / outcome.asked, 0.99)
+
+    def test_nothing_is_turned_away_at_normal_load(self) -> None:
+        for load, seed in itertools.product((0.6, 0.8), range(3)):
+            with self.subTest(load=load, seed=seed):
+                outcome = _play(load, seed).outcomes[2]
+                self.assertLess(outcome.refused / outcome.asked, 0.01)
