--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -22,6 +22,7 @@
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.door import Ticket
 from gooseberrydock.mesh.entry import Exchange
+from gooseberrydock.mesh.latency import LatencyHistogram
 from gooseberrydock.mesh.options import HeaderNames
 
 _LINES_PER_SECOND: Final = 8.0
@@ -68,6 +69,7 @@
     _budgets: dict[int, LineBudget] = attrs.field(factory=_create_budgets)
     _refused: dict[int, int] = attrs.field(factory=dict)
     _answered: int = 0
+    _durations: dict[str, LatencyHistogram] = attrs.field(factory=dict)
 
     @property
     def refused(self) -> dict[int, int]:
@@ -79,9 +81,15 @@
         """Return the answers of targets passed on."""
         return self._answered
 
+    @property
+    def durations(self) -> dict[str, LatencyHistogram]:
+        """Return how long answers took from the request on, by route."""
+        return self._durations
+
     def on_answered(self, now_ms: Millis, exchange: Exchange, status: int) -> None:
         """Note a target's answer passed on."""
         self._answered += 1
+        self._observe(now_ms, exchange)
         if self._take(now_ms, REQUEST_ANSWERED):
             log(
                 REQUEST_ANSWERED,
@@ -126,6 +134,12 @@
         if self._take(now_ms, CALL_FAILED):
             log(CALL_FAILED, status=status, **self._ticket_fields(now_ms, ticket, code))
 
+    def _observe(self, now_ms: Millis, exchange: Exchange) -> None:
+        histogram = self._durations.get(exchange.route.name)
+        if histogram is None:
+            histogram = self._durations[exchange.route.name] = LatencyHistogram()
+        histogram.observe(now_ms - exchange.received_at)
+
     def _ticket_fields(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> dict[str, object]:
         started_at = ticket.started_at if ticket.has_started else now_ms
         return {
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -32,6 +32,7 @@
     registry = Registry()
     _add_counters(registry, node)
     _add_gauges(registry, node)
+    _add_durations(registry, node)
     content, headers = render(registry, [])
     return content, headers["Content-Type"]
 
@@ -52,6 +53,19 @@
         Counter(_PREFIX + name, text, registry=registry).set({}, value)
 
 
+def _add_durations(registry: Registry, node: MeshNode) -> None:
+    """Add histograms, whose parts are set from counts kept elsewhere."""
+    name = _PREFIX + "request_duration_ms"
+    buckets = Counter(name + "_bucket", "Time from request to answer", registry=registry)
+    sums = Counter(name + "_sum", "Sum of these times", registry=registry)
+    counts = Counter(name + "_count", "Number of these times", registry=registry)
+    for route, histogram in node.decision_log.durations.items():
+        for bound, count in histogram.cumulative():
+            buckets.set({"route": route, "le": bound}, count)
+        sums.set({"route": route}, histogram.total_ms)
+        counts.set({"route": route}, histogram.count)
+
+
 def _add_gauges(registry: Registry, node: MeshNode) -> None:
     door = node.door
     values = {
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -202,6 +202,13 @@
         pool.close()
         return response is not None and response.status == 200
 
+    async def metrics(self, node: FleetNode) -> str:
+        """Return a node's metrics page."""
+        pool = ClientPool(node.metrics, self.nursery)
+        response = await fetch(pool, HttpRequest("GET", "/metrics", [], b""), 1.0)
+        pool.close()
+        return response.body.decode() if response is not None else ""
+
     async def until_known(self) -> None:
         """Wait until the store holds the service beside each node."""
         with trio.fail_after(_START_LIMIT_S):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,7 @@
 _RATE_PER_S: Final = 30.0
 _PATIENCE_S: Final = 3.0
 _DRAIN_S: Final = 2.0
+_PROBE_PAUSE_S: Final = 0.1
 _RECOVERY_S: Final = 15.0
 _PROMISES_NOT_RUN: Final = frozenset((408, 421, 429, 503))
 _WORK_S: Final = 0.03
@@ -220,6 +221,8 @@
         sent = self._sent[f"q{number}"] = Sent(f"/look/{number}", trio.current_time())
         response = await self._fleet.send(node, sent.path, f"q{number}", _PATIENCE_S)
         sent.status = response.status if response is not None else 0
+        if sent.status != 200:
+            await trio.sleep(_PROBE_PAUSE_S)
         return sent.status == 200
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -151,6 +151,17 @@
 
         self._run(scenario)
 
+    def test_metrics_show_answers_and_their_durations(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            web = fleet.nodes[2]
+            for number in range(3):
+                self.assertEqual(200, await fleet.status(web, f"/look/{number}"))
+            page = await fleet.metrics(web)
+            self.assertIn('gooseberrydock_request_duration_ms_bucket{le="+Inf",route="look"}', page)
+            self.assertRegex(page, r"gooseberrydock_answered(\{\})? [3-9]")
+
+        self._run(scenario)
+
     def test_bad_announcements_change_nothing(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             server = fleet.nodes[0].server
