--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -180,6 +180,9 @@
 TARGET_MISMATCH: Final = _register(
     406, "target-mismatch", 502, _UNKNOWN, "The target's answer is not its whole own answer"
 )
+TARGET_FAILED: Final = _register(
+    407, "target-failed", 502, _UNKNOWN, "The target answered with a failure of its own"
+)
 
 STORE_UNAVAILABLE: Final = _register(
     500, "store-unavailable", 503, _UNKNOWN, "The key-value service did not answer"
--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -101,8 +101,29 @@
                 offers=exchange.offers,
             )
 
+    def on_retried(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
+        """Note that a request is sent to another host."""
+        if self._take(now_ms, REQUEST_RETRIED):
+            log(
+                REQUEST_RETRIED,
+                request=exchange.request_id,
+                route=exchange.route.name,
+                service=exchange.service,
+                code=code.number,
+                cause=code.name,
+                host=exchange.node_id,
+                offers=exchange.offers,
+                refusals=exchange.refusals,
+                left_ms=round(exchange.deadline_at - now_ms, 1),
+            )
+
     def on_refused(
-        self, now_ms: Millis, exchange: Exchange, code: ErrorCode, retry_after_ms: Millis
+        self,
+        now_ms: Millis,
+        exchange: Exchange,
+        code: ErrorCode,
+        retry_after_ms: Millis,
+        table_version: int,
     ) -> None:
         """Note an answer in the node's own name."""
         self._refused[code.number] = self._refused.get(code.number, 0) + 1
@@ -122,6 +143,8 @@
                 refusals=exchange.refusals,
                 nested=exchange.is_nested,
                 retry_after_ms=round(retry_after_ms),
+                table=table_version,
+                **exchange.inputs,
             )
 
     def on_call_refused(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> None:
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -25,6 +25,7 @@
     PEER_LOST,
     QUARANTINED,
     SHED_AT_ENTRY,
+    TARGET_FAILED,
     TARGET_UNREACHABLE,
     ErrorCode,
     error_code,
@@ -74,6 +75,9 @@
     ) -> None:
         """Answer in the node's own name."""
 
+    def on_retry(self, exchange: "Exchange", code: ErrorCode) -> None:
+        """Take in that a request goes to another host, and why."""
+
     def send_call(self, node_id: str, call: RoutedCall) -> None:
         """Send a call to a target's node."""
 
@@ -85,7 +89,7 @@
 class Exchange:
     """Track one request from its arrival until it is answered.
 
-    ``may_have_run`` says that some attempt may have reached a target and that nobody told
+    ``inputs`` is what a refusal by the entry was decided on, for the log. ``may_have_run`` says that some attempt may have reached a target and that nobody told
     otherwise. ``offers`` counts the targets that the request was sent to.
     """
 
@@ -108,6 +112,7 @@
     may_have_run: bool = False
     is_done: bool = False
     last_code: ErrorCode = NO_TARGET
+    inputs: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -184,6 +189,7 @@
         exchange.is_nested = self._nested.is_nested(route.name)
         exchange.service = self._splits.choose(route)
         if not exchange.is_nested and not self._shares.admits(now_ms, route.name, route.priority):
+            exchange.inputs = self._shares.explain(now_ms, route.name)
             self._refuse(now_ms, exchange, SHED_AT_ENTRY)
             return None
         if exchange.is_nested:
@@ -308,6 +314,8 @@
         if host is None:
             self._give_up(now_ms, exchange)
             return
+        if exchange.tried:
+            self._effects.on_retry(exchange, exchange.last_code)
         call_id = next(self._ids)
         exchange.call_id = call_id
         exchange.node_id = host.node_id
@@ -337,6 +345,7 @@
         # Where runs make calls, a failure is mostly that of a call: a repeat would repeat all.
         is_own_failure = answer.status >= _SERVER_ERROR and not self._makes_calls(exchange)
         if is_own_failure and self._may_repeat(now_ms, exchange):
+            exchange.last_code = TARGET_FAILED
             exchange.may_have_run = True
             self._send(now_ms, exchange)
             return
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -208,7 +208,8 @@
         self, caller: Caller, exchange: Exchange, code: ErrorCode, retry_after_ms: Millis
     ) -> None:
         """Answer in the node's own name."""
-        self._log.on_refused(self._clock.now_ms(), exchange, code, retry_after_ms)
+        version = self._table.version
+        self._log.on_refused(self._clock.now_ms(), exchange, code, retry_after_ms, version)
         response = problem_response(code, code.outcome, "entry", exchange.node_id)
         headers = [header for header in response.headers if header[0] != _RETRY_AFTER]
         if code.status in (429, 503):
@@ -218,6 +219,10 @@
         if isinstance(caller, FrontConnection):
             caller.respond(HttpResponse(code.status, headers, response.body))
 
+    def on_retry(self, exchange: Exchange, code: ErrorCode) -> None:
+        """Log that a request goes to another host."""
+        self._log.on_retried(self._clock.now_ms(), exchange, code)
+
     def send_call(self, node_id: str, call: RoutedCall) -> None:
         """Send a call to a target's node, which may be this one."""
         if node_id == self._options.node_id:
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -74,6 +74,17 @@
         success = self._success.get(route, 1.0)
         return min(1.0, max(_LEAST_HOPE, success * _HOPE_PER_SUCCESS))
 
+    def explain(self, now_ms: Millis, route: str) -> dict[str, float]:
+        """Return what decides about requests of a route now, with its age, for the log."""
+        heard_at = [report.heard_at for report in self._reports.get(route, {}).values()]
+        inputs = {
+            "share": round(self.share_of(now_ms, route), 3),
+            "hope": round(self.hope_of(route), 3),
+        }
+        if heard_at:
+            inputs["share_age_ms"] = round(now_ms - max(heard_at), 1)
+        return inputs
+
     def share_of(self, now_ms: Millis, route: str) -> float:
         """Return the share of a route to admit: the hosts' mean, weighted by their slots."""
         reports = self._reports.get(route)
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -100,6 +100,7 @@
     answers: list[HttpResponse] = attrs.field(factory=list)
     refusals: list[tuple[ErrorCode, float]] = attrs.field(factory=list)
     calls: list[tuple[str, RoutedCall]] = attrs.field(factory=list)
+    retries: list[ErrorCode] = attrs.field(factory=list)
     cancels: list[tuple[str, int]] = attrs.field(factory=list)
 
     def answer(self, caller: Caller, exchange: Exchange, response: HttpResponse) -> None:
@@ -112,6 +113,10 @@
         """Remember an answer in the node's own name."""
         self.refusals.append((code, retry_after_ms))
 
+    def on_retry(self, exchange: Exchange, code: ErrorCode) -> None:
+        """Remember a retry."""
+        self.retries.append(code)
+
     def send_call(self, node_id: str, call: RoutedCall) -> None:
         """Remember a call."""
         self.calls.append((node_id, call))
