--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -89,8 +89,9 @@
 class Exchange:
     """Track one request from its arrival until it is answered.
 
-    ``inputs`` is what a refusal by the entry was decided on, for the log. ``may_have_run`` says that some attempt may have reached a target and that nobody told
-    otherwise. ``offers`` counts the targets that the request was sent to.
+    ``inputs`` is what a refusal by the entry was decided on, for the log. ``may_have_run`` says
+    that some attempt may have reached a target and that nobody told otherwise. ``offers`` counts
+    the targets that the request was sent to.
     """
 
     exchange_id: int
