--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -299,6 +299,10 @@
         self._answer_call(run.ticket.link_id, call, answer)
         self._start_waiting()
 
+    def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
+        """Log that the target gave no usable answer to a call."""
+        self._log.on_call_failed(self._clock.now_ms(), ticket, code, status)
+
     def on_target_unreachable(self) -> None:
         """Take in that the target took no connection; one that has others may just be full."""
         if self._pool.open_connections == 0:
--- a/gooseberrydock/mesh/runs.py
+++ b/gooseberrydock/mesh/runs.py
@@ -1,6 +1,6 @@
 """One call at the target: its bytes, and what its target's answer makes of it."""
 
-from typing import TYPE_CHECKING, Final
+from typing import Final, Protocol
 
 import attrs
 
@@ -13,19 +13,35 @@
 from gooseberrydock.mesh.target_connections import PendingRun
 from gooseberrydock.messages import RoutedAnswer, RoutedCall, RunResult, TargetReport
 
-if TYPE_CHECKING:
-    from gooseberrydock.mesh.node import MeshNode
-
 _NO_REPORT: Final = TargetReport(0, 0, 0.0, 1.0)
 _BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
 
+class RunOwner(Protocol):
+    """Take what becomes of a run: the node that handed it to the target."""
+
+    def finish_run(self, run: "Run", answer: RoutedAnswer) -> None:
+        """Answer a run's call."""
+
+    def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
+        """Take in that the target gave no usable answer."""
+
+    def on_other_instance(self) -> None:
+        """Take in that the announced instance is not at the target's address."""
+
+    def on_target_unreachable(self) -> None:
+        """Take in that the target took no connection."""
+
+    def on_run_lost(self, call: RoutedCall) -> None:
+        """Take in that a run lost its connection to the target."""
+
+
 @attrs.define(eq=False)
 class Run:
     """Watch one call from the queue to its answer."""
 
     ticket: Ticket
-    _node: "MeshNode"
+    _owner: RunOwner
     _names: HeaderNames
     pending: PendingRun | None = None
 
@@ -42,23 +58,21 @@
         """Answer the call by what the target's answer says."""
         verdict = judge_answer(response, self._names)
         if verdict.is_other_instance:
-            self._node.on_other_instance()
+            self._owner.on_other_instance()
         if verdict.result is RunResult.ANSWERED:
             headers = [item for item in response.headers if item[0] not in CONNECTION_HEADERS]
             self._finish(verdict.result, 0, response.status, headers, response.body)
             return
-        self._node.decision_log.on_call_failed(
-            self._node.now_ms(), self.ticket, verdict.code, response.status
-        )
+        self._owner.on_call_failed(self.ticket, verdict.code, response.status)
         self._finish(verdict.result, verdict.code.number, verdict.code.status, [], b"")
 
     def on_failure(self, code: ErrorCode, was_sent: bool) -> None:
         """Answer the call as not run where it was not sent, and as unknown otherwise."""
-        self._node.decision_log.on_call_failed(self._node.now_ms(), self.ticket, code, 0)
+        self._owner.on_call_failed(self.ticket, code, 0)
         if code is TARGET_UNREACHABLE:
-            self._node.on_target_unreachable()
+            self._owner.on_target_unreachable()
         elif code is TARGET_LOST:
-            self._node.on_run_lost(self.ticket.call)
+            self._owner.on_run_lost(self.ticket.call)
         result = RunResult.UNKNOWN if was_sent else RunResult.NOT_RUN
         self._finish(result, code.number, code.status, [], b"", was_offered=was_sent)
 
@@ -73,7 +87,7 @@
     ) -> None:
         call_id = self.ticket.call.call_id
         answer = RoutedAnswer(call_id, result, code, status, headers, body, was_offered, _NO_REPORT)
-        self._node.finish_run(self, answer)
+        self._owner.finish_run(self, answer)
 
 
 def request_bytes(
