Place by the tail of run times too, and never fill a host because it is fast

Change: the part of the limit that a mean takes counts, and the last 15% of a host's slots cost more than any speed saves. Both tests failed before.

--- a/gooseberrydock/mesh/placement.py
+++ b/gooseberrydock/mesh/placement.py
@@ -24,6 +24,13 @@
 """Shares of the target latency that a host costs more per share of its slots beyond the start.
 
 Other failure domains must be used before the fill at which targets call for less work."""
+_FULL_START: Final = 0.85
+_FULL_SLOPE: Final = 4.0
+"""The same from where a host is nearly full: no speed makes up for that."""
+_TAIL_WEIGHT: Final = 2.0
+_TAIL_MOST: Final = 0.3
+"""Weight of the part of the time limit that a host's mean time takes, and the most it may count,
+as a share of the target latency: the slower the host, the more of its runs end at the limit."""
 _DOMAIN_SURCHARGE: Final = 0.1
 """Share of the target latency that leaving the failure domain is taken to cost."""
 _FAILURE_SURCHARGE: Final = 0.5
@@ -115,6 +122,10 @@
         fill = evidence.fill
         if fill > _FILL_START:
             cost += scale_ms * (fill - _FILL_START) * _FILL_SLOPE
+        if fill > _FULL_START:
+            cost += scale_ms * (fill - _FULL_START) * _FULL_SLOPE
+        tail_ms = known_ms * known_ms / route.timeout_ms * _TAIL_WEIGHT
+        cost += min(tail_ms, _TAIL_MOST * scale_ms)
         if host.failure_domain != self._failure_domain:
             cost += _DOMAIN_SURCHARGE * scale_ms
         return cost + _FAILURE_SURCHARGE * scale_ms * evidence.failure_share
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -129,6 +129,27 @@
         chosen = placement.choose(0.0, route, hosts, set())
         self.assertEqual("far", chosen.node_id if chosen else "")
 
+    def test_tight_limit_goes_to_the_fast_host_of_another_domain(self) -> None:
+        """On a slow host too many runs of a booking end at its time limit."""
+        placement = create_placement("d1", 1)
+        route = make_route("booking", timeout_ms=800.0)
+        hosts = [make_member("slow", domain="d1"), make_member("fast", domain="d2")]
+        for name, run_ms in (("slow", 260.0), ("fast", 215.0)):
+            placement.on_sent(name)
+            placement.on_answer(name, route.name, _report(10, 100, run_ms), False)
+        chosen = placement.choose(0.0, route, hosts, set())
+        self.assertEqual("fast", chosen.node_id if chosen else "")
+
+    def test_no_speed_makes_up_for_a_full_host(self) -> None:
+        placement = create_placement("d1", 1)
+        route = make_route("stock", timeout_ms=2_000.0)
+        hosts = [make_member("slow"), make_member("fast")]
+        for name, run_ms, in_flight in (("slow", 500.0, 20), ("fast", 220.0, 40)):
+            placement.on_sent(name)
+            placement.on_answer(name, route.name, _report(in_flight, 40, run_ms), False)
+        chosen = placement.choose(0.0, route, hosts, set())
+        self.assertEqual("slow", chosen.node_id if chosen else "")
+
     def test_failing_host_is_avoided(self) -> None:
         placement = create_placement("d1", 1)
         hosts = [make_member("good"), make_member("grey")]
