--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -4,6 +4,7 @@
 what they decide.
 """
 
+import math
 import random
 from functools import singledispatch
 from typing import Final
@@ -65,6 +66,10 @@
 _RETRY_AFTER: Final = b"retry-after"
 _INTRODUCED: Final = 128
 """How many records a node tells on a new link; a newcomer has many links."""
+_SPOKEN: Final = 24
+"""On how many links a node speaks in one round, which bounds what control costs it."""
+_KEPT_LINKS: Final = 200
+"""How many links a node opens ahead of need; beyond that, calls open their own."""
 _REOPENED: Final = 16
 """How many missing links are opened in one round."""
 _UNHEARD_ROUNDS: Final = 4
@@ -95,6 +100,7 @@
     _next_run_id: int = 0
     _is_stopping: bool = False
     _is_store_away: bool = False
+    _round: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._links = PeerLinks(
@@ -638,10 +644,17 @@
         )
 
     def _check_links(self, now_ms: Millis) -> None:
-        """Speak on every link, close those on which nobody does, and open those that lack."""
-        for link in self._links.open_links:
+        """Speak on links in turn, close those on which nobody does, and open some that lack."""
+        links = self._links.open_links
+        turns = max(1, math.ceil(len(links) / _SPOKEN))
+        self._round += 1
+        for link in links[self._round % turns :: turns]:
             link.send(ConfigurationRequest(self._table.version))
-        self._links.close_unheard(_UNHEARD_ROUNDS)
+        self._links.close_unheard(_UNHEARD_ROUNDS * turns)
+        if len(links) < _KEPT_LINKS:
+            self._open_missing_links()
+
+    def _open_missing_links(self) -> None:
         missing = [
             member
             for member in self._parts.directory.others
