--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -47,7 +47,7 @@
         "repeats_denied": (node.parts.budget.denied, "Repeats that the budget did not allow"),
         "link_bytes_sent": (node.links.bytes_sent, "Bytes sent on links to other nodes"),
         "link_bytes_received": (node.links.bytes_received, "Bytes received on these links"),
-        "target_connections_opened": (node.pool.opened, "Connections opened to the target"),
+        "target_connections_opened": (node.target.pool.opened, "Connections opened to the target"),
     }
     for name, (value, text) in values.items():
         Counter(_PREFIX + name, text, registry=registry).set({}, value)
@@ -76,7 +76,7 @@
         "waiting": (door.waiting, "Calls that wait for the target"),
         "limit": (door.limit, "Calls that may run at once"),
         "admitted_share": (door.pressure.share, "Share of less important work to admit"),
-        "target_connections": (node.pool.open_connections, "Open connections to the target"),
+        "target_connections": (node.target.pool.open_connections, "Open connections to the target"),
     }
     for name, (value, text) in values.items():
         Gauge(_PREFIX + name, text, registry=registry).set({}, value)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -88,7 +88,7 @@
         async with trio.open_nursery() as nursery:
             node = self._create_node(nursery)
             sync = self._create_sync(node, nursery)
-            node.attach_store(sync)
+            node.fleet.attach_store(sync)
             self._listen(nursery, node)
             nursery.start_soon(self._handle_signals, node)
             nursery.start_soon(sync.follow, self._surroundings.keys.table, 0.0)
@@ -114,7 +114,7 @@
             clock=self._clock,
             nursery=nursery,
             parts=parts,
-            record=_create_record(options, self._clock),
+            first_record=_create_record(options, self._clock),
             log=DecisionLog(options.headers),
         )
         parts.join(options, node, seed)
@@ -123,7 +123,7 @@
     def _create_sync(self, node: MeshNode, nursery: trio.Nursery) -> StoreSync:
         return StoreSync(
             store=self._surroundings.open_store(nursery),
-            sink=node,
+            sink=node.fleet,
             clock=self._clock,
             random=self._random,
             node_prefix=self._surroundings.keys.nodes,
@@ -212,7 +212,7 @@
 async def _publish_first_record(node: MeshNode) -> None:
     """Write the record of a node whose target does not announce itself."""
     await trio.sleep(_FIRST_RECORD_MS / MS_PER_SECOND)
-    node.write_record()
+    node.fleet.write_record()
 
 
 async def _collect_garbage() -> None:
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -182,6 +182,11 @@
     _open: int = 0
     _opened: int = 0
 
+    @property
+    def address(self) -> Address:
+        """Return the address of the target."""
+        return self._address
+
     @property
     def open_connections(self) -> int:
         """Return the number of connections that are open."""
--- /dev/null
+++ b/gooseberrydock/mesh/target_side.py
@@ -0,0 +1,275 @@
+"""The target's side of a node: calls in, runs at the target, answers out.
+
+Ties the decisions of ``registration``, ``door`` and ``crash_watch`` to the connections to the
+target beside this node. Whoever owns it takes the answers and tells other nodes what changed.
+"""
+
+from typing import Final, Protocol
+
+import attrs
+
+from gooseberrydock.clock import Clock, Millis
+from gooseberrydock.errorcodes import (
+    NO_TARGET,
+    NODE_LEAVING,
+    QUARANTINED,
+    TARGET_TIMEOUT,
+    ErrorCode,
+)
+from gooseberrydock.events import (
+    ANNOUNCEMENT_REFUSED,
+    REQUEST_CONVICTED,
+    TARGET_CHANGED,
+    TARGET_LEAVING,
+)
+from gooseberrydock.logs import log
+from gooseberrydock.mesh.decision_log import DecisionLog
+from gooseberrydock.mesh.door import LATE_CODE, Ticket
+from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.parts import NodeParts
+from gooseberrydock.mesh.runs import Run, request_bytes
+from gooseberrydock.mesh.target_connections import TargetPool
+from gooseberrydock.mesh.target_registration import InstanceAnnouncement
+from gooseberrydock.messages import Cancel, CrashNotice, RoutedAnswer, RoutedCall, RunResult
+
+_RUN_SLACK_MS: Final[Millis] = 150.0
+"""How long a run may outlast its time before it is broken off: the target ends it first."""
+
+
+class TargetSideOwner(Protocol):
+    """Take what the target's side decides: the node."""
+
+    def answer_call(self, link_id: str, answer: RoutedAnswer) -> None:
+        """Send the answer to a call back where the call came from."""
+
+    def publish(self, in_store: bool = True) -> None:
+        """Tell other nodes what changed about the target."""
+
+    def broadcast(self, notice: CrashNotice) -> None:
+        """Tell other nodes what crashed the target."""
+
+    def is_idempotent(self, route: str) -> bool:
+        """Say whether requests of a route may be repeated."""
+
+
+@attrs.define(eq=False)
+class TargetSide:
+    """Run calls at the local target."""
+
+    _owner: TargetSideOwner
+    _clock: Clock
+    _parts: NodeParts
+    _pool: TargetPool
+    _names: HeaderNames
+    _log: DecisionLog
+    _runs: dict[int, Run] = attrs.field(factory=dict)
+    _run_of_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
+    _next_run_id: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls that run or wait."""
+        return len(self._runs)
+
+    @property
+    def pool(self) -> TargetPool:
+        """Return the connections to the target."""
+        return self._pool
+
+    # Calls.
+
+    def on_call(self, link_id: str, call: RoutedCall) -> None:
+        """Take a call that came on a link."""
+        now_ms = self._clock.now_ms()
+        code = self._refusal(now_ms, call)
+        if code is not None:
+            self._refuse(link_id, call, code)
+            return
+        self._next_run_id += 1
+        ticket = self._parts.door.create_ticket(now_ms, self._next_run_id, link_id, call)
+        code = self._parts.door.submit(now_ms, ticket)
+        if code is not None:
+            self._log.on_call_refused(now_ms, ticket, code)
+            self._refuse(link_id, call, code)
+            return
+        run = Run(ticket, self, self._names)
+        self._runs[ticket.run_id] = run
+        self._run_of_call[(link_id, call.call_id)] = ticket.run_id
+        if ticket.has_started:
+            self._start(run)
+
+    def on_cancel(self, link_id: str, cancel: Cancel) -> None:
+        """Withdraw a call, whose answer nobody waits for any more."""
+        run_id = self._run_of_call.get((link_id, cancel.call_id))
+        run = self._runs.get(run_id) if run_id is not None else None
+        if run is not None:
+            self._drop(run)
+            self._start_waiting()
+
+    def on_link_lost(self, link_id: str) -> None:
+        """Drop the calls that came on a link."""
+        lost = [run for run in self._runs.values() if run.ticket.link_id == link_id]
+        for run in lost:
+            self._drop(run)
+        if lost:
+            self._start_waiting()
+
+    def _refusal(self, now_ms: Millis, call: RoutedCall) -> ErrorCode | None:
+        """Return why the target may not have a call, whatever room it has."""
+        registration = self._parts.registration
+        if not registration.accepts(now_ms, call.service):
+            return NODE_LEAVING if registration.is_leaving else NO_TARGET
+        return QUARANTINED if self._parts.crashes.refuses(now_ms, call) else None
+
+    def _refuse(self, link_id: str, call: RoutedCall, code: ErrorCode) -> None:
+        """Answer a call that the target has not seen."""
+        report = self._parts.door.report(call.route)
+        answer = RoutedAnswer(
+            call.call_id, RunResult.NOT_RUN, code.number, code.status, [], b"", False, report
+        )
+        self._owner.answer_call(link_id, answer)
+
+    # Runs.
+
+    def _start(self, run: Run) -> None:
+        """Hand a run to the target."""
+        now_ms = self._clock.now_ms()
+        call = run.ticket.call
+        registration = self._parts.registration
+        self._parts.graph.on_start(now_ms, call.route)
+        if not registration.accepts(now_ms, call.service):
+            # The target left while the call waited.
+            self._end(run, has_run=False)
+            self._refuse(run.ticket.link_id, call, NODE_LEAVING)
+            return
+        remaining_ms = run.ticket.expires_at - now_ms
+        data = request_bytes(call, self._names, registration.instance_id, remaining_ms)
+        run.pending = self._pool.start(data, run, self._owner.is_idempotent(call.route))
+
+    def finish_run(self, run: Run, answer: RoutedAnswer) -> None:
+        """Answer a run's call and start what waits."""
+        self._end(run, has_run=answer.result is RunResult.ANSWERED)
+        answer.report = self._parts.door.report(run.ticket.call.route)
+        self._owner.answer_call(run.ticket.link_id, answer)
+        self._start_waiting()
+
+    def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
+        """Log that the target gave no usable answer to a call."""
+        self._log.on_call_failed(self._clock.now_ms(), ticket, code, status)
+
+    def _drop(self, run: Run) -> None:
+        """Give up a run whose answer nobody waits for."""
+        if run.pending is not None:
+            run.pending.abort()
+        self._end(run, has_run=False)
+
+    def _end(self, run: Run, has_run: bool) -> None:
+        """Forget a run and free its place."""
+        now_ms = self._clock.now_ms()
+        ticket = run.ticket
+        if ticket.has_started:
+            self._parts.graph.on_end(now_ms, ticket.call.route)
+        self._runs.pop(ticket.run_id, None)
+        self._run_of_call.pop((ticket.link_id, ticket.call.call_id), None)
+        self._parts.door.finish(now_ms, ticket, has_run)
+
+    def _start_waiting(self) -> None:
+        now_ms = self._clock.now_ms()
+        started, late = self._parts.door.start_next(now_ms)
+        self._refuse_late(now_ms, late)
+        for ticket in started:
+            run = self._runs.get(ticket.run_id)
+            if run is not None:
+                self._start(run)
+
+    def _refuse_late(self, now_ms: Millis, late: list[Ticket]) -> None:
+        for ticket in late:
+            run = self._runs.get(ticket.run_id)
+            if run is not None:
+                self._end(run, has_run=False)
+                self._log.on_call_refused(now_ms, ticket, LATE_CODE)
+                self._refuse(ticket.link_id, ticket.call, LATE_CODE)
+
+    # The target.
+
+    def on_announcement(self, announcement: InstanceAnnouncement) -> bool:
+        """Take an announcement; say whether it is one of the target beside this node."""
+        registration = self._parts.registration
+        if announcement.address != self._pool.address:
+            self.on_bad_announcement(f"address {announcement.address}")
+            return False
+        before = registration.instance_id
+        if registration.announce(self._clock.now_ms(), announcement):
+            if registration.instance_id != before:
+                self._pool.close_idle()
+                self._parts.door.forget_times()
+            self._parts.door.set_target(announcement.service, registration.slots)
+            log(
+                TARGET_CHANGED,
+                instance=announcement.instance_id,
+                state=announcement.state.value,
+                slots=announcement.slots,
+                sequence=announcement.sequence,
+            )
+            self._owner.publish()
+        return True
+
+    def on_target_leaving(self, instance_id: str, started_wall_ms: int | None) -> None:
+        """Take in that a target leaves without having announced it."""
+        now_ms = self._clock.now_ms()
+        if self._parts.registration.leave(now_ms, instance_id, started_wall_ms):
+            log(TARGET_LEAVING, instance=instance_id)
+            self._owner.publish()
+
+    def on_bad_announcement(self, detail: str) -> None:
+        """Note an announcement that names no target of this node."""
+        log(ANNOUNCEMENT_REFUSED, detail=detail)
+
+    def on_other_instance(self) -> None:
+        """Take in that the announced instance is not at the target's address."""
+        registration = self._parts.registration
+        if registration.on_mismatch(registration.instance_id):
+            self._pool.close_idle()
+            self._owner.publish()
+
+    def on_target_unreachable(self) -> None:
+        """Take in that the target took no connection; one that has others may just be full."""
+        if self._pool.open_connections:
+            return
+        self.on_other_instance()
+        notice = self._parts.crashes.on_target_dead(self._clock.now_ms())
+        if notice is not None:
+            self._owner.broadcast(notice)
+            _log_convicted(notice)
+
+    def on_run_lost(self, call: RoutedCall) -> None:
+        """Note that a run lost its connection, of which the target may have died."""
+        self._parts.crashes.on_run_lost(self._clock.now_ms(), call)
+
+    def on_crash_notice(self, notice: CrashNotice) -> None:
+        """Take in what crashed a target elsewhere."""
+        self._parts.crashes.on_notice(self._clock.now_ms(), notice)
+        _log_convicted(notice)
+
+    # Timers.
+
+    def tick(self, now_ms: Millis) -> None:
+        """Refuse what waits too long, and break off runs that outlast their time."""
+        self._refuse_late(now_ms, self._parts.door.drop_late(now_ms))
+        expired = [
+            run for run in self._runs.values() if run.ticket.expires_at + _RUN_SLACK_MS < now_ms
+        ]
+        for run in expired:
+            if run.pending is not None:
+                run.pending.abort()
+            run.on_failure(TARGET_TIMEOUT, was_sent=run.ticket.has_started)
+
+    def tick_slowly(self, now_ms: Millis) -> None:
+        """Close connections that were idle for too long, and clear suspicions."""
+        self._pool.sweep()
+        self._parts.crashes.tick(now_ms)
+
+
+def _log_convicted(notice: CrashNotice) -> None:
+    for fingerprint in notice.convicted:
+        log(REQUEST_CONVICTED, fingerprint=f"{fingerprint:016x}")
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -72,7 +72,7 @@
     if request.method == "PUT":
         return _on_heartbeat(node, instance_id, request.body)
     if request.method == "DELETE":
-        node.on_target_leaving(instance_id, _start_named(request.body))
+        node.target.on_target_leaving(instance_id, _start_named(request.body))
         return _plain(200)
     return _plain(NOT_FOUND.status)
 
@@ -81,9 +81,9 @@
     try:
         announcement = parse_announcement(instance_id, body)
     except GooseberrydockError as error:
-        node.on_bad_announcement(error.detail)
+        node.target.on_bad_announcement(error.detail)
         return _plain(error.code.status)
-    is_known = node.on_announcement(announcement)
+    is_known = node.target.on_announcement(announcement)
     return _plain(200 if is_known else INVALID_ANNOUNCEMENT.status)
 
 
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -61,7 +61,7 @@
         clock=manual_clock(ManualTime()),
         nursery=cast(trio.Nursery, _FakeNursery()),
         parts=parts,
-        record=attrs.evolve(make_member("me", ""), incarnation=incarnation),
+        first_record=attrs.evolve(make_member("me", ""), incarnation=incarnation),
         log=DecisionLog(_OPTIONS.headers),
     )
     parts.join(_OPTIONS, node, 1)
@@ -80,27 +80,29 @@
     def test_table_never_goes_back(self) -> None:
         node = _make_node()
         for payload in (b"7", b"5", b"7"):
-            node.on_store_items((StoreItem("table", payload, 1),), is_complete=False)
+            node.fleet.on_store_items((StoreItem("table", payload, 1),), is_complete=False)
         self.assertEqual(7, node.table.version)
         self.assertIsNot(EMPTY_TABLE, node.table)
 
     def test_record_of_an_earlier_start_with_a_clock_ahead_is_outranked(self) -> None:
         node = _make_node(incarnation=100)
         earlier = attrs.evolve(make_member("me", "shop"), incarnation=5_000, version=9)
-        node.on_store_items((StoreItem("nodes/me", encode_member(earlier), 3),), is_complete=True)
+        node.fleet.on_store_items(
+            (StoreItem("nodes/me", encode_member(earlier), 3),), is_complete=True
+        )
         self.assertGreater(_own(node).order, earlier.order)
 
     def test_unreachable_target_is_withdrawn_until_it_speaks(self) -> None:
         node = _make_node()
         announced = InstanceAnnouncement("i-1", "shop", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
-        node.on_announcement(announced)
+        node.target.on_announcement(announced)
         self.assertEqual("shop", _own(node).service)
         call = RoutedCall(1, "look", "shop", "web", "GET", "/", [], b"", 1_000.0, 2)
         ticket = node.door.create_ticket(0.0, 1, "link", call)
         node.door.submit(0.0, ticket)
-        Run(ticket, node, HeaderNames()).on_failure(TARGET_UNREACHABLE, was_sent=False)
+        Run(ticket, node.target, HeaderNames()).on_failure(TARGET_UNREACHABLE, was_sent=False)
         self.assertEqual("", _own(node).service)
-        node.on_announcement(attrs.evolve(announced, sequence=2))
+        node.target.on_announcement(attrs.evolve(announced, sequence=2))
         self.assertEqual("shop", _own(node).service)
 
     def test_request_that_crashes_targets_is_refused_after_the_second(self) -> None:
@@ -135,5 +137,5 @@
 
     def test_malformed_record_names_nothing(self) -> None:
         node = _make_node()
-        node.on_store_items((StoreItem("nodes/x", b"\xff\x00", 3),), is_complete=True)
+        node.fleet.on_store_items((StoreItem("nodes/x", b"\xff\x00", 3),), is_complete=True)
         self.assertEqual(1, node.parts.directory.node_count)
