Take no calls for the last host of a service once its node must end

A node got SIGTERM at 8.70 s beside the only host left of a service; since others use such a host, it took calls up to the end of its grace and cut 33 off at 14.22 s, six of them of callers of a node that was itself stopping. Ruled out: silent links (none closed), restarts, the store. Change: after the 2.6 s in which callers turn away, calls are refused as not run; those under way have 2.9 s left to end.

--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -221,7 +221,7 @@
         registration = self._parts.registration
         self._fleet.publish(
             state=MemberState.LEAVING if self._is_stopping else MemberState.ALIVE,
-            service=registration.service,
+            service="" if self._target.is_closed else registration.service,
             slots=registration.slots,
             is_cold=registration.is_cold(self._clock.now_ms()),
             in_store=in_store,
@@ -331,6 +331,11 @@
         self._is_stopping = True
         self.publish()
 
+    def end_calls(self) -> None:
+        """Take no more calls, so that those under way end within the time to stop."""
+        self._target.close()
+        self.publish()
+
     def close_idle_fronts(self) -> None:
         """Close callers' connections on which nothing is under way."""
         for connection in list(self._fronts):
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -37,7 +37,8 @@
 _GC_PAUSE_MS: Final[Millis] = 1_000.0
 _GC_FULL_EVERY: Final = 30
 _STOP_LINGER_MS: Final[Millis] = 2_600.0
-"""How long a stopping node takes new connections: callers ask about it once a second, twice."""
+"""How long a stopping node takes new requests and, where its target is the last of a service,
+calls: callers ask about it once a second, twice, and what comes later might not end in time."""
 _STOP_MARGIN_MS: Final[Millis] = 500.0
 """Time kept back of the grace for the last lines and calls."""
 _RELOAD_CHECK_MS: Final[Millis] = 1_000.0
@@ -199,6 +200,7 @@
         log(NODE_STOPPING, in_flight=node.in_flight)
         node.begin_stop()
         await trio.sleep(_STOP_LINGER_MS / MS_PER_SECOND)
+        node.end_calls()
         node.close_idle_fronts()
         ends_at = begun_at + self._options.stop_grace_ms - _STOP_MARGIN_MS
         while node.in_flight and self._clock.now_ms() < ends_at:
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -65,6 +65,12 @@
     _runs: dict[int, Run] = attrs.field(factory=dict)
     _run_of_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
+    _is_closed: bool = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Say whether no more calls are taken."""
+        return self._is_closed
 
     @property
     def in_flight(self) -> int:
@@ -116,6 +122,8 @@
 
     def _refusal(self, now_ms: Millis, call: RoutedCall) -> ErrorCode | None:
         """Return why the target may not have a call, whatever room it has."""
+        if self._is_closed:
+            return NODE_LEAVING
         registration = self._parts.registration
         if not registration.accepts(now_ms, call.service):
             return NODE_LEAVING if registration.is_leaving else NO_TARGET
@@ -129,6 +137,10 @@
         )
         self._owner.answer_call(link_id, answer)
 
+    def close(self) -> None:
+        """Take no more calls; those taken go on."""
+        self._is_closed = True
+
     # Runs.
 
     def _start(self, run: Run) -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -121,6 +121,30 @@
 
         self._run(scenario)
 
+    def test_last_host_that_stops_cuts_nothing_off(self) -> None:
+        """Callers keep sending while the node of a service's only host stops."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            stopping, other, web = fleet.nodes
+            other.is_beating = False
+            await other.server.leave()
+            await trio.sleep(_DRAIN_LIMIT_S)
+            stopping.server.work_s = 0.3
+            assert stopping.process is not None
+            stopping.process.send_signal(signal.SIGTERM)
+            statuses: list[int] = []
+
+            async def send() -> None:
+                statuses.append(await fleet.status(web, "/book/1"))
+
+            async with trio.open_nursery() as nursery:
+                while stopping.process.poll() is None:
+                    nursery.start_soon(send)
+                    await trio.sleep(0.05)
+            self.assertEqual({200, 503}, set(statuses))
+
+        self._run(scenario)
+
     def test_other_answers_on_a_connection_belong_to_no_request(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             def with_foreign_id(request: HttpRequest) -> HttpResponse:
