--- a/gooseberrydock/logs.py
+++ b/gooseberrydock/logs.py
@@ -1,12 +1,13 @@
 """JSON log lines with numbered events."""
 
+import io
 import logging
 import os
 import sys
 import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Final
+from typing import Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -64,9 +65,17 @@
         return not self._rest
 
 
+def _open_output() -> LineWriter | TextIO:
+    """Return a writer to standard output, or that itself where a program has replaced it."""
+    try:
+        return LineWriter(sys.stdout.fileno())
+    except io.UnsupportedOperation:
+        return sys.stdout
+
+
 def set_up_logs(level: str, process: str) -> None:
     """Send JSON log lines to standard output."""
-    handler = logging.StreamHandler(LineWriter(sys.stdout.fileno()))
+    handler = logging.StreamHandler(_open_output())
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
