--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -168,32 +168,13 @@
 
     def on_request(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange | None:
         """Take in a request; return its exchange unless it was answered at once."""
-        host, request_id, deadline_text = self._read_headers(request.headers)
-        exchange = self._open(now_ms, caller, request, request_id)
-        if self._table.version == 0:
-            self._refuse(now_ms, exchange, NO_CONFIGURATION)
-            return None
-        route = self._table.find(host, request.path)
-        if route is None:
-            self._refuse(now_ms, exchange, NO_ROUTE)
-            return None
-        try:
-            limit_ms = float(deadline_text) if deadline_text else route.timeout_ms
-        except ValueError:
-            self._refuse(now_ms, exchange, MALFORMED_REQUEST)
-            return None
-        if not 0 <= limit_ms <= _MAX_DEADLINE_MS:
-            limit_ms = route.timeout_ms
-        exchange.route = route
-        exchange.deadline_at = now_ms + min(limit_ms, route.timeout_ms)
-        exchange.is_nested = self._nested.is_nested(route.name)
-        exchange.service = self._splits.choose(route)
-        if not exchange.is_nested and not self._shares.admits(now_ms, route.name, route.priority):
-            exchange.inputs = self._shares.explain(now_ms, route.name)
-            self._refuse(now_ms, exchange, SHED_AT_ENTRY)
+        exchange = self._open(now_ms, caller, request)
+        code = self._refusal(now_ms, exchange)
+        if code is not None:
+            self._refuse(now_ms, exchange, code)
             return None
         if exchange.is_nested:
-            self._graph.on_call(now_ms, route.name)
+            self._graph.on_call(now_ms, exchange.route.name)
         exchange.headers = self._forwarded_headers(request.headers)
         self._exchanges[exchange.exchange_id] = exchange
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
@@ -201,6 +182,26 @@
         self._send(now_ms, exchange)
         return None if exchange.is_done else exchange
 
+    def _refusal(self, now_ms: Millis, exchange: Exchange) -> ErrorCode | None:
+        """Find route, service and time limit of a request; return why it is not sent, if so."""
+        host, exchange.request_id, limit_text = self._read_headers(exchange.request.headers)
+        if self._table.version == 0:
+            return NO_CONFIGURATION
+        route = self._table.find(host, exchange.request.path)
+        if route is None:
+            return NO_ROUTE
+        limit_ms = _parse_limit(limit_text, route.timeout_ms)
+        if limit_ms is None:
+            return MALFORMED_REQUEST
+        exchange.route = route
+        exchange.deadline_at = now_ms + min(limit_ms, route.timeout_ms)
+        exchange.is_nested = self._nested.is_nested(route.name)
+        exchange.service = self._splits.choose(route)
+        if exchange.is_nested or self._shares.admits(now_ms, route.name, route.priority):
+            return None
+        exchange.inputs = self._shares.explain(now_ms, route.name)
+        return SHED_AT_ENTRY
+
     def on_answer(self, now_ms: Millis, answer: RoutedAnswer) -> None:
         """Take in the answer of a target's node."""
         exchange = self._calls.pop(answer.call_id, None)
@@ -266,14 +267,12 @@
             code = DEADLINE_UNKNOWN if exchange.may_have_run else NOT_DISPATCHED
             self._refuse(now_ms, exchange, code)
 
-    def _open(
-        self, now_ms: Millis, caller: Caller, request: HttpRequest, request_id: str
-    ) -> Exchange:
+    def _open(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange:
         return Exchange(
             exchange_id=next(self._ids),
             caller=caller,
             request=request,
-            request_id=request_id,
+            request_id="",
             route=EMPTY_ROUTE,
             service="",
             received_at=now_ms,
@@ -445,3 +444,14 @@
     def _close(self, exchange: Exchange) -> None:
         exchange.is_done = True
         self._exchanges.pop(exchange.exchange_id, None)
+
+
+def _parse_limit(text: str, default_ms: Millis) -> Millis | None:
+    """Return the caller's time limit, the default where it names none, or None if malformed."""
+    if not text:
+        return default_ms
+    try:
+        limit_ms = float(text)
+    except ValueError:
+        return None
+    return limit_ms if 0 <= limit_ms <= _MAX_DEADLINE_MS else default_ms
