--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -28,6 +28,8 @@
 """All requests are tried as long as one in three succeeds."""
 _LEAST_HOPE: Final = 0.2
 """Share tried where nothing succeeds, so that recovery shows within a second."""
+_IMPORTANT_LEAST: Final = 0.5
+"""Share of important requests always admitted: what they lack, others have given up before."""
 _RETURN_MIN_SHARE: Final = 0.2
 _RETURN_MAX_SHARE: Final = 0.5
 """Shares of the target latency after which refused callers may return."""
@@ -111,7 +113,7 @@
         if share >= 1.0:
             return True
         if priority == 0:
-            share = 1.0 if share >= _IMPORTANT_FLOOR else max(0.5, share / _IMPORTANT_FLOOR)
+            share = max(_IMPORTANT_LEAST, min(1.0, share / _IMPORTANT_FLOOR))
         return self._random.random() < max(share, _PROBE_SHARE)
 
     def retry_after(self, now_ms: Millis, route: Route) -> Millis:
