--- a/gooseberrydock/mesh/nesting.py
+++ b/gooseberrydock/mesh/nesting.py
@@ -17,6 +17,8 @@
 """Share of a route's requests below which a service does not count as their origin."""
 _MOST_ORIGINS_SHARE: Final = 0.5
 """Share of the services that the calls of targets may come from; callers use all nodes alike."""
+_JUDGE_EVERY: Final = 16
+"""After how many more requests a route is judged anew: each call asks, and little changes."""
 _HALVE_AT: Final = 4_000
 """Counts are halved at this total, so that a changed call graph shows."""
 
@@ -27,6 +29,8 @@
 
     by_service: dict[str, int] = attrs.field(factory=dict)
     total: int = 0
+    judged_at: int = 0
+    is_call: bool = False
 
     def add(self, service: str) -> None:
         """Count one request."""
@@ -35,6 +39,7 @@
         if self.total >= _HALVE_AT:
             self.by_service = {name: count // 2 for name, count in self.by_service.items()}
             self.total = sum(self.by_service.values())
+            self.judged_at = 0
 
     def origins(self) -> set[str]:
         """Return the services that the requests begin beside."""
@@ -66,10 +71,12 @@
         origins = self._origins.get(route)
         if origins is None or origins.total < _LEAST_REQUESTS or self._service_count < 2:
             return False
-        services = origins.origins()
-        if own_service in services:
-            return False
-        return len(services) <= self._service_count * _MOST_ORIGINS_SHARE
+        if origins.total >= origins.judged_at + _JUDGE_EVERY or not origins.judged_at:
+            services = origins.origins()
+            few = len(services) <= self._service_count * _MOST_ORIGINS_SHARE
+            origins.is_call = few and own_service not in services
+            origins.judged_at = origins.total
+        return origins.is_call
 
     def on_told(self, route: str, is_nested: bool) -> None:
         """Take over what a target's node judged of a route."""
