--- a/tests/soak.py
+++ b/tests/soak.py
@@ -60,6 +60,8 @@
     _violations: list[str] = attrs.field(factory=list)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _drained_at: dict[str, float] = attrs.field(factory=dict)
+    _newest: int = 0
+    _seen: dict[tuple[str, int], int] = attrs.field(factory=dict)
 
     @property
     def violations(self) -> list[str]:
@@ -188,7 +190,26 @@
         node.is_beating = True
 
     async def _configure(self) -> None:
-        self._fleet.configure(_routes(self._random.choice((2_500, 3_000))), ["shop", "web"])
+        self._newest += 1
+        self._fleet.configure(_routes(self._newest), ["shop", "web"])
+
+    async def probe_configurations(self, until: float) -> None:
+        """Ask nodes for the route that only one configuration has, the newest or the last."""
+        while trio.current_time() < until:
+            node = self._random.choice(self._fleet.nodes)
+            number = max(0, self._newest - self._random.randrange(2))
+            start = (node.node_id, node.process.pid if node.process else 0)
+            seen = self._seen.get(start, 0)
+            request_id = f"q{next(self._ids)}"
+            path = f"/only{number}/{request_id}"
+            sent = self._sent[request_id] = Sent(path, trio.current_time())
+            response = await self._fleet.send(node, path, request_id, _PATIENCE_S)
+            sent.status = response.status if response is not None else 0
+            if sent.status == 200 and node.process is not None and start[1] == node.process.pid:
+                if number < seen:
+                    self._violations.append(f"{start} served by {number} after {seen}")
+                self._seen[start] = max(self._seen.get(start, 0), number)
+            await trio.sleep(_PROBE_PAUSE_S)
 
     def check_runs(self) -> None:
         """Check what servers ran against what callers were told."""
@@ -226,10 +247,12 @@
         return sent.status == 200
 
 
-def _routes(timeout_ms: int) -> dict[str, dict[str, object]]:
+def _routes(number: int) -> dict[str, dict[str, object]]:
+    """Return the routes of a configuration, one of which only it has."""
     return {
-        "look": make_route_fields("shop", "/look/", timeoutMs=timeout_ms),
-        "book": make_route_fields("shop", "/book/", kind="non_idempotent", timeoutMs=timeout_ms),
+        "look": make_route_fields("shop", "/look/"),
+        "book": make_route_fields("shop", "/book/", kind="non_idempotent"),
+        "only": make_route_fields("shop", f"/only{number}/"),
     }
 
 
@@ -240,7 +263,7 @@
         async with running_platform_fleet(Path(name)) as fleet:
             for number in range(4):
                 await fleet.add("shop" if number < 3 else "web", f"z{number % 2}", proxied=True)
-            fleet.configure(_routes(3_000), ["shop", "web"])
+            fleet.configure(_routes(0), ["shop", "web"])
             await fleet.until_known()
             soak = Soak(fleet, rng)
             for node in fleet.nodes:
@@ -249,6 +272,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(soak.load, until)
                 nursery.start_soon(soak.harm, until)
+                nursery.start_soon(soak.probe_configurations, until)
             await soak.check_recovery()
             soak.check_runs()
             print(f"seed {seed}: {soak.summary()}", flush=True)
