Refuse numbers beyond any range in what the platform sends

Found by reading beside new tests of the adapter: a time limit of 10^400 or an endless priority raised an error that no reader caught, and the task that follows the configuration would have ended. Also: an announcement of a service that no configuration names is no target.

--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -231,6 +231,11 @@
         """Tell other nodes what crashed the target."""
         self._links.broadcast(notice)
 
+    def knows_service(self, service: str) -> bool:
+        """Say whether a target of a service may be beside this node."""
+        table = self.table
+        return not table.version or service in table.services or service == self._options.service
+
     def is_idempotent(self, route: str) -> bool:
         """Say whether requests of a route may be repeated; unknown routes may not."""
         known = self.table.routes.get(route)
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -48,6 +48,9 @@
     def broadcast(self, notice: CrashNotice) -> None:
         """Tell other nodes what crashed the target."""
 
+    def knows_service(self, service: str) -> bool:
+        """Say whether a target of a service may be beside this node."""
+
     def is_idempotent(self, route: str) -> bool:
         """Say whether requests of a route may be repeated."""
 
@@ -210,6 +213,9 @@
         if announcement.address != self._pool.address:
             self.on_bad_announcement(f"address {announcement.address}")
             return False
+        if not self._owner.knows_service(announcement.service):
+            self.on_bad_announcement(f"service {announcement.service}")
+            return False
         before = registration.instance_id
         if registration.announce(self._clock.now_ms(), announcement):
             if registration.instance_id != before:
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -11,6 +11,7 @@
 from gooseberrydock.members import parse_address
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
+from gooseberrydock.platform.malformed import MALFORMED_INPUT
 from gooseberrydock.stream import Stream
 
 _READY_PATH: Final = "/-/readyz"
@@ -39,7 +40,7 @@
             slots=_slots(fields["slots"]),
             cold_left_ms=float(cold_left_ms),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except MALFORMED_INPUT as error:
         detail = f"{type(error).__name__}: {error}"
         raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
 
@@ -91,7 +92,7 @@
     """Return the start that a farewell names, if any."""
     try:
         return _whole(json.loads(body)["born"])
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except MALFORMED_INPUT:
         return None
 
 
--- a/gooseberrydock/platform/configuration.py
+++ b/gooseberrydock/platform/configuration.py
@@ -13,6 +13,7 @@
     ServiceShare,
     create_route_table,
 )
+from gooseberrydock.platform.malformed import MALFORMED_INPUT
 
 TABLE_KEY: Final = "op/config"
 _KINDS: Final = {
@@ -33,7 +34,7 @@
             services=services,
             limits=_limits(fields["limits"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except MALFORMED_INPUT as error:
         detail = f"{type(error).__name__}: {error}"
         raise GooseberrydockError(CONFIGURATION_INVALID, Step.CONFIGURATION, detail=detail) from (
             error
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -21,13 +21,14 @@
     caller_service=b"caller-service",
     seal=b"server-seal",
 )
+from gooseberrydock.platform.malformed import MALFORMED_INPUT
 
 
 def parse_settings(text: str) -> MeshOptions:
     """Build a node's options from the text of a settings file."""
     try:
         return _build(tomllib.loads(text))
-    except (tomllib.TOMLDecodeError, KeyError, TypeError, ValueError, IndexError) as error:
+    except MALFORMED_INPUT as error:
         raise _invalid(f"{type(error).__name__}: {error}") from error
 
 
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -25,6 +25,7 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
+from gooseberrydock.platform.malformed import MALFORMED_INPUT
 
 _Decoded = TypeVar("_Decoded")
 
@@ -143,7 +144,7 @@
     def _decoded(self, decode: Callable[[], _Decoded]) -> _Decoded:
         try:
             return decode()
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        except MALFORMED_INPUT as error:
             raise self._error(STORE_PROTOCOL, f"{type(error).__name__}: {error}") from error
 
     def _error(self, code: ErrorCode, detail: str) -> GooseberrydockError:
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -104,6 +104,14 @@
         )
         self.assertGreater(_own(node).order, earlier.order)
 
+    def test_announcement_of_an_unknown_service_names_no_target(self) -> None:
+        node = _make_node()
+        node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_complete=False)
+        strange = InstanceAnnouncement("i-1", "odd", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
+        self.assertFalse(node.target.on_announcement(strange))
+        self.assertEqual("", _own(node).service)
+        self.assertTrue(node.target.on_announcement(attrs.evolve(strange, service="shop")))
+
     def test_unreachable_target_is_withdrawn_until_it_speaks(self) -> None:
         node = _make_node()
         announced = InstanceAnnouncement("i-1", "shop", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,207 @@
+"""The readers of the platform's formats: good input is decoded once, bad input is a coded error."""
+
+import json
+import unittest
+from typing import Any
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock.errorcodes import (
+    CONFIGURATION_CONFLICT,
+    LEASE_ENDED,
+    STORE_HISTORY_GONE,
+    STORE_REFUSED,
+    STORE_UNAVAILABLE,
+)
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.members import Address
+from gooseberrydock.mesh.model import RequestKind
+from gooseberrydock.mesh.target_registration import TargetState
+from gooseberrydock.platform.announcements import parse_announcement
+from gooseberrydock.platform.configuration import decode_table
+from gooseberrydock.platform.settings import parse_settings
+from gooseberrydock.platform.store import PlatformStore
+from tests.platform_fleet import settings_text
+from tests.platform_standins import StoreStandin
+
+_ROUTE = {
+    "host": "A.example",
+    "prefix": "/a/",
+    "kind": "non_idempotent",
+    "timeoutMs": 800,
+    "targetLatencyMs": 1_500,
+    "priority": 0,
+    "maxAttempts": 2,
+    "trafficSplit": [{"service": "s", "weight": 90}, {"service": "t", "weight": 0}],
+}
+_CONFIGURATION: dict[str, Any] = {
+    "version": "0000001a",
+    "routes": {"r": _ROUTE},
+    "services": {"s": {}, "t": {}},
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 1_000,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    },
+}
+_BEAT: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 5,
+    "state": "draining",
+    "coldLeftMs": 250,
+    "sequence": 4,
+    "born": 1_700,
+}
+BAD_ROUTES: list[tuple[str, dict[str, Any]]] = [
+    ("prefix without slashes", {"prefix": "a"}),
+    ("unknown kind", {"kind": "maybe"}),
+    ("no attempts", {"maxAttempts": 0}),
+    ("no time-out", {"timeoutMs": None}),
+    ("unknown service", {"trafficSplit": [{"service": "x", "weight": 1}]}),
+    ("endless priority", {"priority": float("inf")}),
+    ("huge time-out", {"timeoutMs": 10**400}),
+    ("no weight", {"trafficSplit": [{"service": "s", "weight": 0}]}),
+]
+BAD_BEATS: list[tuple[str, dict[str, Any]]] = [
+    ("no service", {"service": None}),
+    ("unknown state", {"state": "resting"}),
+    ("slots as text", {"slots": "5"}),
+    ("slots as truth", {"slots": True}),
+    ("no slots", {"slots": 0}),
+    ("no address", {"address": "nowhere"}),
+    ("sequence below zero", {"sequence": -1}),
+    ("huge cold", {"coldLeftMs": 10**400}),
+    ("endless cold", {"coldLeftMs": 1e300}),
+    ("start as fraction", {"born": 1.5}),
+]
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+
+
+class ConfigurationCases(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_good(self) -> None:
+        table = decode_table(json.dumps(_CONFIGURATION).encode())
+        route = table.find("a.example", "/a/b")
+        assert route is not None
+        self.assertEqual((26, RequestKind.NON_IDEMPOTENT), (table.version, route.kind))
+        self.assertEqual(["s"], [share.service for share in route.shares])
+        self.assertEqual((800.0, 1_500.0), (route.timeout_ms, route.target_latency_ms))
+
+    def test_bad(self) -> None:
+        for title, change in BAD_ROUTES:
+            with self.subTest(title), self.assertRaises(GooseberrydockError):
+                fields = {**_CONFIGURATION, "routes": {"r": {**_ROUTE, **change}}}
+                decode_table(json.dumps(fields).encode())
+
+    @given(st.binary(max_size=60) | _JSON.map(lambda value: json.dumps(value).encode()))
+    def test_any_bytes(self, data: bytes) -> None:
+        """Raise a coded error for anything that is no configuration."""
+        with self.assertRaises(GooseberrydockError):
+            decode_table(data)
+
+    @given(st.sampled_from(sorted(_ROUTE)), _JSON)
+    def test_any_field(self, name: str, value: Any) -> None:
+        """Decode or refuse a route with any value in one field."""
+        fields = {**_CONFIGURATION, "routes": {"r": {**_ROUTE, name: value}}}
+        try:
+            decode_table(json.dumps(fields).encode())
+        except GooseberrydockError as error:
+            self.assertIsNotNone(error.code)
+
+
+class AnnouncementCases(unittest.TestCase):
+    """What servers say of themselves."""
+
+    def test_good(self) -> None:
+        announcement = parse_announcement("i-1", json.dumps(_BEAT).encode())
+        self.assertEqual(Address("10.0.0.1", 80), announcement.address)
+        self.assertEqual(TargetState.LEAVING, announcement.state)
+        self.assertEqual((1_700, 4), (announcement.started_wall_ms, announcement.sequence))
+
+    def test_bad(self) -> None:
+        for title, change in BAD_BEATS:
+            with self.subTest(title), self.assertRaises(GooseberrydockError):
+                parse_announcement("i-1", json.dumps({**_BEAT, **change}).encode())
+
+    @given(st.sampled_from(sorted(_BEAT)), _JSON)
+    def test_any_field(self, name: str, value: Any) -> None:
+        """Decode or refuse an announcement with any value in one field."""
+        try:
+            parse_announcement("i-1", json.dumps({**_BEAT, name: value}).encode())
+        except GooseberrydockError as error:
+            self.assertIsNotNone(error.code)
+
+
+class SettingsCases(unittest.TestCase):
+    """The settings file."""
+
+    def test_good_and_bad(self) -> None:
+        store = Address("10.0.0.9", 1)
+        text = settings_text("n", "s", "z", Address("10.0.0.1", 80), store, [1, 2, 3, 4, 5])
+        options = parse_settings(text)
+        self.assertEqual(("n", "s", store), (options.node_id, options.service, options.store))
+        self.assertEqual(2, options.peer_listen.port)
+        for missing in ("appAddr", "service", "portRange", "budgetRatio", "address"):
+            with self.subTest(missing=missing), self.assertRaises(GooseberrydockError):
+                parse_settings(text.replace(missing, "other"))
+        with self.assertRaises(GooseberrydockError):
+            parse_settings("not = [toml")
+
+
+class StoreCases(unittest.TestCase):
+    """The client of the store, against the stand-in."""
+
+    def test_keys_leases_and_watches(self) -> None:
+        async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
+            lease = await store.grant_lease(9_000.0)
+            revision = await store.write("a/1", b"\x00x", lease.lease_id, 0)
+            item = await store.read("a/1")
+            self.assertEqual((b"\x00x", revision), (item and item.value, item and item.revision))
+            await self._fails(CONFIGURATION_CONFLICT, store.write("a/1", b"", 0, 0))
+            changes = await store.read_prefix("a/")
+            standin.end_lease(lease.lease_id)
+            later = await store.watch("a/", changes.revision, 100.0)
+            self.assertEqual([None], [change.value for change in later.items])
+            self.assertEqual((), (await store.watch("a/", later.revision, 20.0)).items)
+            self.assertIsNone(await store.read("a/1"))
+            await self._fails(LEASE_ENDED, store.renew_lease(lease.lease_id))
+            standin.compact()
+            await self._fails(STORE_HISTORY_GONE, store.watch("a/", 1, 20.0))
+
+        self._run(scenario)
+
+    def test_outages_are_coded(self) -> None:
+        async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
+            standin.mode = "down"
+            await self._fails(STORE_REFUSED, store.read("a"))
+            standin.mode = "silent"
+            await self._fails(STORE_UNAVAILABLE, store.read("a"))
+
+        self._run(scenario)
+
+    async def _fails(self, code: object, call: Any) -> None:
+        with self.assertRaises(GooseberrydockError) as caught:
+            await call
+        self.assertIs(code, caught.exception.code)
+
+    def _run(self, scenario: Any) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                standin = StoreStandin(nursery)
+                nursery.start_soon(standin.serve)
+                await scenario(PlatformStore(standin.listener.address, nursery), standin)
+                standin.listener.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
