--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -8,6 +8,7 @@
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.members import Address, parse_address
 from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
+from gooseberrydock.platform.malformed import MALFORMED_INPUT
 
 PATH_VARIABLE: Final = "GOOSEBERRYDOCK_CONFIG"
 METRICS_PORT_OFFSET: Final = 1
@@ -21,7 +22,6 @@
     caller_service=b"caller-service",
     seal=b"server-seal",
 )
-from gooseberrydock.platform.malformed import MALFORMED_INPUT
 
 
 def parse_settings(text: str) -> MeshOptions:
