Say not ready while no other node can be reached

A node that is cut off answers most of its callers with refusals, although other nodes would serve them; the platform sends callers elsewhere after two answers. A node that knows of no other is not concerned.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -81,6 +81,11 @@
         """Return this node's own record."""
         return self._record
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Say whether other nodes are known and none can be reached."""
+        return bool(self._directory.others) and not self._links.open_links
+
     def find_peer_address(self, node_id: str) -> Address | None:
         """Return where a node's links end."""
         member = self._directory.find(node_id)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -137,8 +137,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Say whether callers should send requests here."""
-        return self.table.version > 0 and not self._is_stopping
+        """Say whether callers should send requests here; a node alone could serve few of them."""
+        return self.table.version > 0 and not self._is_stopping and not self._fleet.is_cut_off
 
     @property
     def in_flight(self) -> int:
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -104,6 +104,14 @@
         )
         self.assertGreater(_own(node).order, earlier.order)
 
+    def test_node_that_reaches_no_other_is_not_ready(self) -> None:
+        node = _make_node()
+        node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_complete=False)
+        self.assertTrue(node.is_ready)
+        other = StoreItem("nodes/n2", encode_member(make_member("n2")), 2)
+        node.fleet.on_store_items((other,), is_complete=False)
+        self.assertFalse(node.is_ready)
+
     def test_announcement_of_an_unknown_service_names_no_target(self) -> None:
         node = _make_node()
         node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_complete=False)
