Take no request at a stopping node that could not end within its time

Most nodes of a domain stopped at once, callers then go on using nodes that are not ready, and these took requests up to the end of their grace and cut them off. Ruled out: silent links (closed ones were of a machine that was replaced). Test with real processes: failed before (requests sent from 4.98 s on got no answer), passes.

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -133,6 +133,8 @@
     _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
     _calls: dict[int, Exchange] = attrs.field(factory=dict)
     _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _is_closed: bool = False
+    _is_closed_to_calls: bool = False
     _inner_routes: set[str] = attrs.field(factory=set)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _stripped: frozenset[bytes] = attrs.field(init=False)
@@ -166,6 +168,11 @@
         """Take over the service of the target on this host."""
         self._own_service = service
 
+    def close(self, to_calls: bool) -> None:
+        """Take no more requests of callers, or none at all; those taken go on."""
+        self._is_closed = True
+        self._is_closed_to_calls = to_calls
+
     def on_request(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange | None:
         """Take in a request; return its exchange unless it was answered at once."""
         exchange = self._open(now_ms, caller, request)
@@ -196,6 +203,8 @@
         exchange.route = route
         exchange.deadline_at = now_ms + min(limit_ms, route.timeout_ms)
         exchange.is_nested = self._nested.is_nested(route.name)
+        if self._is_closed and (self._is_closed_to_calls or not exchange.is_nested):
+            return NODE_LEAVING
         exchange.service = self._splits.choose(route)
         if exchange.is_nested or self._shares.admits(now_ms, route.name, route.priority):
             return None
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -336,11 +336,19 @@
         self._is_stopping = True
         self.publish()
 
-    def end_calls(self) -> None:
-        """Take no more calls, so that those under way end within the time to stop."""
+    def end_requests(self) -> None:
+        """Take no more requests and calls, so that those under way end within the time to stop.
+
+        What the local target calls for its runs still goes out.
+        """
+        self._parts.entry.close(to_calls=False)
         self._target.close()
         self.publish()
 
+    def end_calls(self) -> None:
+        """Take nothing at all any more."""
+        self._parts.entry.close(to_calls=True)
+
     def close_idle_fronts(self) -> None:
         """Close callers' connections on which nothing is under way."""
         for connection in list(self._fronts):
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -41,6 +41,9 @@
 calls: callers ask about it once a second, twice, and what comes later might not end in time."""
 _STOP_MARGIN_MS: Final[Millis] = 500.0
 """Time kept back of the grace for the last lines and calls."""
+_STOP_CALLS_SHARE: Final = 0.75
+"""Share of the grace after which calls of the local target are refused too: they are short, but
+one that is cut off costs more than one that does not begin."""
 _RELOAD_CHECK_MS: Final[Millis] = 1_000.0
 """How often changed settings are looked for, since they may change without a signal."""
 
@@ -203,12 +206,15 @@
         log(NODE_STOPPING, in_flight=node.in_flight)
         node.begin_stop()
         await trio.sleep(_STOP_LINGER_MS / MS_PER_SECOND)
-        node.end_calls()
+        node.end_requests()
         node.close_idle_fronts()
+        calls_end_at = begun_at + self._options.stop_grace_ms * _STOP_CALLS_SHARE
         ends_at = begun_at + self._options.stop_grace_ms - _STOP_MARGIN_MS
         while node.in_flight and self._clock.now_ms() < ends_at:
             await trio.sleep(_TICK_MS / MS_PER_SECOND)
             node.close_idle_fronts()
+            if self._clock.now_ms() >= calls_end_at:
+                node.end_calls()
         if node.in_flight:
             log(STOP_TIMED_OUT, in_flight=node.in_flight)
         await sync.remove_record(_STOP_MARGIN_MS / 2)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -145,6 +145,36 @@
 
         self._run(scenario)
 
+    def test_callers_that_stay_are_refused_and_not_cut_off(self) -> None:
+        """Where most nodes stop at once, callers go on sending to those that stop."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            stopping, other, _ = fleet.nodes
+            for node in (stopping, other):
+                node.server.work_s = 0.6
+            assert stopping.process is not None
+            stopping.process.send_signal(signal.SIGTERM)
+            lost: list[float] = []
+            refused: list[float] = []
+            begun_at = trio.current_time()
+
+            async def send() -> None:
+                sent_at = trio.current_time() - begun_at
+                status = await fleet.status(stopping, "/book/1")
+                if status == 0 and trio.current_time() - begun_at - sent_at > 0.1:
+                    lost.append(sent_at)
+                elif status == 503:
+                    refused.append(sent_at)
+
+            async with trio.open_nursery() as nursery:
+                while stopping.process.poll() is None:
+                    nursery.start_soon(send)
+                    await trio.sleep(0.05)
+            self.assertEqual([], lost)
+            self.assertTrue(refused)
+
+        self._run(scenario)
+
     def test_other_answers_on_a_connection_belong_to_no_request(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             def with_foreign_id(request: HttpRequest) -> HttpResponse:
