Log calls that the target may not have; one backoff, one intake state

Cause: the target's side refused calls for no-target, node-leaving and quarantined without a line of its own, so that a request id led only to the entry's line. It now logs event 1503 for these too (test: a call without a target is logged with its request, which failed before).

Without a change of behaviour: one Backoff with its bounds as a value instead of two types; the stop has one state (Intake) that entry and target's side share; the request id is looked up once and kept in the ticket; a refusal's Retry-After is an argument of problem_response; names for the renewal's and the returns' factors; unused parts dropped.

--- a/gooseberrydock/http_messages.py
+++ b/gooseberrydock/http_messages.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.outcomes import Outcome
 
@@ -23,7 +24,8 @@
 """A caller's own count of its sendings of a key; "1" says that it was never sent before."""
 RETRY_AFTER_HEADER: Final = b"retry-after"
 PROBLEM_CONTENT_TYPE: Final = b"application/problem+json"
-RETRY_AFTER_SECONDS: Final = 1
+_RETRY_AFTER_MS: Final[Millis] = 1_000.0
+"""When a refused caller may return where nothing better is known."""
 
 CONNECTION_HEADERS: Final = frozenset(
     (
@@ -99,7 +101,12 @@
 
 
 def problem_response(
-    code: ErrorCode, outcome: Outcome, step: str, peer: str, detail: str = ""
+    code: ErrorCode,
+    outcome: Outcome,
+    step: str,
+    peer: str,
+    detail: str = "",
+    retry_after_ms: Millis = _RETRY_AFTER_MS,
 ) -> HttpResponse:
     """Make a refusal or failure as problem details (RFC 9457)."""
     problem = {
@@ -118,5 +125,5 @@
         (CODE_HEADER, str(code.number).encode()),
     ]
     if code.status in (429, 503):
-        headers.append((RETRY_AFTER_HEADER, str(RETRY_AFTER_SECONDS).encode()))
+        headers.append((RETRY_AFTER_HEADER, b"%g" % (round(retry_after_ms) / MS_PER_SECOND)))
     return HttpResponse(code.status, headers, json.dumps(problem).encode())
--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -23,7 +23,7 @@
 from gooseberrydock.mesh.door import Ticket
 from gooseberrydock.mesh.entry import Exchange
 from gooseberrydock.mesh.latency import LatencyHistogram
-from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.messages import RoutedCall
 
 _LINES_PER_SECOND: Final = 8.0
 """Lines a second of each event: enough to trace a failure, cheap against serving it."""
@@ -65,7 +65,6 @@
 class DecisionLog:
     """Write the lines and count decisions."""
 
-    _names: HeaderNames
     _budgets: dict[int, LineBudget] = attrs.field(factory=_create_budgets)
     _refused: dict[int, int] = attrs.field(factory=dict)
     _answered: int = 0
@@ -147,6 +146,20 @@
                 **exchange.inputs,
             )
 
+    def on_call_turned_away(
+        self, now_ms: Millis, call: RoutedCall, request_id: str, code: ErrorCode
+    ) -> None:
+        """Note a call that the target may not have, whatever room it has."""
+        if self._take(now_ms, CALL_REFUSED):
+            log(
+                CALL_REFUSED,
+                request=request_id,
+                route=call.route,
+                code=code.number,
+                cause=code.name,
+                left_ms=round(call.remaining_ms, 1),
+            )
+
     def on_call_refused(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> None:
         """Note a call turned away or dropped at the target's node."""
         if self._take(now_ms, CALL_REFUSED):
@@ -166,7 +179,7 @@
     def _ticket_fields(self, now_ms: Millis, ticket: Ticket, code: ErrorCode) -> dict[str, object]:
         started_at = ticket.started_at if ticket.has_started else now_ms
         return {
-            "request": self._request_id(ticket),
+            "request": ticket.request_id,
             "route": ticket.call.route,
             "code": code.number,
             "cause": code.name,
@@ -177,12 +190,6 @@
             "left_ms": round(ticket.expires_at - now_ms, 1),
         }
 
-    def _request_id(self, ticket: Ticket) -> str:
-        for name, value in ticket.call.headers:
-            if name == self._names.request_id:
-                return value.decode("latin-1")
-        return ""
-
     def _take(self, now_ms: Millis, event: LogEvent) -> bool:
         budget = self._budgets[event.number]
         if not budget.take(now_ms):
--- a/gooseberrydock/mesh/directory.py
+++ b/gooseberrydock/mesh/directory.py
@@ -67,15 +67,11 @@
         self._index()
 
     def on_stored(self, member: Member) -> bool:
-        """Take a record from the store; say whether it changed what is believed."""
-        if member.node_id == self._own_id:
-            return False
+        """Take another node's record from the store; say whether it changed what is believed."""
         return self._take(member, in_store=True, ends_at=0.0)
 
     def on_heard(self, now_ms: Millis, member: Member) -> bool:
-        """Take a record from its node; say whether it changed what is believed."""
-        if member.node_id == self._own_id:
-            return False
+        """Take another node's record from a link; say whether it changed what is believed."""
         return self._take(member, in_store=False, ends_at=now_ms + _HEARD_HOLD_MS)
 
     def on_ended(self, now_ms: Millis, node_id: str) -> None:
--- a/gooseberrydock/mesh/door.py
+++ b/gooseberrydock/mesh/door.py
@@ -14,7 +14,7 @@
 import attrs
 
 from gooseberrydock.clock import Millis
-from gooseberrydock.errorcodes import NOT_DISPATCHED, TARGET_BUSY, ErrorCode
+from gooseberrydock.errorcodes import TARGET_BUSY, ErrorCode
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.pressure import PressureController
 from gooseberrydock.messages import RoutedCall, TargetReport
@@ -48,6 +48,7 @@
     arrived_at: Millis
     expires_at: Millis
     is_nested: bool
+    request_id: str = ""
     started_at: Millis = -1.0
     is_withdrawn: bool = False
 
@@ -109,7 +110,9 @@
         self._route_ms.clear()
         self._mean_ms = 0.0
 
-    def create_ticket(self, now_ms: Millis, run_id: int, link_id: str, call: RoutedCall) -> Ticket:
+    def create_ticket(
+        self, now_ms: Millis, run_id: int, link_id: str, call: RoutedCall, request_id: str = ""
+    ) -> Ticket:
         """Rank a call that arrived."""
         self._nested.on_call(call.route, call.caller_service)
         self._pressure.on_arrival(self._route_ms.get(call.route, self._mean_ms))
@@ -117,7 +120,7 @@
         is_nested = self._nested.judge(call.route, call.service)
         rank = NESTED_RANK if is_nested else call.priority
         expires_at = now_ms + call.remaining_ms
-        return Ticket(run_id, link_id, call, rank, now_ms, expires_at, is_nested)
+        return Ticket(run_id, link_id, call, rank, now_ms, expires_at, is_nested, request_id)
 
     def submit(self, now_ms: Millis, ticket: Ticket) -> ErrorCode | None:
         """Start a call, let it wait, or return why it is refused."""
@@ -221,7 +224,3 @@
 def create_door(nested: NestedRoutes) -> Door:
     """Make a door for a target that announced nothing yet."""
     return Door(PressureController(), nested=nested)
-
-
-LATE_CODE: Final = NOT_DISPATCHED
-"""What a call is refused with that waited too long to start."""
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -38,7 +38,7 @@
 )
 from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
-from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Route, RouteTable
+from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Intake, Route, RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.placement import Placement
@@ -133,8 +133,7 @@
     _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
     _calls: dict[int, Exchange] = attrs.field(factory=dict)
     _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
-    _is_closed: bool = False
-    _is_closed_to_calls: bool = False
+    _intake: Intake = Intake.ALL
     _inner_routes: set[str] = attrs.field(factory=set)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _stripped: frozenset[bytes] = attrs.field(init=False)
@@ -146,9 +145,9 @@
         return CONNECTION_HEADERS | frozenset(own)
 
     @property
-    def table(self) -> RouteTable:
-        """Return the route table in force."""
-        return self._table
+    def intake(self) -> Intake:
+        """Return what is taken now."""
+        return self._intake
 
     @property
     def in_flight(self) -> int:
@@ -168,10 +167,9 @@
         """Take over the service of the target on this host."""
         self._own_service = service
 
-    def close(self, to_calls: bool) -> None:
-        """Take no more requests of callers, or none at all; those taken go on."""
-        self._is_closed = True
-        self._is_closed_to_calls = to_calls
+    def set_intake(self, intake: Intake) -> None:
+        """Set what is taken from now on; what was taken goes on."""
+        self._intake = intake
 
     def on_request(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange | None:
         """Take in a request; return its exchange unless it was answered at once."""
@@ -203,7 +201,7 @@
         exchange.route = route
         exchange.deadline_at = now_ms + min(limit_ms, route.timeout_ms)
         exchange.is_nested = self._nested.is_nested(route.name)
-        if self._is_closed and (self._is_closed_to_calls or not exchange.is_nested):
+        if not self._intake.takes(exchange.is_nested):
             return NODE_LEAVING
         exchange.service = self._splits.choose(route)
         if exchange.is_nested or self._shares.admits(now_ms, route.name, route.priority):
--- a/gooseberrydock/mesh/model.py
+++ b/gooseberrydock/mesh/model.py
@@ -20,6 +20,18 @@
     NON_IDEMPOTENT = "non-idempotent"
 
 
+class Intake(enum.Enum):
+    """Say what a node still takes while it stops, in the order of the stop."""
+
+    ALL = "all"
+    CALLS_OF_TARGET = "calls of the local target"
+    NOTHING = "nothing"
+
+    def takes(self, is_nested: bool) -> bool:
+        """Say whether a request is taken that is, or is not, a call of the local target."""
+        return self is Intake.ALL or (is_nested and self is Intake.CALLS_OF_TARGET)
+
+
 @attrs.frozen
 class ServiceShare:
     """Give a service its share of a route's requests; weights are relative."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -21,7 +21,7 @@
 from gooseberrydock.mesh.entry import Caller, Entry, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.front import FrontConnection, create_front_connection
-from gooseberrydock.mesh.model import RouteTable
+from gooseberrydock.mesh.model import Intake, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.parts import NodeParts
 from gooseberrydock.mesh.paths import paths_below
@@ -39,7 +39,6 @@
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 from gooseberrydock.stream import Stream
 
-_RETRY_AFTER: Final = b"retry-after"
 _LOCAL_LINK: Final = ""
 """The link id of calls that begin on this node."""
 
@@ -180,14 +179,13 @@
         """Answer in the node's own name."""
         version = self.table.version
         self._log.on_refused(self._clock.now_ms(), exchange, code, retry_after_ms, version)
-        response = problem_response(code, code.outcome, "entry", exchange.node_id)
-        headers = [header for header in response.headers if header[0] != _RETRY_AFTER]
-        if code.status in (429, 503):
-            headers.append((_RETRY_AFTER, b"%.3f" % (retry_after_ms / 1_000.0)))
+        response = problem_response(
+            code, code.outcome, "entry", exchange.node_id, retry_after_ms=retry_after_ms
+        )
         name = self._options.headers.request_id
-        headers.append((name, exchange.request_id.encode("latin-1")))
+        response.headers.append((name, exchange.request_id.encode("latin-1")))
         if isinstance(caller, FrontConnection):
-            caller.respond(HttpResponse(code.status, headers, response.body))
+            caller.respond(response)
 
     def on_retry(self, exchange: Exchange, code: ErrorCode) -> None:
         """Log that a request goes to another host."""
@@ -304,7 +302,9 @@
     def log_load(self, now_ms: Millis) -> None:
         """Log what this node believes of its target's load and of the services below."""
         door = self._parts.door
-        shares = self._parts.shares
+        shares = {
+            route: self._parts.shares.share_of(now_ms, route) for route in self._parts.shares.routes
+        }
         log(
             LOAD_STATE,
             service=self._parts.registration.service,
@@ -313,11 +313,7 @@
             limit=door.limit,
             offered=round(door.pressure.offered, 2),
             admitted_share=round(door.pressure.share, 2),
-            routes={
-                route: round(shares.share_of(now_ms, route), 2)
-                for route in shares.routes
-                if shares.share_of(now_ms, route) < 1.0
-            },
+            routes={route: round(share, 2) for route, share in shares.items() if share < 1.0},
             needs={
                 route: {called: round(need, 2) for called, need in needs.items()}
                 for route, needs in self._parts.graph.needs.items()
@@ -341,13 +337,12 @@
 
         What the local target calls for its runs still goes out.
         """
-        self._parts.entry.close(to_calls=False)
-        self._target.close()
+        self._parts.entry.set_intake(Intake.CALLS_OF_TARGET)
         self.publish()
 
     def end_calls(self) -> None:
         """Take nothing at all any more."""
-        self._parts.entry.close(to_calls=True)
+        self._parts.entry.set_intake(Intake.NOTHING)
 
     def close_idle_fronts(self) -> None:
         """Close callers' connections on which nothing is under way."""
--- a/gooseberrydock/mesh/pressure.py
+++ b/gooseberrydock/mesh/pressure.py
@@ -2,9 +2,8 @@
 
 Answers the load of a service that is offered more than it can finish. The measure is the work
 offered, by arrivals and mean run times, against the slots: unlike the length of a queue it shows at
-once what a changed share does. The share falls while more is
-offered than the aim and rises while it is less. Nodes at the entry turn away the rest before any
-work is done. Controller without I/O.
+once what a changed share does. The share falls while more is offered than the aim and rises while
+it is less. Nodes at the entry turn away the rest before any work is done. Controller without I/O.
 """
 
 from typing import Final
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -119,7 +119,7 @@
             nursery=nursery,
             parts=parts,
             first_record=_create_record(options, self._clock),
-            log=DecisionLog(options.headers),
+            log=DecisionLog(),
         )
         parts.join(options, node, seed)
         return node
--- a/gooseberrydock/mesh/runs.py
+++ b/gooseberrydock/mesh/runs.py
@@ -47,9 +47,8 @@
 
     def accepts(self, response: HttpResponse) -> bool:
         """Say whether a response is to this call, by the request id that targets echo."""
-        name = self._names.request_id
-        own_id = header_value(self.ticket.call.headers, name)
-        echoed = header_value(response.headers, name)
+        own_id = self.ticket.request_id
+        echoed = header_value(response.headers, self._names.request_id)
         if echoed:
             return echoed == own_id
         return bool(header_value(response.headers, self._names.not_executed)) or not own_id
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -33,6 +33,8 @@
 _RETURN_MIN_SHARE: Final = 0.2
 _RETURN_MAX_SHARE: Final = 0.5
 """Shares of the target latency after which refused callers may return."""
+_RETURN_SPREAD: Final = 0.3
+"""Largest part by which a caller's wait differs from that, so that returns do not come at once."""
 _PROBE_SHARE: Final = 0.05
 """Least share admitted, so that recovery shows."""
 
@@ -123,7 +125,8 @@
         """
         shortage = 1.0 - self.share_of(now_ms, route.name)
         wait_share = _RETURN_MIN_SHARE + (_RETURN_MAX_SHARE - _RETURN_MIN_SHARE) * shortage
-        return route.target_latency_ms * wait_share * self._random.uniform(0.7, 1.3)
+        spread = self._random.uniform(1.0 - _RETURN_SPREAD, 1.0 + _RETURN_SPREAD)
+        return route.target_latency_ms * wait_share * spread
 
 
 def create_admitted_shares(seed: int) -> AdmittedShares:
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -12,6 +12,7 @@
 import attrs
 import trio
 
+from gooseberrydock.backoff import Backoff, BackoffBounds
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
 from gooseberrydock.errorcodes import (
     CONFIGURATION_CONFLICT,
@@ -32,11 +33,10 @@
 """Part of a lease's time after which it is renewed, so that two renewals may fail."""
 _LEASE_MS: Final[Millis] = 9_000.0
 """How long a node's record outlives the node."""
-_RETRY_MIN_MS: Final[Millis] = 60.0
-_RETRY_MAX_MS: Final[Millis] = 900.0
-"""Bounds of the waits after failures: records are back within two seconds of a store's return."""
-_RETRY_GROWTH: Final = 1.7
-_RETRY_MAX_FAILURES: Final = 20
+_EARLIEST_RENEWAL: Final = 0.7
+"""Part of the time to a renewal from which one is made when there is other work anyway."""
+RETRY_BOUNDS: Final = BackoffBounds(least_ms=60.0, first_ms=60.0, longest_ms=900.0, growth=1.7)
+"""Waits after failures: records are back within two seconds of a store's return."""
 
 
 class StoreSink(Protocol):
@@ -49,29 +49,6 @@
         """Take in whether the store answers this node."""
 
 
-@attrs.define
-class RetryPause:
-    """Compute random waits that grow with each failure in a row."""
-
-    _random: random.Random
-    _failures: int = 0
-
-    def reset(self) -> None:
-        """Count a success."""
-        self._failures = 0
-
-    def next_ms(self) -> Millis:
-        """Count a failure and return how long to wait."""
-        bound = min(_RETRY_MAX_MS, _RETRY_MIN_MS * _RETRY_GROWTH**self._failures)
-        # An outage of days must not take the power beyond what a float holds.
-        self._failures = min(self._failures + 1, _RETRY_MAX_FAILURES)
-        return self._random.uniform(_RETRY_MIN_MS, bound)
-
-    async def wait(self) -> None:
-        """Count a failure and wait."""
-        await trio.sleep(self.next_ms() / MS_PER_SECOND)
-
-
 @attrs.define(eq=False)
 class StoreSync:
     """Follow the store and keep the node's own record in it."""
@@ -91,11 +68,6 @@
     _renewed_at: Millis = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
-    @property
-    def is_available(self) -> bool:
-        """Say whether the store answered the last call."""
-        return self._is_available
-
     def set_record(self, member: Member) -> None:
         """Have this node's record written."""
         self._record = member
@@ -106,19 +78,19 @@
 
         A pause after each answer gathers changes that come close together into one.
         """
-        pause = RetryPause(self._random)
+        backoff = Backoff(self._random, RETRY_BOUNDS)
         revision = -1
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
-                pause.reset()
+                backoff.reset()
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
             except GooseberrydockError as error:
                 if error.code is STORE_HISTORY_GONE:
                     revision = -1
                 self._note_failure(error)
-                await pause.wait()
+                await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
 
     async def _follow_step(self, prefix: str, revision: int) -> int:
         """Read all once, then wait for changes; return the revision seen."""
@@ -137,15 +109,15 @@
 
     async def keep_record(self) -> None:
         """Keep the record written and its lease alive."""
-        pause = RetryPause(self._random)
+        backoff = Backoff(self._random, RETRY_BOUNDS)
         while True:
             try:
                 await self._keep_step()
-                pause.reset()
+                backoff.reset()
                 await self._wait_for_work()
             except GooseberrydockError as error:
                 self._note_failure(error)
-                await pause.wait()
+                await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
 
     async def remove_record(self, timeout_ms: Millis) -> None:
         """End the lease, and the record with it, if the store answers in time."""
@@ -215,7 +187,8 @@
         self._changed = trio.Event()
 
     def _renewal_due(self, lease: Lease) -> bool:
-        return self._clock.now_ms() - self._renewed_at >= lease.ttl_ms * _RENEW_SHARE * 0.7
+        due_ms = lease.ttl_ms * _RENEW_SHARE * _EARLIEST_RENEWAL
+        return self._clock.now_ms() - self._renewed_at >= due_ms
 
     def on_own_record_gone(self) -> None:
         """Take in that the store dropped this node's record; write it again."""
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -12,6 +12,7 @@
 from gooseberrydock.errorcodes import (
     NO_TARGET,
     NODE_LEAVING,
+    NOT_DISPATCHED,
     QUARANTINED,
     TARGET_TIMEOUT,
     ErrorCode,
@@ -22,9 +23,11 @@
     TARGET_CHANGED,
     TARGET_LEAVING,
 )
+from gooseberrydock.http_messages import header_value
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.decision_log import DecisionLog
-from gooseberrydock.mesh.door import LATE_CODE, Ticket
+from gooseberrydock.mesh.door import Ticket
+from gooseberrydock.mesh.model import Intake
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.parts import NodeParts
 from gooseberrydock.mesh.runs import Run, request_bytes
@@ -68,12 +71,11 @@
     _runs: dict[int, Run] = attrs.field(factory=dict)
     _run_of_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
-    _is_closed: bool = False
 
     @property
     def is_closed(self) -> bool:
         """Say whether no more calls are taken."""
-        return self._is_closed
+        return self._parts.entry.intake is not Intake.ALL
 
     @property
     def in_flight(self) -> int:
@@ -90,13 +92,16 @@
     def on_call(self, link_id: str, call: RoutedCall) -> None:
         """Take a call that came on a link."""
         now_ms = self._clock.now_ms()
+        request_id = header_value(call.headers, self._names.request_id)
         code = self._refusal(now_ms, call)
         if code is not None:
+            self._log.on_call_turned_away(now_ms, call, request_id, code)
             self._refuse(link_id, call, code)
             return
         self._next_run_id += 1
-        ticket = self._parts.door.create_ticket(now_ms, self._next_run_id, link_id, call)
-        code = self._parts.door.submit(now_ms, ticket)
+        door = self._parts.door
+        ticket = door.create_ticket(now_ms, self._next_run_id, link_id, call, request_id)
+        code = door.submit(now_ms, ticket)
         if code is not None:
             self._log.on_call_refused(now_ms, ticket, code)
             self._refuse(link_id, call, code)
@@ -125,7 +130,7 @@
 
     def _refusal(self, now_ms: Millis, call: RoutedCall) -> ErrorCode | None:
         """Return why the target may not have a call, whatever room it has."""
-        if self._is_closed:
+        if self.is_closed:
             return NODE_LEAVING
         registration = self._parts.registration
         if not registration.accepts(now_ms, call.service):
@@ -140,10 +145,6 @@
         )
         self._owner.answer_call(link_id, answer)
 
-    def close(self) -> None:
-        """Take no more calls; those taken go on."""
-        self._is_closed = True
-
     # Runs.
 
     def _start(self, run: Run) -> None:
@@ -155,6 +156,7 @@
         if not registration.accepts(now_ms, call.service):
             # The target left while the call waited.
             self._end(run, has_run=False)
+            self._log.on_call_refused(now_ms, run.ticket, NODE_LEAVING)
             self._refuse(run.ticket.link_id, call, NODE_LEAVING)
             return
         remaining_ms = run.ticket.expires_at - now_ms
@@ -202,8 +204,8 @@
             run = self._runs.get(ticket.run_id)
             if run is not None:
                 self._end(run, has_run=False)
-                self._log.on_call_refused(now_ms, ticket, LATE_CODE)
-                self._refuse(ticket.link_id, ticket.call, LATE_CODE)
+                self._log.on_call_refused(now_ms, ticket, NOT_DISPATCHED)
+                self._refuse(ticket.link_id, ticket.call, NOT_DISPATCHED)
 
     # The target.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,7 +11,6 @@
 from gooseberrydock.logs import LineWriter
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.door import Ticket
-from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.messages import RoutedCall
 
 
@@ -61,14 +60,8 @@
     """The volume of lines about requests is bounded under load."""
 
     def test_volume_is_bounded_and_the_rest_counted(self) -> None:
-        collector = _Collector()
-        logger = logging.getLogger("gooseberrydock")
-        level = logger.level
-        logger.addHandler(collector)
-        logger.setLevel(logging.INFO)
-        self.addCleanup(logger.removeHandler, collector)
-        self.addCleanup(logger.setLevel, level)
-        log = DecisionLog(HeaderNames())
+        collector = self._collect()
+        log = DecisionLog()
         call = RoutedCall(1, "look", "shop", "web", "GET", "/", [], b"", 100.0, 2)
         ticket = Ticket(1, "link", call, 2, 0.0, 100.0, False)
         for step in range(10_000):
@@ -77,3 +70,14 @@
         gaps = [r for r in collector.records if r.event == LINES_SUPPRESSED.number]
         self.assertLess(len(lines), 120)
         self.assertGreater(sum(record.lines for record in gaps), 9_000)
+
+    def _collect(self) -> _Collector:
+        """Collect what is logged until the test ends."""
+        collector = _Collector()
+        logger = logging.getLogger("gooseberrydock")
+        level = logger.level
+        logger.addHandler(collector)
+        logger.setLevel(logging.INFO)
+        self.addCleanup(logger.removeHandler, collector)
+        self.addCleanup(logger.setLevel, level)
+        return collector
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -7,8 +7,10 @@
 import attrs
 import trio
 
+from gooseberrydock.backoff import Backoff
 from gooseberrydock.clock import ManualTime, manual_clock
 from gooseberrydock.errorcodes import TARGET_UNREACHABLE
+from gooseberrydock.events import CALL_REFUSED
 from gooseberrydock.members import Address, Member, encode_member
 from gooseberrydock.mesh.crash_watch import create_crash_watch
 from gooseberrydock.mesh.decision_log import DecisionLog
@@ -18,7 +20,7 @@
 from gooseberrydock.mesh.parts import StoreKeys, create_parts
 from gooseberrydock.mesh.runs import Run
 from gooseberrydock.mesh.store import StoreItem
-from gooseberrydock.mesh.store_sync import RetryPause
+from gooseberrydock.mesh.store_sync import RETRY_BOUNDS
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
 from gooseberrydock.messages import RoutedCall
 from tests.mesh_helpers import make_member
@@ -64,7 +66,7 @@
         nursery=cast(trio.Nursery, _FakeNursery()),
         parts=parts,
         first_record=attrs.evolve(make_member("me", ""), incarnation=incarnation),
-        log=DecisionLog(_OPTIONS.headers),
+        log=DecisionLog(),
     )
     parts.join(_OPTIONS, node, 1)
     return node
@@ -76,12 +78,12 @@
     return member
 
 
-class RetryPauseCases(unittest.TestCase):
+class RetryBoundsCases(unittest.TestCase):
     """Answers an outage of the store, short or long."""
 
     def test_waits_stay_bounded_however_long_the_outage(self) -> None:
-        pause = RetryPause(random.Random(1))
-        waits = [pause.next_ms() for _ in range(5_000)]
+        backoff = Backoff(random.Random(1), RETRY_BOUNDS)
+        waits = [backoff.next_wait() for _ in range(5_000)]
         self.assertLessEqual(max(waits), 900.0)
         self.assertLess(max(waits[:2]), 200.0)
 
@@ -120,6 +122,17 @@
         self.assertEqual("", _own(node).service)
         self.assertTrue(node.target.on_announcement(attrs.evolve(strange, service="shop")))
 
+    def test_call_without_a_target_is_logged_with_its_request(self) -> None:
+        node = _make_node()
+        headers = [(_OPTIONS.headers.request_id, b"r-7")]
+        with self.assertLogs("gooseberrydock", "INFO") as logs:
+            node.target.on_call(
+                "", RoutedCall(1, "look", "shop", "web", "GET", "/", headers, b"", 1_000.0, 2)
+            )
+        lines = [vars(record) for record in logs.records]
+        refused = next(line for line in lines if line["event"] == CALL_REFUSED.number)
+        self.assertEqual(("r-7", "no-target"), (refused["request"], refused["cause"]))
+
     def test_unreachable_target_is_withdrawn_until_it_speaks(self) -> None:
         node = _make_node()
         announced = InstanceAnnouncement("i-1", "shop", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
