Show operators what a node of the routed path believes and why it refused

Cause: the log leaves lines out under load, so that a refused request could not always be traced, and gooseberrydock-ctl knew only nodes of the product's own interface.

Ruled out: a listener of its own (the platform names no port for it); keeping the requests themselves (bodies of up to 1 MB each). Test: real processes on the stand-ins, all commands.

--- /dev/null
+++ b/gooseberrydock/ctl_calls.py
@@ -0,0 +1,109 @@
+"""``gooseberrydock-ctl calls``: what nodes of the routed call path believe, and their refusals."""
+
+import json
+import sys
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+from urllib.parse import quote
+
+import click
+import trio
+
+from gooseberrydock.ctl_nodes import ask_nodes
+from gooseberrydock.members import Address
+from gooseberrydock.mesh.state_page import REFUSALS_PATH, STATE_PATH
+from gooseberrydock.options import ADDRESS, setting
+
+_OK: Final = 200
+
+metrics_setting = setting(
+    "metrics",
+    "Metrics address of a node; may be repeated.",
+    type=ADDRESS,
+    multiple=True,
+    required=True,
+)
+
+
+@click.group()
+def calls() -> None:
+    """Look into nodes of the routed call path."""
+
+
+@calls.command()
+@metrics_setting
+def routes(metrics: tuple[Address, ...]) -> None:
+    """Print each route with the share of its requests that a node admits."""
+    _print_rows(metrics, lambda state: state["routes"])
+
+
+@calls.command()
+@metrics_setting
+def hosts(metrics: tuple[Address, ...]) -> None:
+    """Print what nodes know of each host of a target."""
+    _print_rows(metrics, lambda state: state["hosts"])
+
+
+@calls.command()
+@metrics_setting
+def paths(metrics: tuple[Address, ...]) -> None:
+    """Print which routes' runs make which calls, as learned at the targets."""
+    _print_rows(metrics, lambda state: _path_rows(state["paths"]))
+
+
+@calls.command()
+@metrics_setting
+def limits(metrics: tuple[Address, ...]) -> None:
+    """Print how much runs, waits and is admitted at each target."""
+    _print_rows(metrics, lambda state: [state["limits"]])
+
+
+@calls.command()
+@metrics_setting
+def budget(metrics: tuple[Address, ...]) -> None:
+    """Print the repeats made, denied and still allowed by each node."""
+    _print_rows(metrics, lambda state: [state["budget"]])
+
+
+@calls.command()
+@metrics_setting
+@click.argument("request_id", default="")
+def why(metrics: tuple[Address, ...], request_id: str) -> None:
+    """Print why nodes refused a request, or what they refused last."""
+    query = f"?request={quote(request_id)}" if request_id else ""
+    found = _print_rows(metrics, lambda page: page["refusals"], REFUSALS_PATH + query)
+    if request_id and not found:
+        raise click.ClickException(f"no node here remembers a refusal of {request_id}")
+
+
+def _path_rows(needs: dict[str, dict[str, float]]) -> list[dict[str, Any]]:
+    return [
+        {"route": route, "calls": called, "need": need}
+        for route, below in needs.items()
+        for called, need in below.items()
+    ]
+
+
+def _print_rows(
+    addresses: tuple[Address, ...],
+    rows_of: Callable[[Any], Iterable[dict[str, Any]]],
+    path: str = STATE_PATH,
+) -> int:
+    """Print a line for each row of each node and return their number."""
+    count = 0
+    is_complete = True
+    for address, response in trio.run(ask_nodes, addresses, "GET", path):
+        if response is None or response.status != _OK:
+            click.echo(f"{address}: no answer", err=True)
+            is_complete = False
+            continue
+        for row in rows_of(json.loads(response.body)):
+            count += 1
+            click.echo(f"{address}  " + "  ".join(f"{k}={_text(v)}" for k, v in row.items()))
+    if not is_complete:
+        sys.exit(1)
+    return count
+
+
+def _text(value: Any) -> str:
+    return json.dumps(value) if isinstance(value, dict | list) else str(value)
--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -23,6 +23,7 @@
 from gooseberrydock.mesh.door import Ticket
 from gooseberrydock.mesh.entry import Exchange
 from gooseberrydock.mesh.latency import LatencyHistogram
+from gooseberrydock.mesh.refusals import RecentRefusals, RefusalRecord
 from gooseberrydock.messages import RoutedCall
 
 _LINES_PER_SECOND: Final = 8.0
@@ -69,6 +70,7 @@
     _refused: dict[int, int] = attrs.field(factory=dict)
     _answered: int = 0
     _durations: dict[str, LatencyHistogram] = attrs.field(factory=dict)
+    _recent: RecentRefusals = attrs.field(factory=RecentRefusals)
 
     @property
     def refused(self) -> dict[int, int]:
@@ -85,6 +87,11 @@
         """Return how long answers took from the request on, by route."""
         return self._durations
 
+    @property
+    def recent(self) -> RecentRefusals:
+        """Return the latest answers in the node's own name."""
+        return self._recent
+
     def on_answered(self, now_ms: Millis, exchange: Exchange, status: int) -> None:
         """Note a target's answer passed on."""
         self._answered += 1
@@ -126,25 +133,25 @@
     ) -> None:
         """Note an answer in the node's own name."""
         self._refused[code.number] = self._refused.get(code.number, 0) + 1
+        record = RefusalRecord(
+            at_ms=now_ms,
+            request_id=exchange.request_id,
+            route=exchange.route.name,
+            service=exchange.service,
+            code=code,
+            host=exchange.node_id,
+            took_ms=now_ms - exchange.received_at,
+            left_ms=exchange.deadline_at - now_ms,
+            offers=exchange.offers,
+            refusals=exchange.refusals,
+            is_nested=exchange.is_nested,
+            retry_after_ms=retry_after_ms,
+            table_version=table_version,
+            inputs=exchange.inputs,
+        )
+        self._recent.add(record)
         if self._take(now_ms, REQUEST_REFUSED):
-            log(
-                REQUEST_REFUSED,
-                request=exchange.request_id,
-                route=exchange.route.name,
-                service=exchange.service,
-                code=code.number,
-                cause=code.name,
-                status=code.status,
-                host=exchange.node_id,
-                took_ms=round(now_ms - exchange.received_at, 1),
-                left_ms=round(exchange.deadline_at - now_ms, 1),
-                offers=exchange.offers,
-                refusals=exchange.refusals,
-                nested=exchange.is_nested,
-                retry_after_ms=round(retry_after_ms),
-                table=table_version,
-                **exchange.inputs,
-            )
+            log(REQUEST_REFUSED, **refusal_fields(record))
 
     def on_call_turned_away(
         self, now_ms: Millis, call: RoutedCall, request_id: str, code: ErrorCode
@@ -198,3 +205,24 @@
             log(LINES_SUPPRESSED, of_event=event.number, lines=budget.suppressed)
             budget.suppressed = 0
         return True
+
+
+def refusal_fields(record: RefusalRecord) -> dict[str, object]:
+    """Return a refusal as it is logged and shown to operators."""
+    return {
+        "request": record.request_id,
+        "route": record.route,
+        "service": record.service,
+        "code": record.code.number,
+        "cause": record.code.name,
+        "status": record.code.status,
+        "host": record.host,
+        "took_ms": round(record.took_ms, 1),
+        "left_ms": round(record.left_ms, 1),
+        "offers": record.offers,
+        "refusals": record.refusals,
+        "nested": record.is_nested,
+        "retry_after_ms": round(record.retry_after_ms),
+        "table": record.table_version,
+        **record.inputs,
+    }
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -8,25 +8,11 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
-from gooseberrydock.http_messages import HttpRequest, HttpResponse
-from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.mesh.node import MeshNode
-from gooseberrydock.stream import Stream
 
 _PREFIX: Final = "gooseberrydock_"
 
 
-async def serve_metrics(node: MeshNode, stream: Stream) -> None:
-    """Serve one connection of whoever reads metrics; every path gives the page."""
-
-    def on_request(connection: HttpConnection, request: HttpRequest) -> None:
-        content, content_type = render_metrics(node)
-        headers = [(b"content-type", content_type.encode("ascii"))]
-        connection.respond(HttpResponse(200, headers, content))
-
-    await serve_http(stream, on_request)
-
-
 def render_metrics(node: MeshNode) -> tuple[bytes, str]:
     """Return the metrics page and its content type."""
     registry = Registry()
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -134,6 +134,10 @@
         """Return the bounded log of decisions."""
         return self._log
 
+    def now_ms(self) -> Millis:
+        """Return the node's monotonic time."""
+        return self._clock.now_ms()
+
     @property
     def is_ready(self) -> bool:
         """Say whether callers should send requests here; a node alone could serve few of them."""
--- a/gooseberrydock/mesh/retry_budget.py
+++ b/gooseberrydock/mesh/retry_budget.py
@@ -40,6 +40,14 @@
         """Return the repeats denied so far."""
         return self._denied
 
+    @property
+    def tokens(self) -> dict[str, float]:
+        """Return the repeats that each service may still be sent, by service."""
+        totals: dict[str, float] = {}
+        for (service, _), balance in self._tokens.items():
+            totals[service] = totals.get(service, 0.0) + balance
+        return totals
+
     def set_node_count(self, count: int) -> None:
         """Share the slack among this many nodes."""
         self._node_count = max(1, count)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -17,6 +17,7 @@
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.parts import StoreKeys, TableDecoder, create_parts
+from gooseberrydock.mesh.state_page import serve_operators
 from gooseberrydock.mesh.store import Store
 from gooseberrydock.mesh.store_sync import StoreSync
 from gooseberrydock.stream import Listener, Stream, StreamHandler, listen
@@ -68,9 +69,6 @@
     async def serve_ready(self, node: MeshNode, stream: Stream) -> None:
         """Serve one connection of whoever asks whether the node is ready."""
 
-    async def serve_metrics(self, node: MeshNode, stream: Stream) -> None:
-        """Serve one connection of whoever reads metrics."""
-
     def reload(self) -> MeshOptions | None:
         """Return the settings if they changed and are valid."""
 
@@ -144,7 +142,7 @@
             await surroundings.serve_ready(node, stream)
 
         async def serve_metrics(stream: Stream) -> None:
-            await surroundings.serve_metrics(node, stream)
+            await serve_operators(node, stream)
 
         served: list[tuple[Address | None, StreamHandler]] = [
             (options.entry_listen, node.serve_front),
--- /dev/null
+++ b/gooseberrydock/mesh/state_page.py
@@ -0,0 +1,150 @@
+"""What operators see of a node on the routed call path: its beliefs and its latest refusals.
+
+Served beside the metrics. Everything is read at the moment of the question and nothing is kept
+for it, apart from the ring of refusals.
+"""
+
+import json
+from typing import Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import NOT_FOUND
+from gooseberrydock.errors import Step
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
+from gooseberrydock.http_server import HttpConnection, serve_http
+from gooseberrydock.members import Member
+from gooseberrydock.mesh.decision_log import refusal_fields
+from gooseberrydock.mesh.metrics import render_metrics
+from gooseberrydock.mesh.model import Route
+from gooseberrydock.mesh.node import MeshNode
+from gooseberrydock.stream import Stream
+
+STATE_PATH: Final = "/state"
+REFUSALS_PATH: Final = "/refusals"
+_METRICS_PATHS: Final = frozenset(("/", "/metrics"))
+_SHOWN_REFUSALS: Final = 50
+"""Refusals shown where none is asked for by its request's id."""
+
+
+async def serve_operators(node: MeshNode, stream: Stream) -> None:
+    """Serve one connection of whoever reads metrics or state."""
+
+    def on_request(connection: HttpConnection, request: HttpRequest) -> None:
+        connection.respond(answer_operator(node, node.now_ms(), request.path))
+
+    await serve_http(stream, on_request)
+
+
+def answer_operator(node: MeshNode, now_ms: Millis, target: str) -> HttpResponse:
+    """Answer one question of an operator."""
+    parts = urlsplit(target)
+    if parts.path in _METRICS_PATHS:
+        content, content_type = render_metrics(node)
+        return HttpResponse(200, [(b"content-type", content_type.encode("ascii"))], content)
+    if parts.path == STATE_PATH:
+        return _json_response(describe_node(node, now_ms))
+    if parts.path == REFUSALS_PATH:
+        wanted = parse_qs(parts.query).get("request", [""])[0]
+        return _json_response({"refusals": describe_refusals(node, now_ms, wanted)})
+    return problem_response(NOT_FOUND, NOT_FOUND.outcome, Step.ADMIN.value, "", parts.path)
+
+
+def describe_node(node: MeshNode, now_ms: Millis) -> dict[str, Any]:
+    """Return a node's whole state as plain values."""
+    return {
+        "node": {
+            "node": node.options.node_id,
+            "failure_domain": node.options.failure_domain,
+            "service": node.parts.registration.service,
+            "instance": node.parts.registration.instance_id,
+            "table": node.table.version,
+            "ready": node.is_ready,
+            "nodes": node.parts.directory.node_count,
+            "links": len(node.links.open_links),
+            "in_flight": node.in_flight,
+        },
+        "routes": [_describe_route(node, now_ms, route) for route in node.table.routes.values()],
+        "hosts": [_describe_host(node, now_ms, member) for member in _all_members(node)],
+        "paths": {
+            route: {called: round(need, 2) for called, need in needs.items()}
+            for route, needs in node.parts.graph.needs.items()
+        },
+        "limits": _describe_limits(node),
+        "budget": _describe_budget(node),
+    }
+
+
+def describe_refusals(node: MeshNode, now_ms: Millis, request_id: str) -> list[dict[str, Any]]:
+    """Return the refusals of one request, or the latest of all, with their ages."""
+    recent = node.decision_log.recent
+    records = recent.find(request_id) if request_id else recent.records[-_SHOWN_REFUSALS:]
+    return [
+        {"age_ms": round(now_ms - record.at_ms), **refusal_fields(record)} for record in records
+    ]
+
+
+def _describe_route(node: MeshNode, now_ms: Millis, route: Route) -> dict[str, Any]:
+    shares = node.parts.shares
+    return {
+        "route": route.name,
+        "host": route.host,
+        "prefix": route.prefix,
+        "kind": route.kind.value,
+        "priority": route.priority,
+        "timeout_ms": route.timeout_ms,
+        "target_latency_ms": route.target_latency_ms,
+        "max_attempts": route.max_attempts,
+        "services": {share.service: share.weight for share in route.shares},
+        "call_of_target": node.parts.nested.is_nested(route.name),
+        **shares.explain(now_ms, route.name),
+    }
+
+
+def _describe_host(node: MeshNode, now_ms: Millis, member: Member) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        "host": member.node_id,
+        "service": member.service,
+        "failure_domain": member.failure_domain,
+        "state": member.state.name.lower(),
+        "slots": member.slots,
+        "cold": member.is_cold,
+    }
+    evidence = node.entry.placement.evidence.get(member.node_id)
+    if evidence is not None:
+        fields |= {
+            "own_calls": evidence.own_calls,
+            "reported_calls": evidence.reported_calls,
+            "limit": evidence.limit,
+            "failure_share": round(evidence.failure_share, 3),
+            "held_ms": max(0, round(evidence.held_until - now_ms)),
+            "service_ms": {route: round(ms, 1) for route, ms in evidence.service_ms.items()},
+        }
+    return fields
+
+
+def _all_members(node: MeshNode) -> list[Member]:
+    return sorted([node.fleet.record, *node.parts.directory.others], key=lambda m: m.node_id)
+
+
+def _describe_limits(node: MeshNode) -> dict[str, Any]:
+    door = node.door
+    return {
+        "running": len(door.running),
+        "waiting": door.waiting,
+        "limit": door.limit,
+        "offered": round(door.pressure.offered, 2),
+        "admitted_share": round(door.pressure.share, 2),
+        "convicted_fingerprints": [f"{item:016x}" for item in node.parts.crashes.convicted],
+    }
+
+
+def _describe_budget(node: MeshNode) -> dict[str, Any]:
+    budget = node.parts.budget
+    tokens = {service: round(balance, 2) for service, balance in budget.tokens.items()}
+    return {"spent": budget.spent, "denied": budget.denied, "tokens": tokens}
+
+
+def _json_response(fields: dict[str, Any]) -> HttpResponse:
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(200, headers, json.dumps(fields).encode())
--- a/gooseberrydock/platform/surroundings.py
+++ b/gooseberrydock/platform/surroundings.py
@@ -8,7 +8,6 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import SETTINGS_REFUSED, SETTINGS_RELOADED
 from gooseberrydock.logs import log
-from gooseberrydock.mesh.metrics import serve_metrics
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.parts import StoreKeys, TableDecoder
@@ -54,10 +53,6 @@
         """Serve one connection of the platform's readiness checks."""
         await serve_ready(node, stream)
 
-    async def serve_metrics(self, node: MeshNode, stream: Stream) -> None:
-        """Serve one connection of whoever reads metrics."""
-        await serve_metrics(node, stream)
-
     def reload(self) -> MeshOptions | None:
         """Return the settings if they changed and are valid."""
         try:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -190,9 +190,9 @@
         pool.close()
         return response
 
-    async def status(self, node: FleetNode, path: str) -> int:
+    async def status(self, node: FleetNode, path: str, request_id: str = "r1") -> int:
         """Send a request and return the status, 0 for none."""
-        response = await self.send(node, path)
+        response = await self.send(node, path, request_id)
         return response.status if response is not None else 0
 
     async def is_ready(self, node: FleetNode) -> bool:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,6 +1,8 @@
 """The whole path on the platform's stand-ins, with real node processes."""
 
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
@@ -19,6 +21,15 @@
 _DRAIN_LIMIT_S = 2.0
 
 
+async def _ctl(node: FleetNode, *arguments: str) -> str:
+    """Run ``gooseberrydock-ctl calls`` on a node and return what it printed."""
+    command = [sys.executable, "-m", "gooseberrydock.ctl_main", "calls", *arguments]
+    done = await trio.run_process(
+        [*command, "--metrics", str(node.metrics)], capture_stdout=True, capture_stderr=True
+    )
+    return done.stdout.decode()
+
+
 class PlatformPathCases(unittest.TestCase):
     """Two hosts of one service, one of another."""
 
@@ -54,6 +65,24 @@
 
         self._run(scenario)
 
+    def test_operators_see_beliefs_and_why_a_request_was_refused(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            web = fleet.nodes[2]
+            self.assertEqual(404, await fleet.status(web, "/nothing/", "id-404"))
+            refused = await _ctl(web, "why", "id-404")
+            self.assertIn("cause=no-route", refused)
+            self.assertIn("call_of_target=False", await _ctl(web, "routes"))
+            seen = await _ctl(web, "hosts")
+            for node in fleet.nodes:
+                self.assertIn(f"host={node.node_id}", seen)
+            self.assertIn("admitted_share=1.0", await _ctl(web, "limits"))
+            self.assertIn("spent=0", await _ctl(web, "budget"))
+            await _ctl(web, "paths")
+            with self.assertRaises(subprocess.CalledProcessError):
+                await _ctl(web, "why", "id-unknown")
+
+        self._run(scenario)
+
     def test_configuration_is_in_force_in_time_also_without_the_store(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             fleet.configure({**_ROUTES, "new": make_route_fields("web", "/new/")}, ["shop", "web"])
