Make the store and new links cost a large fleet less

Each change of a record was read by every node within 0.4 s, every watch was made anew every 12 s, and each of some 3,000 links began with the records of all other nodes, both ways.

Now changes of records gather for 3 s in a settled fleet and 0.8 s around starts, outages and ended records (ReadPace), never faster than the node's part of the store's rate; watches wait 25 s and are made anew when the store comes back, which renewals of the lease notice; a new link introduces 10 others instead of 128.

Ruled out: fewer watchers with hand-on of records over links (a flood or a second gossip for what bounded reads do); stale reads (their bytes exceed the budget of control).

--- a/gooseberrydock/clock.py
+++ b/gooseberrydock/clock.py
@@ -40,11 +40,11 @@
         return self.value_ms
 
 
-def system_clock() -> Clock:
-    """Make a clock that reads the machine's time."""
+def system_clock(wall_offset_ms: Millis = 0.0) -> Clock:
+    """Make a clock that reads the machine's time, its time of day shifted by an offset."""
     return Clock(
         now_ms=lambda: time.monotonic_ns() / NS_PER_MS,
-        wall_ms=lambda: time.time_ns() / NS_PER_MS,
+        wall_ms=lambda: time.time_ns() / NS_PER_MS + wall_offset_ms,
     )
 
 
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -241,12 +241,14 @@
         done.set()
 
     pending = pool.start(request, note, note)
-    with trio.move_on_after(timeout_s):
-        await done.wait()
-    if not results:
-        pending.abort()
-        return None
-    return results[0]
+    try:
+        with trio.move_on_after(timeout_s):
+            await done.wait()
+    finally:
+        # The task that waits may be cancelled too.
+        if not results:
+            pending.abort()
+    return results[0] if results else None
 
 
 async def fetch(pool: ClientPool, request: HttpRequest, timeout_s: float) -> HttpResponse | None:
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -29,8 +29,9 @@
 from gooseberrydock.messages import ConfigurationPush, ConfigurationRequest, MemberSync
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 
-_INTRODUCED: Final = 128
-"""How many records a node tells on a new link; a newcomer has many links."""
+_INTRODUCED: Final = 10
+"""How many records a node tells on a new link; a newcomer has many links, and what all links of a
+fleet carry when it starts grows with the square of its size times this."""
 _SPOKEN: Final = 24
 """On how many links a node speaks in one round, which bounds what control costs it."""
 _KEPT_LINKS: Final = 200
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -39,6 +39,7 @@
 
     ``peer_advertised`` is where other nodes reach this one, if not where it listens.
     ``service`` is the service of the target beside this node, which its callers are told.
+    ``store_reads_per_s`` is what the store allows all nodes together.
     ``drain_ms`` is how long a leaving target may still get requests.
     """
 
@@ -58,3 +59,4 @@
     drain_ms: Millis
     stop_grace_ms: Millis
     lease_min_ms: Millis
+    store_reads_per_s: float
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis, system_clock
+from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
 from gooseberrydock.events import NODE_STARTED, NODE_STOPPED, NODE_STOPPING, STOP_TIMED_OUT
 from gooseberrydock.logs import containing_faults, log
 from gooseberrydock.members import Address, Member, MemberState
@@ -17,6 +17,7 @@
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.parts import StoreKeys, TableDecoder, create_parts
+from gooseberrydock.mesh.read_pace import create_read_pace
 from gooseberrydock.mesh.state_page import serve_operators
 from gooseberrydock.mesh.store import Store
 from gooseberrydock.mesh.store_sync import StoreSync
@@ -28,8 +29,6 @@
 """The same while nothing is under way; the shortest time limits are some hundred milliseconds."""
 _SHARES_EVERY: Final = 4
 """Every how many ticks the shares of services below are passed on in reports."""
-_RECORDS_PAUSE_MS: Final[Millis] = 400.0
-"""How long changed records gather before they are read; links tell them sooner."""
 _FIRST_RECORD_MS: Final[Millis] = 2_500.0
 """How long a starting node waits for its target's announcement before it writes its record."""
 _SLOW_TICK_MS: Final[Millis] = 500.0
@@ -93,8 +92,8 @@
             node.fleet.attach_store(sync)
             self._listen(nursery, node)
             nursery.start_soon(self._handle_signals, node)
-            nursery.start_soon(sync.follow, self._surroundings.keys.table, 0.0)
-            nursery.start_soon(sync.follow, self._surroundings.keys.nodes, _RECORDS_PAUSE_MS)
+            nursery.start_soon(sync.follow_table, self._surroundings.keys.table)
+            nursery.start_soon(sync.follow_records)
             nursery.start_soon(_publish_first_record, node)
             nursery.start_soon(sync.keep_record)
             nursery.start_soon(self._tick, node)
@@ -123,6 +122,10 @@
         return node
 
     def _create_sync(self, node: MeshNode, nursery: trio.Nursery) -> StoreSync:
+        directory = node.parts.directory
+        pace = create_read_pace(
+            self._options.store_reads_per_s, lambda: directory.node_count, self._clock.now_ms()
+        )
         return StoreSync(
             store=self._surroundings.open_store(nursery),
             sink=node.fleet,
@@ -130,6 +133,7 @@
             random=self._random,
             node_prefix=self._surroundings.keys.nodes,
             lease_min_ms=self._options.lease_min_ms,
+            pace=pace,
         )
 
     def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
@@ -248,6 +252,6 @@
     )
 
 
-async def run_mesh_node(options: MeshOptions, surroundings: Surroundings) -> None:
+async def run_mesh_node(options: MeshOptions, surroundings: Surroundings, clock: Clock) -> None:
     """Run a node until it is told to stop."""
-    await MeshRunner(options, surroundings, system_clock(), random.Random()).run()
+    await MeshRunner(options, surroundings, clock, random.Random()).run()
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -24,11 +24,16 @@
 from gooseberrydock.events import LEASE_LOST, STORE_BACK, STORE_LOST
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, encode_member
+from gooseberrydock.mesh.read_pace import ReadPace
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
 
-_WATCH_WAIT_MS: Final[Millis] = 12_000.0
-"""How long one watch waits: bounds how long a silent connection goes unnoticed. Until then other
-nodes hand on what it misses."""
+_WATCH_WAIT_MS: Final[Millis] = 25_000.0
+"""How long one watch waits. A store that went silent is noticed sooner by renewals of the lease; a
+single silent connection is not, and until then other nodes hand on what it misses."""
+_RECORDS_FAST_MS: Final[Millis] = 800.0
+"""How long changed records gather before they are read; links tell them sooner."""
+_RECORDS_SETTLED_MS: Final[Millis] = 3_000.0
+"""The same in a settled fleet: well below the store's history, which a slower reader would lose."""
 _RENEW_SHARE: Final = 0.3
 """Part of a lease's time after which it is renewed, so that two renewals may fail."""
 _LEASE_MS: Final[Millis] = 9_000.0
@@ -59,6 +64,7 @@
     _random: random.Random
     _node_prefix: str
     _lease_min_ms: Millis
+    _pace: ReadPace
     _is_available: bool = True
     _answered_at: Millis = 0.0
     _record: Member | None = None
@@ -67,23 +73,30 @@
     _lease: Lease | None = None
     _renewed_at: Millis = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
+    _watches: set[trio.CancelScope] = attrs.field(factory=set)
 
     def set_record(self, member: Member) -> None:
         """Have this node's record written."""
         self._record = member
         self._changed.set()
 
-    async def follow(self, prefix: str, pause_ms: Millis) -> None:
-        """Hand everything under a prefix to the sink, now and whenever it changes.
+    async def follow_table(self, key: str) -> None:
+        """Hand the route table to the sink, now and whenever it changes."""
+        await self._follow(key, fast_ms=0.0, settled_ms=0.0)
 
-        A pause after each answer gathers changes that come close together into one.
-        """
+    async def follow_records(self) -> None:
+        """Hand the nodes' records to the sink, now and when they change."""
+        await self._follow(self._node_prefix, _RECORDS_FAST_MS, _RECORDS_SETTLED_MS)
+
+    async def _follow(self, prefix: str, fast_ms: Millis, settled_ms: Millis) -> None:
+        """Hand everything under a prefix to the sink; a pause gathers changes into one answer."""
         backoff = Backoff(self._random, RETRY_BOUNDS)
         revision = -1
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
                 backoff.reset()
+                pause_ms = self._pace.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
             except GooseberrydockError as error:
@@ -97,11 +110,25 @@
         if revision < 0:
             changes = await self._timed(self._store.read_prefix(prefix))
         else:
-            changes = await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
+            changes = await self._watch(prefix, revision)
         if changes.items or revision < 0:
             self._sink.on_store_items(changes.items, is_complete=revision < 0)
         return max(revision, changes.revision)
 
+    async def _watch(self, prefix: str, revision: int) -> StoreChanges:
+        """Wait for changes; return none where the store came back meanwhile."""
+        with trio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                changes = await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
+            finally:
+                self._watches.discard(scope)
+            if any(item.value is None for item in changes.items):
+                # A living node writes its record again, which must be seen in time.
+                self._pace.unsettle(self._clock.now_ms())
+            return changes
+        return StoreChanges((), revision)
+
     async def _timed(self, call: Awaitable[StoreChanges]) -> StoreChanges:
         changes = await call
         self._note_success()
@@ -209,6 +236,10 @@
         now_ms = self._clock.now_ms()
         if not self._is_available:
             self._is_available = True
+            self._pace.unsettle(now_ms)
+            for scope in self._watches:
+                # What waits since before the outage may never be answered.
+                scope.cancel()
             log(STORE_BACK, away_ms=round(now_ms - self._answered_at))
             self._sink.on_store_state(is_available=True)
         self._answered_at = now_ms
--- a/gooseberrydock/platform/__main__.py
+++ b/gooseberrydock/platform/__main__.py
@@ -7,6 +7,7 @@
 import click
 import trio
 
+from gooseberrydock.clock import system_clock
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.logs import LOG_LEVELS, set_up_logs
 from gooseberrydock.members import Address
@@ -27,8 +28,14 @@
     help="The platform's settings file.",
 )
 @setting("advertise", "Where other nodes reach this one, if not where it listens.", type=ADDRESS)
+@setting(
+    "wall-offset-ms",
+    "Shift the time of day, to try out a clock that is wrong.",
+    default=0.0,
+    type=float,
+)
 @setting("log-level", "Least level to log.", default="info", type=click.Choice(LOG_LEVELS))
-def main(path: Path, advertise: Address | None, log_level: str) -> None:
+def main(path: Path, advertise: Address | None, wall_offset_ms: float, log_level: str) -> None:
     """Run the node beside one target."""
     try:
         surroundings = create_surroundings(path)
@@ -36,7 +43,7 @@
         if advertise is not None:
             options = attrs.evolve(options, peer_advertised=advertise)
         set_up_logs(log_level, f"node {options.node_id}")
-        trio.run(run_mesh_node, options, surroundings)
+        trio.run(run_mesh_node, options, surroundings, system_clock(wall_offset_ms))
     except GooseberrydockError as error:
         raise click.ClickException(str(error)) from error
     except OSError as error:
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -60,6 +60,7 @@
         drain_ms=float(bounds["drainMs"]),
         stop_grace_ms=float(bounds["graceS"]) * MS_PER_SECOND,
         lease_min_ms=float(store["ttlMinMs"]),
+        store_reads_per_s=max(1.0, float(store["readsPerS"])),
     )
 
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,10 +1,7 @@
 """A small fleet on the platform's stand-ins: real node processes, one server beside each."""
 
 import base64
-import itertools
 import json
-import os
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -14,6 +11,7 @@
 import attrs
 import trio
 
+from bench.fleet import free_ports
 from gooseberrydock.http_client import ClientPool, fetch
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address, decode_member
@@ -26,22 +24,6 @@
 _BEAT_S = 0.4
 
 
-_PORTS = itertools.count(21_000 + os.getpid() % 800 * 10)
-"""Ports below those that the kernel gives to outgoing connections, which would take them."""
-
-
-def _free_ports(count: int) -> list[int]:
-    ports: list[int] = []
-    while len(ports) < count:
-        port = next(_PORTS)
-        try:
-            socket.create_server((_HOST, port)).close()
-        except OSError:
-            continue
-        ports.append(port)
-    return ports
-
-
 def settings_text(
     node_id: str, service: str, zone: str, app: Address, store: Address, ports: list[int]
 ) -> str:
@@ -66,6 +48,7 @@
 [platform.platform]
 address = "{store}"
 ttlMinMs = 1000
+readsPerS = 2000
 [terms.bounds]
 drainMs = 2000
 graceS = 6
@@ -89,11 +72,13 @@
     proxies: list[FaultProxy] = attrs.field(factory=list)
     process: subprocess.Popen[bytes] | None = None
     is_beating: bool = True
+    program: tuple[str, ...] = ("gooseberrydock.platform",)
+    wall_offset_ms: float = 0.0
 
     def start(self, log: Path) -> None:
         """Start the process."""
-        command = [sys.executable, "-m", "gooseberrydock.platform"]
-        command += ["--settings", str(self.settings)]
+        command = [sys.executable, "-m", *self.program, "--settings", str(self.settings)]
+        command += ["--wall-offset-ms", str(self.wall_offset_ms)]
         if self.advertised is not None:
             command += ["--advertise", str(self.advertised)]
         with log.open("ab") as output:
@@ -115,6 +100,7 @@
     store: StoreStandin
     nodes: list[FleetNode] = attrs.field(factory=list)
     version: int = 0
+    program: tuple[str, ...] = ("gooseberrydock.platform",)
 
     def _proxy(self, target: Address) -> FaultProxy:
         proxy = create_fault_proxy(target)
@@ -124,7 +110,7 @@
     async def add(self, service: str, zone: str = "z1", proxied: bool = False) -> FleetNode:
         """Start a server with its node; all their connections may go through proxies."""
         node_id = f"node-{len(self.nodes)}"
-        ports = _free_ports(5)
+        ports = free_ports(5)
         addresses = [Address(_HOST, port) for port in ports]
         server = ServerStandin(self.nursery, service, f"i-{len(self.nodes)}", addresses[2])
         self.nursery.start_soon(server.serve)
@@ -139,6 +125,7 @@
             server.announced = to_server.address
         path.write_text(settings_text(node_id, service, zone, server.address, store, ports))
         self.nodes.append(node)
+        node.program = self.program
         node.start(self.log)
         self.nursery.start_soon(self._beat, node)
         return node
@@ -250,12 +237,14 @@
 
 
 @asynccontextmanager
-async def running_platform_fleet(directory: Path) -> AsyncIterator[PlatformFleet]:
+async def running_platform_fleet(
+    directory: Path, program: tuple[str, ...] = ("gooseberrydock.platform",)
+) -> AsyncIterator[PlatformFleet]:
     """Run a store; end all processes at the end."""
     async with trio.open_nursery() as nursery:
         store = StoreStandin(nursery)
         nursery.start_soon(store.serve)
-        fleet = PlatformFleet(nursery, directory, store)
+        fleet = PlatformFleet(nursery, directory, store, program=program)
         try:
             yield fleet
         except Exception:
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -43,6 +43,7 @@
     drain_ms=2_000.0,
     stop_grace_ms=6_000.0,
     lease_min_ms=1_000.0,
+    store_reads_per_s=2_000.0,
 )
 
 
