Keep no request waiting for a link that does not open

A node that called a peer before it listened waited for that connection for a second, although the peer had long called back: a link accepted meanwhile was not used for calls while an own one was on its way. 85 requests were sent again only after 0.7 to 1.0 s, 29 were refused as peer-lost, code 502, though no target had seen them; unsafe ones cannot be sent again after that.

Now an accepted link takes over what waits for an own one; calls that waited 80 ms for a link go to another host; a request that no host can be reached for waits for one for up to a quarter of its target latency, then is refused as not run; and calls that were never sent count as peer-unreachable (503, not run), not as peer-lost.

Ruled out: a shorter connection timeout (a second attempt would be as deaf); waiting for a word from all nodes before being ready (some may be gone for good).

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -23,6 +23,7 @@
     NODE_LEAVING,
     NOT_DISPATCHED,
     PEER_LOST,
+    PEER_UNREACHABLE,
     QUARANTINED,
     SHED_AT_ENTRY,
     TARGET_FAILED,
@@ -55,6 +56,13 @@
 _MAX_REFUSALS: Final = 4
 """How many hosts may refuse a request unseen by their target before it is given up."""
 
+_PARK_SHARE: Final = 0.25
+"""Part of the target latency that a request waits for a host to be reached: a node starts within
+it, and the request is still in time, or its caller may come back."""
+_MOST_PARKED: Final = 256
+"""How many requests wait so at once; they are lost with this node."""
+_OUT_OF_REACH: Final = frozenset((NO_TARGET, PEER_UNREACHABLE, TARGET_UNREACHABLE))
+"""Reasons for which no host had a request that may pass in a moment."""
 _TURNED_AWAY: Final = frozenset(
     code.number for code in (NO_TARGET, NODE_LEAVING, TARGET_UNREACHABLE)
 )
@@ -134,6 +142,7 @@
     _calls: dict[int, Exchange] = attrs.field(factory=dict)
     _deadlines: list[tuple[Millis, int]] = attrs.field(factory=list)
     _intake: Intake = Intake.ALL
+    _parked: list[Exchange] = attrs.field(factory=list)
     _inner_routes: set[str] = attrs.field(factory=set)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _stripped: frozenset[bytes] = attrs.field(init=False)
@@ -247,7 +256,7 @@
             exchange = self._drop_call(call_id)
             if exchange is not None:
                 exchange.refusals += 1
-                self._try_again(now_ms, exchange, PEER_LOST)
+                self._try_again(now_ms, exchange, PEER_UNREACHABLE)
         for call_id in sent:
             exchange = self._drop_call(call_id)
             if exchange is not None:
@@ -262,7 +271,8 @@
             self._close(exchange)
 
     def tick(self, now_ms: Millis) -> None:
-        """Answer the requests whose deadline passed."""
+        """Answer the requests whose deadline passed, and take up those that wait for a host."""
+        self._take_up_parked(now_ms)
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             exchange = self._exchanges.get(heapq.heappop(self._deadlines)[1])
             if exchange is None:
@@ -419,7 +429,37 @@
         return exchange.deadline_at - now_ms >= _LEAST_RETRY_MS
 
     def _give_up(self, now_ms: Millis, exchange: Exchange) -> None:
-        self._refuse(now_ms, exchange, exchange.last_code)
+        """Refuse a request that no host is left for, unless one may be reached in a moment."""
+        if self._may_park(now_ms, exchange):
+            self._parked.append(exchange)
+        else:
+            self._refuse(now_ms, exchange, exchange.last_code)
+
+    def _may_park(self, now_ms: Millis, exchange: Exchange) -> bool:
+        return (
+            exchange.last_code in _OUT_OF_REACH
+            and not exchange.offers
+            and not exchange.may_have_run
+            and self._intake is Intake.ALL
+            and len(self._parked) < _MOST_PARKED
+            and now_ms < _parked_until(exchange)
+        )
+
+    def _take_up_parked(self, now_ms: Millis) -> None:
+        """Send the waiting requests that have a host now, and refuse those that waited enough."""
+        parked, self._parked = self._parked, []
+        for exchange in parked:
+            if exchange.is_done:
+                continue
+            hosts = self._directory.hosts_of(exchange.service)
+            if self._placement.has_usable(now_ms, hosts):
+                exchange.tried.clear()
+                exchange.refusals = 0
+                self._send(now_ms, exchange)
+            elif now_ms < _parked_until(exchange) and self._intake is Intake.ALL:
+                self._parked.append(exchange)
+            else:
+                self._refuse(now_ms, exchange, exchange.last_code)
 
     def _refuse(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
         """Answer in the node's own name; promise "not run" only where that is certain."""
@@ -453,6 +493,12 @@
         self._exchanges.pop(exchange.exchange_id, None)
 
 
+def _parked_until(exchange: Exchange) -> Millis:
+    """Return until when a request waits for a host that can be reached."""
+    route = exchange.route
+    return exchange.received_at + _PARK_SHARE * min(route.target_latency_ms, route.timeout_ms)
+
+
 def _parse_limit(text: str, default_ms: Millis) -> Millis | None:
     """Return the caller's time limit, the default where it names none, or None if malformed."""
     if not text:
--- a/gooseberrydock/mesh/placement.py
+++ b/gooseberrydock/mesh/placement.py
@@ -110,6 +110,10 @@
             best = self._choose_rest(now_ms, hosts, tried, held)
         return best
 
+    def has_usable(self, now_ms: Millis, hosts: list[Member]) -> bool:
+        """Say whether some host is not left out now."""
+        return any(self._of(host.node_id).held_until <= now_ms for host in hosts)
+
     def cost(self, route: Route, host: Member) -> Millis:
         """Return what a call is expected to cost at a host."""
         evidence = self._of(host.node_id)
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -23,7 +23,14 @@
 
 from gooseberrydock import defaults, wire
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
-from gooseberrydock.errorcodes import PEER_LOST, PEER_PROTOCOL, PEER_REFUSED, PEER_SILENT, ErrorCode
+from gooseberrydock.errorcodes import (
+    PEER_LOST,
+    PEER_PROTOCOL,
+    PEER_REFUSED,
+    PEER_SILENT,
+    PEER_UNREACHABLE,
+    ErrorCode,
+)
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
 from gooseberrydock.logs import containing_faults, log
@@ -45,6 +52,8 @@
 """Silence after which a link with answers due is asked for a sign of life."""
 _SILENT_AFTER_MS: Final[Millis] = 900.0
 """Silence after which such a link is closed."""
+_DIAL_PATIENCE_MS: Final[Millis] = 80.0
+"""How long calls wait for a new link; within a region it opens in four round trips of 3 ms."""
 _HANDSHAKE_TIMEOUT_MS: Final[Millis] = 2_000.0
 _CALLS: Final = (Call, RoutedCall)
 _ANSWERS: Final = (Answer, RoutedAnswer)
@@ -69,6 +78,7 @@
     _asked_at: Millis = 0.0
     _token: int = 0
     _unheard_rounds: int = 0
+    _opened_at: Millis = 0.0
 
     @property
     def link_id(self) -> str:
@@ -108,6 +118,20 @@
         """Return the calls that were sent and not answered."""
         return sorted(self._calls)
 
+    def take_waiting(self) -> list[PeerMessage]:
+        """Return the messages that wait for the link to become ready, and forget them."""
+        waiting, self._waiting = self._waiting, []
+        return waiting
+
+    def take_stuck_calls(self, now_ms: Millis) -> list[int]:
+        """Return the calls that waited too long for the link to become ready, and forget them."""
+        if self._is_ready or not self._is_client or now_ms - self._opened_at < _DIAL_PATIENCE_MS:
+            return []
+        stuck = self.unsent_calls()
+        if stuck:
+            self._waiting = [item for item in self._waiting if not isinstance(item, _CALLS)]
+        return stuck
+
     def close(self) -> None:
         """Close the connection."""
         self._is_closed = True
@@ -262,8 +286,7 @@
     def _become_ready(self) -> None:
         self._is_ready = True
         self._links.on_ready(self)
-        waiting, self._waiting = self._waiting, []
-        for message in waiting:
+        for message in self.take_waiting():
             self.send(message)
 
     def _track(self, message: PeerMessage) -> None:
@@ -354,8 +377,13 @@
             link.send(message)
 
     def on_ready(self, link: PeerLink) -> None:
-        """Use an accepted link for this node's own calls too, if it has no other."""
-        self._by_node.setdefault(link.node_id, link)
+        """Use an accepted link for this node's own calls too, if it has no other that is ready."""
+        other = self._by_node.get(link.node_id)
+        if other is None or not other.is_ready:
+            self._by_node[link.node_id] = link
+            if other is not None:
+                for message in other.take_waiting():
+                    link.send(message)
         if self._on_opened is not None:
             self._on_opened(link)
 
@@ -371,8 +399,11 @@
                 self._lose(link, PEER_SILENT)
 
     def tick(self, now_ms: Millis) -> None:
-        """Close links that went silent."""
+        """Close links that went silent, and give back calls that wait for one to open."""
         for link in list(self._by_id.values()):
+            stuck = link.take_stuck_calls(now_ms)
+            if stuck:
+                self._on_lost(link, stuck, [], PEER_UNREACHABLE)
             if link.check_silence(now_ms):
                 log(LINK_SILENT, peer=link.node_id, calls_due=link.calls_due)
                 self._lose(link, PEER_SILENT)
@@ -387,7 +418,9 @@
             self._lose(link, PEER_LOST)
 
     def _open(self, node_id: str) -> PeerLink:
-        link = PeerLink(self, self._next_link_id(), node_id, is_client=True)
+        link = PeerLink(
+            self, self._next_link_id(), node_id, is_client=True, opened_at=self.clock.now_ms()
+        )
         self._by_node[node_id] = link
         self._by_id[link.link_id] = link
         self.nursery.start_soon(self._run_client, link)
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -12,10 +12,11 @@
     NODE_LEAVING,
     NOT_DISPATCHED,
     PEER_LOST,
+    PEER_UNREACHABLE,
     TARGET_LOST,
     TARGET_SHED,
 )
-from gooseberrydock.mesh.model import EMPTY_TABLE, RequestKind
+from gooseberrydock.mesh.model import EMPTY_TABLE, Intake, RequestKind
 from gooseberrydock.mesh.options import RetryBudgetOptions
 from gooseberrydock.messages import RunResult
 from gooseberrydock.outcomes import Outcome
@@ -31,6 +32,8 @@
 _LOOKUP = make_route("lookup")
 _BOOKING = make_route("booking", kind=RequestKind.NON_IDEMPOTENT, priority=0)
 _TABLE = make_table(1, _LOOKUP, _BOOKING)
+_PARK_MS = 125.0
+"""A quarter of the routes' target latency of 500 ms."""
 
 
 def _submit(rig: EntryRig, path: str, deadline: str = "") -> None:
@@ -157,8 +160,39 @@
     def test_no_host_is_a_refusal(self) -> None:
         rig = make_entry(_TABLE, hosts=0)
         _submit(rig, "/booking/1")
+        rig.entry.tick(_PARK_MS)
         self.assertEqual(Outcome.NOT_RUN, rig.effects.refusals[0][0].outcome)
 
+    def test_request_waits_a_moment_for_a_host_to_be_reached(self) -> None:
+        """All nodes start at once: the first requests come before the first link."""
+        rig = make_entry(_TABLE, hosts=1)
+        _submit(rig, "/booking/1")
+        host, call = rig.effects.calls[0]
+        rig.entry.on_calls_lost(10.0, host, [call.call_id], [])
+        rig.entry.tick(30.0)
+        self.assertEqual((0, 1), (rig.effects.endings, len(rig.effects.calls)))
+        rig.entry.placement.on_reached(host)
+        rig.entry.tick(50.0)
+        self.assertEqual(2, len(rig.effects.calls))
+
+    def test_request_that_no_host_can_have_is_refused_soon_and_truly(self) -> None:
+        rig = make_entry(_TABLE, hosts=1)
+        _submit(rig, "/booking/1")
+        host, call = rig.effects.calls[0]
+        rig.entry.on_calls_lost(10.0, host, [call.call_id], [])
+        rig.entry.tick(_PARK_MS)
+        self.assertEqual([PEER_UNREACHABLE], [code for code, _ in rig.effects.refusals])
+        self.assertEqual(Outcome.NOT_RUN, rig.effects.refusals[0][0].outcome)
+
+    def test_stopping_node_keeps_nothing_waiting(self) -> None:
+        rig = make_entry(_TABLE, hosts=1)
+        _submit(rig, "/booking/1")
+        host, call = rig.effects.calls[0]
+        rig.entry.on_calls_lost(10.0, host, [call.call_id], [])
+        rig.entry.set_intake(Intake.CALLS_OF_TARGET)
+        rig.entry.tick(20.0)
+        self.assertEqual((1, 0), (rig.effects.endings, rig.entry.in_flight))
+
     def test_repeats_stay_within_the_budget(self) -> None:
         rig = make_entry(_TABLE, budget=RetryBudgetOptions(ratio=0.2, slack=4.0))
         for number in range(400):
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -6,7 +6,7 @@
 
 from gooseberrydock.clock import system_clock
 from gooseberrydock.configuration import UNDECLARED_STEP
-from gooseberrydock.errorcodes import PEER_SILENT, ErrorCode
+from gooseberrydock.errorcodes import PEER_SILENT, PEER_UNREACHABLE, ErrorCode
 from gooseberrydock.members import Address
 from gooseberrydock.messages import (
     Answer,
@@ -62,6 +62,10 @@
                 await trio.sleep(0.02)
 
 
+def _call_ids(messages: list[PeerMessage]) -> list[int]:
+    return [message.call_id for message in messages if isinstance(message, Call)]
+
+
 def _call(call_id: int) -> Call:
     return Call(call_id, "s", "o", "POST", "/o", [], b"", _CONTEXT)
 
@@ -122,6 +126,41 @@
 
         trio.run(main)
 
+    def test_a_link_from_the_peer_takes_over_from_one_that_does_not_open(self) -> None:
+        """The peer was down when this node called it first, and calls back when it starts."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                a, b = _Side(nursery, "a", _KEY), _Side(nursery, "b", _KEY)
+                deaf, listener = listen(_ANY), listen(_ANY)
+                a.address, b.address = deaf.address, listener.address
+                nursery.start_soon(listener.serve, a.links.serve)
+                a.links.send("b", _call(1))
+                await trio.sleep(0.05)
+                b.links.send("a", _call(9))
+                await b.until(b.messages)  # type: ignore[arg-type]
+                with trio.fail_after(0.5):
+                    while _call_ids(b.messages) != [1]:
+                        await trio.sleep(0.01)
+                self.assertEqual([], a.lost)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_calls_do_not_wait_long_for_a_link_that_does_not_open(self) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                a = _Side(nursery, "a", _KEY)
+                deaf = listen(_ANY)
+                a.address = deaf.address
+                a.links.send("b", _call(1))
+                with trio.fail_after(0.5):
+                    await a.until(a.lost)  # type: ignore[arg-type]
+                self.assertEqual([([1], [], PEER_UNREACHABLE)], a.lost)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_a_slow_answer_is_not_taken_for_silence(self) -> None:
         async def main() -> None:
             async with trio.open_nursery() as nursery:
