Learn calls from runs that turn over; an emulator of call graphs

Calls were explained by the runs active in windows of 0.1 s; under overload, where calls wait, an active run makes fewer of them, and what runs steadily beside seemed to make the rest. Calls are now explained by the runs that begin and end in windows of 0.3 s and a constant, and a part of up to a tenth counts as chance.

--- /dev/null
+++ b/gooseberrydock/emulated_day.py
@@ -0,0 +1,118 @@
+"""What the emulator plays: services, routes with the calls of their runs, load, and trouble.
+
+Values only. ``gooseberrydock.emulator`` plays them on a virtual clock against the decisions of
+real nodes. The two days given here have the shape of deployments that docs/SHEET.md describes:
+reads and bookings that end in a small service four calls deep.
+"""
+
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.mesh.model import RequestKind
+
+
+@attrs.frozen
+class EmulatedService:
+    """Describe a service: one host a failure domain, each with slots and a factor of slowness."""
+
+    name: str
+    slots: int
+    slowness: tuple[float, ...]
+
+
+@attrs.frozen
+class EmulatedRoute:
+    """Describe a route: ``calls`` are further routes with the mean number of calls of one run."""
+
+    name: str
+    service: str
+    kind: RequestKind
+    work_ms: Millis
+    target_latency_ms: Millis
+    timeout_ms: Millis
+    priority: int
+    rate_per_s: float = 0.0
+    calls: tuple[tuple[str, float], ...] = ()
+
+
+@attrs.frozen
+class Surge:
+    """Multiply the load of all routes for a while."""
+
+    from_s: float
+    to_s: float
+    factor: float
+
+
+@attrs.frozen
+class Slowdown:
+    """Multiply the run times of one host of a service for a while."""
+
+    service: str
+    host: int
+    from_s: float
+    to_s: float
+    factor: float
+
+
+@attrs.frozen
+class EmulatedDay:
+    """Hold everything that is played; ``judged_from_s`` leaves out the first seconds."""
+
+    name: str
+    services: tuple[EmulatedService, ...]
+    routes: tuple[EmulatedRoute, ...]
+    seconds: float
+    judged_from_s: float = 4.0
+    surges: tuple[Surge, ...] = ()
+    slowdowns: tuple[Slowdown, ...] = ()
+    same_domain_ms: Millis = 0.2
+    other_domain_ms: Millis = 1.4
+
+    def load_factor(self, now_s: float) -> float:
+        """Return by how much the load is multiplied."""
+        factor = 1.0
+        for surge in self.surges:
+            if surge.from_s <= now_s < surge.to_s:
+                factor *= surge.factor
+        return factor
+
+    def slowness(self, service: str, host: int, now_s: float) -> float:
+        """Return by how much the runs of a host are slowed down."""
+        found = next(item for item in self.services if item.name == service)
+        factor = found.slowness[host]
+        for slowdown in self.slowdowns:
+            is_host = (slowdown.service, slowdown.host) == (service, host)
+            if is_host and slowdown.from_s <= now_s < slowdown.to_s:
+                factor *= slowdown.factor
+        return factor
+
+
+_IDEMPOTENT: Final = RequestKind.IDEMPOTENT
+_SERVICES: Final = (
+    EmulatedService("availability", 208, (0.8, 1.0, 1.6)),
+    EmulatedService("bookings", 208, (1.0, 0.8, 1.5)),
+    EmulatedService("ledger", 208, (1.4, 0.7, 1.0)),
+    EmulatedService("depots", 40, (1.0, 0.8, 1.4)),
+)
+_CHAIN: Final = (("verify", 0.9),)
+_ROUTES: Final = (
+    EmulatedRoute("lookup", "availability", _IDEMPOTENT, 90, 1_200, 5_000, 1, 297.0, _CHAIN),
+    EmulatedRoute(
+        "booking", "availability", RequestKind.NON_IDEMPOTENT, 120, 1_500, 5_000, 0, 92.0, _CHAIN
+    ),
+    EmulatedRoute("history", "ledger", _IDEMPOTENT, 220, 600, 2_500, 2, 92.0),
+    EmulatedRoute("stock", "depots", _IDEMPOTENT, 360, 1_000, 4_000, 2, 51.0),
+    EmulatedRoute("verify", "bookings", _IDEMPOTENT, 15, 1_000, 2_500, 0, 0.0, (("fetch", 1.5),)),
+    EmulatedRoute("fetch", "ledger", _IDEMPOTENT, 15, 800, 2_000, 0, 0.0, (("sync", 4.0),)),
+    EmulatedRoute("sync", "depots", _IDEMPOTENT, 22, 300, 700, 0),
+)
+
+CALM: Final = EmulatedDay("calm", _SERVICES, _ROUTES, 12.0)
+SURGE: Final = EmulatedDay("surge", _SERVICES, _ROUTES, 20.0, surges=(Surge(5.0, 14.0, 2.5),))
+SLOW_HOST: Final = EmulatedDay(
+    "slow-host", _SERVICES, _ROUTES, 16.0, slowdowns=(Slowdown("depots", 1, 5.0, 12.0, 5.0),)
+)
+DAYS: Final = {day.name: day for day in (CALM, SURGE, SLOW_HOST)}
--- /dev/null
+++ b/gooseberrydock/emulator_report.py
@@ -0,0 +1,75 @@
+"""Tables and plots of emulated days, the product beside its baselines."""
+
+from pathlib import Path
+from typing import Any, Final
+
+from gooseberrydock.clock import MS_PER_SECOND
+from gooseberrydock.emulated_day import EmulatedDay
+from gooseberrydock.emulator import ClassOutcome, Ending, Mode, create_emulator
+from gooseberrydock.errorcodes import OPTION_INVALID
+from gooseberrydock.errors import GooseberrydockError, Step
+
+Outcomes = dict[str, ClassOutcome]
+_BIN_S: Final = 0.5
+"""Width of the steps in which a plot counts."""
+_HEADING: Final = (
+    "| decides | class | asked | in time | late | refused | failed | p50 ms | p99 ms |"
+)
+
+
+def play_modes(day: EmulatedDay, seeds: int) -> dict[Mode, Outcomes]:
+    """Play a day with each way to decide; requests of all seeds count together."""
+    joined: dict[Mode, Outcomes] = {}
+    for mode in Mode:
+        outcomes = joined.setdefault(mode, {})
+        for seed in range(1, seeds + 1):
+            for route, outcome in create_emulator(day, mode, seed).play().items():
+                outcomes.setdefault(route, ClassOutcome()).ended.extend(outcome.ended)
+    return joined
+
+
+def outcome_table(played: dict[Mode, Outcomes]) -> str:
+    """Return a table of what callers got, by class."""
+    lines = [_HEADING, "|" + " --- |" * 9]
+    for mode, outcomes in played.items():
+        for route, outcome in outcomes.items():
+            shares = [f"{outcome.share(ending):.3f}" for ending in Ending]
+            times = [f"{outcome.latency_ms(quantile):.0f}" for quantile in (0.5, 0.99)]
+            cells = [mode.value, route, str(outcome.asked), *shares, *times]
+            lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def write_outcome_plot(played: dict[Mode, Outcomes], day: EmulatedDay, path: Path) -> None:
+    """Plot goodput, refusals and latency over time by class, a column for each way to decide.
+
+    Raises ``OPTION_INVALID`` where matplotlib (the extra ``plot``) is not installed.
+    """
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        detail = "a plot needs the extra 'plot'"
+        raise GooseberrydockError(OPTION_INVALID, Step.ADMIN, detail=detail) from error
+    figure = Figure(figsize=(12, 9))
+    rows = ("served in time, per s", "refused, per s", "median latency, ms")
+    for column, (mode, outcomes) in enumerate(played.items()):
+        for row, title in enumerate(rows):
+            axes = figure.add_subplot(len(rows), len(played), row * len(played) + column + 1)
+            axes.set_title(f"{mode.value}: {title}", fontsize=8)
+            for route, outcome in outcomes.items():
+                _plot_row(axes, row, route, outcome, day)
+            axes.legend(fontsize=6)
+    figure.savefig(path)
+
+
+def _plot_row(axes: Any, row: int, route: str, outcome: ClassOutcome, day: EmulatedDay) -> None:
+    bins: list[ClassOutcome] = [ClassOutcome() for _ in range(int(day.seconds / _BIN_S) + 1)]
+    for item in outcome.ended:
+        bins[int(item.sent_at / MS_PER_SECOND / _BIN_S)].ended.append(item)
+    times = [number * _BIN_S for number in range(len(bins))]
+    if row == 2:
+        values = [part.latency_ms(0.5) for part in bins]
+    else:
+        ending = (Ending.IN_TIME, Ending.REFUSED)[row]
+        values = [part.share(ending) * part.asked / _BIN_S for part in bins]
+    axes.plot(times, values, label=route)
--- a/gooseberrydock/load_main.py
+++ b/gooseberrydock/load_main.py
@@ -7,6 +7,9 @@
 import click
 import trio
 
+from gooseberrydock.emulated_day import DAYS, SURGE
+from gooseberrydock.emulator_report import outcome_table, play_modes, write_outcome_plot
+from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.load import LoadPlan, Surge, run_load
 from gooseberrydock.load_report import report_table, result_to_plain
 from gooseberrydock.members import Address
@@ -80,5 +83,20 @@
         json_path.write_text(json.dumps(result_to_plain(result)), encoding="utf-8")
 
 
+@main.command()
+@click.option("--day", type=click.Choice(list(DAYS)), default=SURGE.name, show_default=True)
+@click.option("--seeds", default=1, show_default=True, help="How many seeds to play.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a plot here.")
+def emulate(day: str, seeds: int, plot: Path | None) -> None:
+    """Play a day on a virtual clock, beside two baselines."""
+    played = play_modes(DAYS[day], seeds)
+    click.echo(outcome_table(played))
+    if plot is not None:
+        try:
+            write_outcome_plot(played, DAYS[day], plot)
+        except GooseberrydockError as error:
+            raise click.ClickException(str(error)) from error
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/gooseberrydock/mesh/call_graph.py
+++ b/gooseberrydock/mesh/call_graph.py
@@ -1,9 +1,11 @@
 """Which routes' runs make which calls, learned at the target's node.
 
-Nothing on the wire names the run that a call is made for. But calls of a route come faster while
-more runs of their cause are active, so the calls of each short window are explained by the mean
-numbers of active runs in it: ridge regression with non-negative weights and forgetting. Controller
-without I/O.
+Nothing on the wire names the run that a call is made for. But more calls of a route come while
+more runs of their cause begin and end, so the calls of each window are explained by the runs that
+turned over in it: ridge regression with non-negative weights, a constant, and forgetting. Runs
+that are merely active explain little under overload: where calls wait, each active run makes fewer
+of them, and whatever runs steadily beside them would seem to make the rest. The constant takes up
+what changes with the load. Controller without I/O.
 """
 
 from typing import Final
@@ -12,27 +14,29 @@
 
 from gooseberrydock.clock import Millis
 
-_WINDOW_MS: Final[Millis] = 100.0
-"""Length of a window: about the length of a run, within which its calls come."""
-_FORGET: Final = 0.995
+_WINDOW_MS: Final[Millis] = 300.0
+"""Length of a window: some lengths of a run, so that most calls fall into the window of theirs."""
+_FORGET: Final = 0.985
 """Weight of the past at each new window: about 20 s of memory."""
 _RIDGE: Final = 0.5
 """Windows' worth of belief that all active runs call alike, held before there is evidence."""
 _DESCENT_ROUNDS: Final = 12
 """Rounds of coordinate descent, which converges within a few for so small a problem."""
-_REFRESH_WINDOWS: Final = 10
+_REFRESH_WINDOWS: Final = 3
 """After how many windows the weights are computed anew."""
+_CONSTANT: Final = ""
+"""Stands for a route that is there once in each window."""
 _FULL_SHARE: Final = 0.3
 """Part of a route's calls from which a run counts as one that needs them."""
+_NOISE_SHARE: Final = 0.1
+"""Part up to which it counts as one that does not: so much may be chance."""
 
 
 @attrs.define
 class CallGraph:
     """Explain the calls that begin on this host by the runs at its target."""
 
-    _active: dict[str, int] = attrs.field(factory=dict)
-    _active_ms: dict[str, Millis] = attrs.field(factory=dict)
-    _noted_at: Millis = 0.0
+    _turned_over: dict[str, float] = attrs.field(factory=dict)
     _window_started: Millis = 0.0
     _windows: int = 0
     _calls: dict[str, int] = attrs.field(factory=dict)
@@ -50,25 +54,23 @@
 
     def on_start(self, now_ms: Millis, route: str) -> None:
         """Note that a run of a route began."""
-        self._note(now_ms)
-        self._active[route] = self._active.get(route, 0) + 1
+        self._turn_over(now_ms, route)
 
     def on_end(self, now_ms: Millis, route: str) -> None:
         """Note that a run of a route ended."""
-        self._note(now_ms)
-        self._active[route] = max(0, self._active.get(route, 0) - 1)
+        self._turn_over(now_ms, route)
 
     def on_call(self, now_ms: Millis, route: str) -> None:
         """Note that a call of a route began on this host."""
         self._note(now_ms)
         self._calls[route] = self._calls.get(route, 0) + 1
 
+    def _turn_over(self, now_ms: Millis, route: str) -> None:
+        """Count one end of a run, the first or the last: its calls come between the two."""
+        self._note(now_ms)
+        self._turned_over[route] = self._turned_over.get(route, 0.0) + 0.5
+
     def _note(self, now_ms: Millis) -> None:
-        elapsed = now_ms - self._noted_at
-        self._noted_at = now_ms
-        for route, count in self._active.items():
-            if count:
-                self._active_ms[route] = self._active_ms.get(route, 0.0) + count * elapsed
         if now_ms - self._window_started >= _WINDOW_MS:
             self._end_window(now_ms)
 
@@ -76,16 +78,17 @@
         length = now_ms - self._window_started
         self._window_started = now_ms
         # Windows that a quiet time has drawn out are scaled to the usual length.
-        mean_active = {route: total / length for route, total in self._active_ms.items()}
-        calls = {route: count * _WINDOW_MS / length for route, count in self._calls.items()}
-        self._active_ms = {}
+        scale = _WINDOW_MS / length
+        turned_over = {route: count * scale for route, count in self._turned_over.items()}
+        calls = {route: count * scale for route, count in self._calls.items()}
+        self._turned_over = {}
         self._calls = {}
-        self._learn(mean_active, calls)
+        self._learn({**turned_over, _CONSTANT: 1.0}, calls)
         self._windows += 1
         if self._windows % _REFRESH_WINDOWS == 0:
             self._refresh()
 
-    def _learn(self, active: dict[str, float], calls: dict[str, float]) -> None:
+    def _learn(self, turned_over: dict[str, float], calls: dict[str, float]) -> None:
         for table in (self._products, self._call_products):
             for pair in table:
                 table[pair] *= _FORGET
@@ -93,9 +96,9 @@
             for route in sums:
                 sums[route] *= _FORGET
         self._weight = self._weight * _FORGET + 1.0
-        for route, value in active.items():
+        for route, value in turned_over.items():
             self._sums[route] = self._sums.get(route, 0.0) + value
-            for other, other_value in active.items():
+            for other, other_value in turned_over.items():
                 pair = (route, other)
                 self._products[pair] = self._products.get(pair, 0.0) + value * other_value
             for called, count in calls.items():
@@ -113,13 +116,15 @@
             weights = self._solve(routes, called)
             parts = {route: weights[route] * self._sums[route] / total for route in routes}
             for route, part in parts.items():
-                needs[route][called] = min(1.0, max(0.0, part) / _FULL_SHARE)
+                need = (part - _NOISE_SHARE) / (_FULL_SHARE - _NOISE_SHARE)
+                needs[route][called] = min(1.0, max(0.0, need))
+        needs.pop(_CONSTANT, None)
         self._needs = needs
 
     def _solve(self, routes: list[str], called: str) -> dict[str, float]:
-        """Return how many calls a window each active run makes, by route."""
-        all_active = sum(self._sums[route] for route in routes)
-        alike = self._call_sums[called] / all_active if all_active else 0.0
+        """Return how many calls each run makes, by route."""
+        all_runs = sum(self._sums[route] for route in routes if route != _CONSTANT)
+        alike = self._call_sums[called] / all_runs if all_runs else 0.0
         weights = dict.fromkeys(routes, alike)
         for _ in range(_DESCENT_ROUNDS):
             for route in routes:
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,74 @@
+"""Days played on the emulator: what callers get of the product and of its baselines."""
+
+import functools
+import unittest
+from typing import Final
+
+import attrs
+
+from gooseberrydock.emulated_day import SLOW_HOST, SURGE, EmulatedDay, Slowdown, Surge
+from gooseberrydock.emulator import ClassOutcome, Ending, Mode, create_emulator
+from gooseberrydock.emulator_report import outcome_table
+
+_SHORT_SURGE: Final = attrs.evolve(SURGE, seconds=10.0, surges=(Surge(4.0, 9.0, 2.5),))
+_SHORT_SLOW_HOST: Final = attrs.evolve(
+    SLOW_HOST, seconds=9.0, slowdowns=(Slowdown("depots", 1, 4.0, 8.0, 5.0),)
+)
+
+
+@functools.cache
+def _play(day: EmulatedDay, mode: Mode = Mode.PRODUCT, seed: int = 1) -> dict[str, ClassOutcome]:
+    return create_emulator(day, mode, seed).play()
+
+
+class SurgeCases(unittest.TestCase):
+    """Answers 2.5 times the usual load, of which the deepest service can take about a half."""
+
+    def test_bookings_and_what_does_not_need_the_full_service_are_served(self) -> None:
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                outcomes = _play(_SHORT_SURGE, seed=seed)
+                self.assertGreater(outcomes["booking"].share(Ending.IN_TIME), 0.99)
+                # Its service has room; only its neighbours on the same targets call the full one.
+                self.assertGreater(outcomes["history"].share(Ending.IN_TIME), 0.97)
+
+    def test_what_is_not_served_is_refused_before_any_work(self) -> None:
+        outcomes = _play(_SHORT_SURGE)
+        for route, outcome in outcomes.items():
+            with self.subTest(route=route):
+                self.assertLess(outcome.share(Ending.FAILED), 0.01)
+
+    def test_more_callers_are_served_than_by_the_baselines(self) -> None:
+        served = {}
+        for mode in Mode:
+            outcomes = _play(_SHORT_SURGE, mode)
+            served[mode] = sum(
+                outcome.share(Ending.IN_TIME) * outcome.asked for outcome in outcomes.values()
+            )
+        for mode in (Mode.NO_CONTROL, Mode.FIXED_LIMITS):
+            self.assertGreater(served[Mode.PRODUCT], 1.2 * served[mode])
+
+
+class SlowHostCases(unittest.TestCase):
+    """Answers one of three hosts of the deepest service becoming five times slower."""
+
+    def test_paths_through_the_service_stay_served(self) -> None:
+        outcomes = _play(_SHORT_SLOW_HOST)
+        for route in ("lookup", "booking"):
+            self.assertGreater(outcomes[route].share(Ending.IN_TIME), 0.98)
+
+
+class EmulatorCases(unittest.TestCase):
+    """What the comparison rests on."""
+
+    def test_a_seed_repeats_exactly(self) -> None:
+        day = attrs.evolve(SURGE, seconds=2.0, judged_from_s=0.0, surges=())
+        first, second = (create_emulator(day, Mode.PRODUCT, 1).play() for _ in range(2))
+        self.assertEqual(first, second)
+        self.assertGreater(first["lookup"].asked, 400)
+
+    def test_table_names_each_class_and_way_to_decide(self) -> None:
+        outcome = ClassOutcome()
+        table = outcome_table({Mode.PRODUCT: {"look": outcome}, Mode.NO_CONTROL: {"look": outcome}})
+        for text in ("gooseberrydock", "no control", "look"):
+            self.assertIn(text, table)
