Tell callers' nodes at once when a target admits more or less

Cause: reports of admission travel with answers, hop by hop. A target's node now tells a changed share (by a tenth) to the nodes whose calls came within 3 s, at most 24 at a time, every 0.1 s.

Ruled out: a broadcast to all links (grows with the fleet); more frequent windows of control (the delay was in the telling).

--- a/gooseberrydock/emulator.py
+++ b/gooseberrydock/emulator.py
@@ -12,6 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Final, Protocol
 
 import attrs
@@ -37,6 +38,7 @@
 from gooseberrydock.mesh.paths import paths_below
 from gooseberrydock.mesh.placement import create_placement
 from gooseberrydock.mesh.retry_budget import create_retry_budget
+from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
 from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
 
@@ -261,7 +263,7 @@
     _graph: CallGraph = attrs.field(factory=create_call_graph)
     _shares: AdmittedShares = attrs.field(init=False)
     _entry: Entry = attrs.field(init=False)
-    _tickets: dict[int, Ticket] = attrs.field(factory=dict)
+    _notices: ShareNotices = attrs.field(init=False)
     _ticks: int = 0
 
     def open(self, service: str, slots: int, members: list[Member], table: RouteTable) -> None:
@@ -277,6 +279,7 @@
         self._door.set_target(service, slots)
         self._nested.set_service_count(len(table.services))
         self._shares = create_admitted_shares(seed)
+        self._notices = create_share_notices(seed)
         budget = create_retry_budget(RetryBudgetOptions())
         budget.set_node_count(len(members))
         self._entry = Entry(
@@ -332,6 +335,7 @@
     def on_call(self, origin: str, call: RoutedCall) -> None:
         """Admit a call."""
         now_ms = self._world.timeline.now_ms
+        self._notices.on_call(now_ms, call.route, origin)
         ticket = self._door.create_ticket(now_ms, self._world.next_number(), origin, call)
         code = self._door.submit(now_ms, ticket)
         if code is not None:
@@ -395,6 +399,21 @@
             )
             for route, path in paths.items():
                 self._door.set_below(route, path.share, path.makes_calls)
+            self._tell_shares(now_ms)
+
+    def _tell_shares(self, now_ms: Millis) -> None:
+        due = self._notices.take_due(now_ms, lambda route: self._door.report(route).admitted_share)
+        for route, peers in due.items():
+            report = self._door.report(route)
+            for peer_id in peers:
+                peer = self._world.product_node(peer_id)
+                tell = partial(peer.on_share, self.node_id, route, report)
+                self._world.timeline.after(self._world.delay_ms(self.node_id, peer_id), tell)
+
+    def on_share(self, node_id: str, route: str, report: TargetReport) -> None:
+        """Take in what a target's node admits now."""
+        now_ms = self._world.timeline.now_ms
+        self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.limit)
 
 
 @attrs.define(eq=False)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -35,6 +35,7 @@
     MemberSync,
     RoutedAnswer,
     RoutedCall,
+    ShareNotice,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 from gooseberrydock.stream import Stream
@@ -233,6 +234,19 @@
         """Tell other nodes what crashed the target."""
         self._links.broadcast(notice)
 
+    def tell_share(self, link_id: str, notice: ShareNotice) -> None:
+        """Tell a node whose calls came lately how much is admitted now."""
+        if link_id == _LOCAL_LINK:
+            self.on_share_notice(self._options.node_id, notice)
+        else:
+            self._links.answer(link_id, notice)
+
+    def on_share_notice(self, node_id: str, notice: ShareNotice) -> None:
+        """Take in how much of a route a target's node admits now."""
+        self._parts.shares.on_report(
+            self._clock.now_ms(), notice.route, node_id, notice.admitted_share, notice.limit
+        )
+
     def knows_service(self, service: str) -> bool:
         """Say whether a target of a service may be beside this node."""
         table = self.table
@@ -293,6 +307,7 @@
         )
         for route, path in paths.items():
             self._parts.door.set_below(route, path.share, path.makes_calls)
+        self._target.tell_shares(now_ms)
 
     def tick_slowly(self, now_ms: Millis) -> None:
         """Run the timers of connections and records."""
@@ -369,6 +384,11 @@
     node.answer_call(_LOCAL_LINK, message)
 
 
+@handle_message.register
+def _(message: ShareNotice, node: MeshNode, link: PeerLink) -> None:
+    node.on_share_notice(link.node_id, message)
+
+
 @handle_message.register
 def _(message: Cancel, node: MeshNode, link: PeerLink) -> None:
     node.target.on_cancel(link.link_id, message)
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -14,6 +14,7 @@
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.placement import create_placement
 from gooseberrydock.mesh.retry_budget import RetryBudget, create_retry_budget
+from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
 from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
 from gooseberrydock.mesh.target_registration import (
     TargetRegistration,
@@ -46,6 +47,7 @@
     nested: NestedRoutes
     graph: CallGraph
     crashes: CrashWatch
+    notices: ShareNotices
     entry: Entry = attrs.field(init=False)
 
     def join(self, options: MeshOptions, effects: EntryEffects, seed: int) -> None:
@@ -79,4 +81,5 @@
         nested=nested,
         graph=create_call_graph(),
         crashes=create_crash_watch(),
+        notices=create_share_notices(seed),
     )
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -33,7 +33,14 @@
 from gooseberrydock.mesh.runs import Run, request_bytes
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement
-from gooseberrydock.messages import Cancel, CrashNotice, RoutedAnswer, RoutedCall, RunResult
+from gooseberrydock.messages import (
+    Cancel,
+    CrashNotice,
+    RoutedAnswer,
+    RoutedCall,
+    RunResult,
+    ShareNotice,
+)
 
 _RUN_SLACK_MS: Final[Millis] = 150.0
 """How long a run may outlast its time before it is broken off: the target ends it first."""
@@ -51,6 +58,9 @@
     def broadcast(self, notice: CrashNotice) -> None:
         """Tell other nodes what crashed the target."""
 
+    def tell_share(self, link_id: str, notice: ShareNotice) -> None:
+        """Tell a node whose calls came lately how much is admitted now."""
+
     def knows_service(self, service: str) -> bool:
         """Say whether a target of a service may be beside this node."""
 
@@ -100,6 +110,7 @@
             return
         self._next_run_id += 1
         door = self._parts.door
+        self._parts.notices.on_call(now_ms, call.route, link_id)
         ticket = door.create_ticket(now_ms, self._next_run_id, link_id, call, request_id)
         code = door.submit(now_ms, ticket)
         if code is not None:
@@ -122,6 +133,7 @@
 
     def on_link_lost(self, link_id: str) -> None:
         """Drop the calls that came on a link."""
+        self._parts.notices.on_link_lost(link_id)
         lost = [run for run in self._runs.values() if run.ticket.link_id == link_id]
         for run in lost:
             self._drop(run)
@@ -284,6 +296,16 @@
                 run.pending.abort()
             run.on_failure(TARGET_TIMEOUT, was_sent=run.ticket.has_started)
 
+    def tell_shares(self, now_ms: Millis) -> None:
+        """Tell callers' nodes at once which shares changed."""
+        door = self._parts.door
+        due = self._parts.notices.take_due(now_ms, lambda route: door.report(route).admitted_share)
+        for route, links in due.items():
+            report = door.report(route)
+            for link_id in links:
+                notice = ShareNotice(route, report.admitted_share, report.limit)
+                self._owner.tell_share(link_id, notice)
+
     def tick_slowly(self, now_ms: Millis) -> None:
         """Close connections that were idle for too long, and clear suspicions."""
         self._pool.sweep()
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -244,6 +244,15 @@
     report: TargetReport
 
 
+@attrs.define
+class ShareNotice:
+    """Tell at once how much of a route a target's node admits, and its limit."""
+
+    route: str
+    admitted_share: float
+    limit: int
+
+
 PeerMessage = (
     Call
     | Answer
@@ -260,4 +269,5 @@
     | OwnerRegister
     | RoutedCall
     | RoutedAnswer
+    | ShareNotice
 )
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -44,6 +44,7 @@
     PeerMessage,
     RoutedAnswer,
     RoutedCall,
+    ShareNotice,
 )
 from gooseberrydock.stream import Stream, connect
 
@@ -365,8 +366,8 @@
             link = self._open(node_id)
         link.send(message)
 
-    def answer(self, link_id: str, answer: Answer | RoutedAnswer) -> None:
-        """Send an answer on the link that the call came on, if it is still open."""
+    def answer(self, link_id: str, answer: Answer | RoutedAnswer | ShareNotice) -> None:
+        """Send an answer on the link that calls came on, if it is still open."""
         link = self._by_id.get(link_id)
         if link is not None:
             link.send(answer)
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -33,6 +33,7 @@
 TAG_CRASH_NOTICE: Final = 13
 TAG_ROUTED_CALL: Final = 14
 TAG_ROUTED_ANSWER: Final = 15
+TAG_SHARE_NOTICE: Final = 16
 
 
 class _ShapeError(ValueError):
@@ -165,6 +166,11 @@
     return [TAG_CRASH_NOTICE, list(message.suspects), list(message.convicted)]
 
 
+@_to_array.register
+def _share_notice_to_array(message: messages.ShareNotice) -> list[Any]:
+    return [TAG_SHARE_NOTICE, message.route, message.admitted_share, message.limit]
+
+
 @_to_array.register
 def _beat_to_array(message: messages.OwnerBeat) -> list[Any]:
     return [
@@ -367,6 +373,12 @@
     return messages.CrashNotice(_all_of(int, array[1]), _all_of(int, array[2]))
 
 
+def _to_share_notice(array: list[Any]) -> messages.ShareNotice:
+    _check_shape(array, (str, float, int))
+    _check_not_negative(array[2], array[3])
+    return messages.ShareNotice(*array[1:])
+
+
 def _to_beat(array: list[Any]) -> messages.OwnerBeat:
     _check_shape(array, (int, int, int, int, bool))
     return messages.OwnerBeat(*array[1:])
@@ -440,4 +452,5 @@
     TAG_OWNER_REGISTER: _to_register,
     TAG_ROUTED_CALL: _to_routed_call,
     TAG_ROUTED_ANSWER: _to_routed_answer,
+    TAG_SHARE_NOTICE: _to_share_notice,
 }
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -10,6 +10,7 @@
 
 from gooseberrydock.mesh.door import Door, Ticket, create_door
 from gooseberrydock.mesh.nesting import NestedRoutes
+from gooseberrydock.mesh.share_notices import create_share_notices
 from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
 from gooseberrydock.messages import RoutedCall
 
@@ -111,6 +112,36 @@
     return play
 
 
+class ShareNoticeCases(unittest.TestCase):
+    """Answers the first second of a surge, when no call has come back yet."""
+
+    def test_recent_callers_are_told_of_a_change_at_once(self) -> None:
+        notices = create_share_notices(1)
+        notices.on_call(0.0, "look", "link-1")
+        notices.on_call(2_500.0, "look", "link-2")
+        notices.on_call(2_500.0, "book", "link-2")
+        self.assertEqual({}, notices.take_due(2_600.0, lambda route: 1.0))
+        shares = {"look": 0.6, "book": 0.95}
+        due = notices.take_due(2_700.0, shares.__getitem__)
+        self.assertEqual({"look": ["link-1", "link-2"]}, due)
+        self.assertEqual({}, notices.take_due(2_800.0, shares.__getitem__))
+        shares["look"] = 0.9
+        self.assertEqual({"look": ["link-2"]}, notices.take_due(3_500.0, shares.__getitem__))
+
+    def test_what_a_target_with_many_callers_sends_is_bounded(self) -> None:
+        notices = create_share_notices(1)
+        for number in range(4_700):
+            notices.on_call(0.0, "look", f"link-{number}")
+        due = notices.take_due(100.0, lambda route: 0.5)
+        self.assertLessEqual(len(due["look"]), 24)
+
+    def test_closed_links_and_routes_without_callers_are_forgotten(self) -> None:
+        notices = create_share_notices(1)
+        notices.on_call(0.0, "look", "link-1")
+        notices.on_link_lost("link-1")
+        self.assertEqual({}, notices.take_due(100.0, lambda route: 0.5))
+
+
 class OverloadCases(unittest.TestCase):
     """Answers a service that is offered more than it can run, steadily."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -69,6 +69,9 @@
         suspects=st.lists(_NUMBERS).map(tuple),
         convicted=st.lists(_NUMBERS).map(tuple),
     ),
+    st.builds(
+        messages.ShareNotice, route=_TEXTS, admitted_share=st.floats(0.0, 1.0), limit=_NUMBERS
+    ),
     st.builds(messages.ConfigurationPush, generation=_NUMBERS, payload=st.binary(max_size=9)),
     st.builds(messages.MemberSyncRequest, digests=st.lists(_NUMBERS).map(tuple)),
 )
