Fewer links and reads in a large fleet; one notice a link; returns after a restart

Now a node keeps 32 links ahead of need, 64 within its failure domain; calls open others. It speaks on 12 links a round. Reads are fast for 6 s after a start or the store's return, and after the end of a record only where its node neither left nor speaks on a link.

--- a/gooseberrydock/emulator.py
+++ b/gooseberrydock/emulator.py
@@ -40,7 +40,13 @@
 from gooseberrydock.mesh.retry_budget import create_retry_budget
 from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
 from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
-from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
+from gooseberrydock.messages import (
+    Cancel,
+    RoutedAnswer,
+    RoutedCall,
+    RunResult,
+    ShareNotice,
+)
 
 _HOST: Final = b"emulated.example"
 _NAMES: Final = HeaderNames()
@@ -55,7 +61,6 @@
 """Repeats at each hop of the baselines."""
 _NOT_RUN: Final = 503
 _TIMED_OUT: Final = 504
-_NO_REPORT: Final = TargetReport(0, 0, 0.0, 1.0)
 _NO_ADDRESS: Final = Address("0.0.0.0", 0)
 
 
@@ -402,18 +407,18 @@
             self._tell_shares(now_ms)
 
     def _tell_shares(self, now_ms: Millis) -> None:
-        due = self._notices.take_due(now_ms, lambda route: self._door.report(route).admitted_share)
-        for route, peers in due.items():
-            report = self._door.report(route)
-            for peer_id in peers:
-                peer = self._world.product_node(peer_id)
-                tell = partial(peer.on_share, self.node_id, route, report)
-                self._world.timeline.after(self._world.delay_ms(self.node_id, peer_id), tell)
-
-    def on_share(self, node_id: str, route: str, report: TargetReport) -> None:
+        door = self._door
+        for peer_id, routes in self._notices.take_due(now_ms, door.admitted_share).items():
+            peer = self._world.product_node(peer_id)
+            shares = {route: door.admitted_share(route) for route in routes}
+            tell = partial(peer.on_share_notice, self.node_id, ShareNotice(shares, door.limit))
+            self._world.timeline.after(self._world.delay_ms(self.node_id, peer_id), tell)
+
+    def on_share_notice(self, node_id: str, notice: ShareNotice) -> None:
         """Take in what a target's node admits now."""
         now_ms = self._world.timeline.now_ms
-        self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.limit)
+        for route, share in notice.admitted_shares.items():
+            self._shares.on_report(now_ms, route, node_id, share, notice.limit)
 
 
 @attrs.define(eq=False)
--- a/gooseberrydock/mesh/door.py
+++ b/gooseberrydock/mesh/door.py
@@ -187,13 +187,17 @@
         self._route_shares[route] = share
         self._makes_calls[route] = makes_calls
 
+    def admitted_share(self, route: str) -> float:
+        """Return the share of a route that this target and the services below it can take."""
+        return min(self._own_share(route), self._route_shares.get(route, 1.0))
+
     def report(self, route: str) -> TargetReport:
         """Return what callers' nodes need to know of this target for a route."""
         return TargetReport(
             in_flight=self.in_flight,
             limit=self.limit,
             service_ms=self._route_ms.get(route, 0.0),
-            admitted_share=min(self._own_share(route), self._route_shares.get(route, 1.0)),
+            admitted_share=self.admitted_share(route),
             is_nested=self._nested.judge(route, self._service),
             makes_calls=self._makes_calls.get(route, False),
         )
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -56,6 +56,9 @@
 _MAX_REFUSALS: Final = 4
 """How many hosts may refuse a request unseen by their target before it is given up."""
 
+_RESTART_MS: Final[Millis] = 1_500.0
+"""How long a node is away for a restart: 0.8 s to its next start, as much until its target has
+announced itself (incident inc-ddb6)."""
 _PARK_SHARE: Final = 0.25
 """Part of the target latency that a request waits for a host to be reached: a node starts within
 it, and the request is still in time, or its caller may come back."""
@@ -466,12 +469,16 @@
         self._close(exchange)
         if exchange.may_have_run and code.outcome is code.outcome.NOT_RUN:
             code = PEER_LOST
-        retry_after_ms = self._retry_after(now_ms, exchange)
+        retry_after_ms = self._retry_after(now_ms, exchange, code)
         self._effects.refuse(exchange.caller, exchange, code, retry_after_ms)
 
-    def _retry_after(self, now_ms: Millis, exchange: Exchange) -> Millis:
+    def _retry_after(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> Millis:
         """Return when a refused caller had best come back."""
-        return self._shares.retry_after(now_ms, exchange.route)
+        wait_ms = self._shares.retry_after(now_ms, exchange.route)
+        if code is NODE_LEAVING and self._intake is not Intake.ALL:
+            # This node is ending: a caller beside it finds the next start, not this one.
+            return max(wait_ms, _RESTART_MS)
+        return wait_ms
 
     def _withdraw(self, exchange: Exchange) -> None:
         if exchange.call_id:
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 from typing import Final, Protocol
 
 import attrs
@@ -32,10 +33,13 @@
 _INTRODUCED: Final = 10
 """How many records a node tells on a new link; a newcomer has many links, and what all links of a
 fleet carry when it starts grows with the square of its size times this."""
-_SPOKEN: Final = 24
+_SPOKEN: Final = 12
 """On how many links a node speaks in one round, which bounds what control costs it."""
-_KEPT_LINKS: Final = 200
-"""How many links a node opens ahead of need; beyond that, calls open their own."""
+_KEPT_LINKS: Final = 32
+"""How many links a node opens ahead of need; beyond that, calls open their own. Opening one takes
+some milliseconds of each side, most of what the start of a node costs the others."""
+_KEPT_NEAR_LINKS: Final = 64
+"""The same for links within the failure domain, where most calls go."""
 _REOPENED: Final = 16
 """How many missing links are opened in one round."""
 _UNHEARD_ROUNDS: Final = 4
@@ -177,15 +181,17 @@
         )
 
     def _greet(self, member: Member) -> None:
-        """Open the link to a node before the first call needs it."""
-        if member.state is not MemberState.DEAD:
+        """Open the link to a node before the first call needs it, if it is one of those kept."""
+        most = _KEPT_LINKS if self._is_far(member) else _KEPT_NEAR_LINKS
+        if member.state is not MemberState.DEAD and self._links.linked_nodes < most:
             self._links.send(member.node_id, ConfigurationRequest(self._table.version))
 
     # The store.
 
-    def on_store_items(self, items: tuple[StoreItem, ...], is_complete: bool) -> None:
-        """Take what the store holds under the watched prefixes."""
+    def on_store_items(self, items: tuple[StoreItem, ...], is_complete: bool) -> bool:
+        """Take what the store holds; say whether a record ended that may be written again."""
         now_ms = self._clock.now_ms()
+        ended = [self._find_by_key(item.key) for item in items if item.value is None]
         members = []
         for item in items:
             if item.key == self._keys.table:
@@ -200,8 +206,26 @@
             changed = self._directory.on_snapshot(now_ms, members)
         else:
             changed = [member for member in members if self._directory.on_stored(member)]
-        for member in changed:
+        # Links are opened for some only, and most calls stay in the failure domain.
+        for member in sorted(changed, key=self._is_far):
             self._note_member(member, before[member.node_id])
+        return self._is_unsettling(ended)
+
+    def _is_unsettling(self, ended: Iterable[Member | None]) -> bool:
+        """Say whether a record ended whose node neither left nor speaks on a link."""
+        return any(
+            member is not None
+            and member.state is MemberState.ALIVE
+            and member.node_id != self._record.node_id
+            and not self._links.has_ready_link(member.node_id)
+            for member in ended
+        )
+
+    def _find_by_key(self, key: str) -> Member | None:
+        return self._directory.find(key.removeprefix(self._keys.nodes))
+
+    def _is_far(self, member: Member) -> bool:
+        return member.failure_domain != self._record.failure_domain
 
     def on_store_state(self, is_available: bool) -> None:
         """Take in whether the store answers this node."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -234,7 +234,7 @@
         """Tell other nodes what crashed the target."""
         self._links.broadcast(notice)
 
-    def tell_share(self, link_id: str, notice: ShareNotice) -> None:
+    def tell_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Tell a node whose calls came lately how much is admitted now."""
         if link_id == _LOCAL_LINK:
             self.on_share_notice(self._options.node_id, notice)
@@ -243,9 +243,9 @@
 
     def on_share_notice(self, node_id: str, notice: ShareNotice) -> None:
         """Take in how much of a route a target's node admits now."""
-        self._parts.shares.on_report(
-            self._clock.now_ms(), notice.route, node_id, notice.admitted_share, notice.limit
-        )
+        now_ms = self._clock.now_ms()
+        for route, share in notice.admitted_shares.items():
+            self._parts.shares.on_report(now_ms, route, node_id, share, notice.limit)
 
     def knows_service(self, service: str) -> bool:
         """Say whether a target of a service may be beside this node."""
--- a/gooseberrydock/mesh/read_pace.py
+++ b/gooseberrydock/mesh/read_pace.py
@@ -16,7 +16,7 @@
 
 _FLEET_SHARE: Final = 0.25
 """Part of the store's rate of reads that all nodes together use to follow one prefix."""
-_UNSETTLED_MS: Final[Millis] = 15_000.0
+_UNSETTLED_MS: Final[Millis] = 6_000.0
 """How long after an unsettling event changes are read fast: starts and returns take some seconds,
 and a record that ended must be seen again within two seconds if its node wrote it anew."""
 
--- a/gooseberrydock/mesh/share_notices.py
+++ b/gooseberrydock/mesh/share_notices.py
@@ -21,7 +21,7 @@
 _LEAST_SHARE: Final = 0.1
 """What smaller shares count as in this, so that a low one does not tell of every step."""
 _MOST_TOLD: Final = 24
-"""How many nodes are told at a time: bounds what a target with many callers sends."""
+"""How many nodes are told of a route at a time: bounds what a target with many callers sends."""
 
 
 @attrs.define
@@ -52,8 +52,8 @@
             callers.called_at.pop(link_id, None)
 
     def take_due(self, now_ms: Millis, share_of: Callable[[str], float]) -> dict[str, list[str]]:
-        """Return, by route, the links on which its changed share is to be told now."""
-        due = {}
+        """Return, by link, the routes whose changed shares are to be told on it now."""
+        due: dict[str, list[str]] = {}
         for route, callers in list(self._routes.items()):
             share = share_of(route)
             change = abs(share - callers.told_share)
@@ -61,10 +61,10 @@
                 continue
             callers.told_share = share
             links = self._recent_links(now_ms, callers)
-            if links:
-                due[route] = links
-            else:
+            if not links:
                 del self._routes[route]
+            for link_id in links:
+                due.setdefault(link_id, []).append(route)
         return due
 
     def _recent_links(self, now_ms: Millis, callers: RouteCallers) -> list[str]:
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -47,8 +47,11 @@
 class StoreSink(Protocol):
     """Take what the store holds."""
 
-    def on_store_items(self, items: tuple[StoreItem, ...], is_complete: bool) -> None:
-        """Take items; a complete set leaves out what is gone."""
+    def on_store_items(self, items: tuple[StoreItem, ...], is_complete: bool) -> bool:
+        """Take items; a complete set leaves out what is gone.
+
+        Say whether an item ended that may soon be there again, and must then be seen in time.
+        """
 
     def on_store_state(self, is_available: bool) -> None:
         """Take in whether the store answers this node."""
@@ -112,7 +115,9 @@
         else:
             changes = await self._watch(prefix, revision)
         if changes.items or revision < 0:
-            self._sink.on_store_items(changes.items, is_complete=revision < 0)
+            is_unsettling = self._sink.on_store_items(changes.items, is_complete=revision < 0)
+            if is_unsettling:
+                self._pace.unsettle(self._clock.now_ms())
         return max(revision, changes.revision)
 
     async def _watch(self, prefix: str, revision: int) -> StoreChanges:
@@ -123,9 +128,6 @@
                 changes = await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
             finally:
                 self._watches.discard(scope)
-            if any(item.value is None for item in changes.items):
-                # A living node writes its record again, which must be seen in time.
-                self._pace.unsettle(self._clock.now_ms())
             return changes
         return StoreChanges((), revision)
 
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -58,7 +58,7 @@
     def broadcast(self, notice: CrashNotice) -> None:
         """Tell other nodes what crashed the target."""
 
-    def tell_share(self, link_id: str, notice: ShareNotice) -> None:
+    def tell_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Tell a node whose calls came lately how much is admitted now."""
 
     def knows_service(self, service: str) -> bool:
@@ -299,12 +299,10 @@
     def tell_shares(self, now_ms: Millis) -> None:
         """Tell callers' nodes at once which shares changed."""
         door = self._parts.door
-        due = self._parts.notices.take_due(now_ms, lambda route: door.report(route).admitted_share)
-        for route, links in due.items():
-            report = door.report(route)
-            for link_id in links:
-                notice = ShareNotice(route, report.admitted_share, report.limit)
-                self._owner.tell_share(link_id, notice)
+        due = self._parts.notices.take_due(now_ms, door.admitted_share)
+        for link_id, routes in due.items():
+            shares = {route: door.admitted_share(route) for route in routes}
+            self._owner.tell_shares(link_id, ShareNotice(shares, door.limit))
 
     def tick_slowly(self, now_ms: Millis) -> None:
         """Close connections that were idle for too long, and clear suspicions."""
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -246,10 +246,9 @@
 
 @attrs.define
 class ShareNotice:
-    """Tell at once how much of a route a target's node admits, and its limit."""
+    """Tell at once how much of some routes a target's node admits, and its limit."""
 
-    route: str
-    admitted_share: float
+    admitted_shares: dict[str, float]
     limit: int
 
 
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -392,6 +392,16 @@
         """Say whether there is a link to a node, open or on its way."""
         return node_id in self._by_node
 
+    def has_ready_link(self, node_id: str) -> bool:
+        """Say whether messages to a node pass now."""
+        link = self._by_node.get(node_id)
+        return link is not None and link.is_ready
+
+    @property
+    def linked_nodes(self) -> int:
+        """Return how many nodes there is a link to, open or on its way."""
+        return len(self._by_node)
+
     def close_unheard(self, most_rounds: int) -> None:
         """Close links without a word for more rounds than that, where both sides speak in each."""
         for link in self.open_links:
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -168,7 +168,7 @@
 
 @_to_array.register
 def _share_notice_to_array(message: messages.ShareNotice) -> list[Any]:
-    return [TAG_SHARE_NOTICE, message.route, message.admitted_share, message.limit]
+    return [TAG_SHARE_NOTICE, message.admitted_shares, message.limit]
 
 
 @_to_array.register
@@ -374,9 +374,12 @@
 
 
 def _to_share_notice(array: list[Any]) -> messages.ShareNotice:
-    _check_shape(array, (str, float, int))
-    _check_not_negative(array[2], array[3])
-    return messages.ShareNotice(*array[1:])
+    _check_shape(array, (dict, int))
+    shares = array[1]
+    if any(type(route) is not str or type(share) is not float for route, share in shares.items()):
+        raise _ShapeError("a share is not a number by a route's name")
+    _check_not_negative(array[2], *shares.values())
+    return messages.ShareNotice(shares, array[2])
 
 
 def _to_beat(array: list[Any]) -> messages.OwnerBeat:
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -184,6 +184,14 @@
         self.assertEqual([PEER_UNREACHABLE], [code for code, _ in rig.effects.refusals])
         self.assertEqual(Outcome.NOT_RUN, rig.effects.refusals[0][0].outcome)
 
+    def test_caller_refused_by_an_ending_node_returns_after_its_restart(self) -> None:
+        rig = make_entry(_TABLE)
+        rig.entry.set_intake(Intake.CALLS_OF_TARGET)
+        _submit(rig, "/booking/1")
+        code, retry_after_ms = rig.effects.refusals[0]
+        self.assertEqual(NODE_LEAVING, code)
+        self.assertGreaterEqual(retry_after_ms, 1_500.0)
+
     def test_stopping_node_keeps_nothing_waiting(self) -> None:
         rig = make_entry(_TABLE, hosts=1)
         _submit(rig, "/booking/1")
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -11,7 +11,7 @@
 from gooseberrydock.clock import ManualTime, manual_clock
 from gooseberrydock.errorcodes import TARGET_UNREACHABLE
 from gooseberrydock.events import CALL_REFUSED
-from gooseberrydock.members import Address, Member, encode_member
+from gooseberrydock.members import Address, Member, MemberState, encode_member
 from gooseberrydock.mesh.crash_watch import create_crash_watch
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.model import EMPTY_TABLE, create_route_table
@@ -107,6 +107,32 @@
         )
         self.assertGreater(_own(node).order, earlier.order)
 
+    def test_only_an_end_that_may_not_last_unsettles(self) -> None:
+        """A node that left, or that speaks on a link, needs no second look at the store."""
+        node = _make_node()
+        cases = {MemberState.ALIVE: True, MemberState.LEAVING: False}
+        for number, (state, is_unsettling) in enumerate(cases.items()):
+            with self.subTest(state=state):
+                member = attrs.evolve(make_member(f"n{number}"), state=state)
+                key = f"nodes/{member.node_id}"
+                stored = StoreItem(key, encode_member(member), 2)
+                self.assertFalse(node.fleet.on_store_items((stored,), is_complete=False))
+                ended = StoreItem(key, None, 3)
+                self.assertEqual(
+                    is_unsettling, node.fleet.on_store_items((ended,), is_complete=False)
+                )
+
+    def test_large_fleet_keeps_few_links_ahead_of_need(self) -> None:
+        node = _make_node()
+        for number in range(300):
+            member = make_member(f"n{number}", domain=f"d{number % 3}")
+            node.fleet.on_store_items(
+                (StoreItem(f"nodes/{member.node_id}", encode_member(member), number),),
+                is_complete=False,
+            )
+        self.assertEqual(301, node.parts.directory.node_count)
+        self.assertLessEqual(node.links.linked_nodes, 64)
+
     def test_node_that_reaches_no_other_is_not_ready(self) -> None:
         node = _make_node()
         node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_complete=False)
