One task tries a store that turns a node away; watches wait for it

The renewal of the lease now tries for all, and wakes the watches when it is answered; watches by themselves try every 5 s at most, after their first read.

Ruled out: longer waits for all (records must be back within 2 s of the store's return). Test on a virtual clock: calls in 10 s of being turned away 76 before, under half of that now, and both watches back within 1 s of the return.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -43,6 +43,12 @@
 RETRY_BOUNDS: Final = BackoffBounds(least_ms=60.0, first_ms=60.0, longest_ms=900.0, growth=1.7)
 """Waits after failures: records are back within two seconds of a store's return."""
 
+WATCH_RETRY_BOUNDS: Final = BackoffBounds(
+    least_ms=250.0, first_ms=500.0, longest_ms=5_000.0, growth=2.5
+)
+"""The same for watches that have read once: renewals of the lease try the store meanwhile, and wake
+them when it answers."""
+
 
 class StoreSink(Protocol):
     """Take what the store holds."""
@@ -77,6 +83,7 @@
     _renewed_at: Millis = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
     _watches: set[trio.CancelScope] = attrs.field(factory=set)
+    _back: trio.Event = attrs.field(factory=trio.Event)
 
     def set_record(self, member: Member) -> None:
         """Have this node's record written."""
@@ -94,11 +101,13 @@
     async def _follow(self, prefix: str, fast_ms: Millis, settled_ms: Millis) -> None:
         """Hand everything under a prefix to the sink; a pause gathers changes into one answer."""
         backoff = Backoff(self._random, RETRY_BOUNDS)
+        watch_backoff = Backoff(self._random, WATCH_RETRY_BOUNDS)
         revision = -1
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
                 backoff.reset()
+                watch_backoff.reset()
                 pause_ms = self._pace.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
@@ -106,7 +115,12 @@
                 if error.code is STORE_HISTORY_GONE:
                     revision = -1
                 self._note_failure(error)
-                await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
+                await self._wait_to_retry(backoff if revision < 0 else watch_backoff)
+
+    async def _wait_to_retry(self, backoff: Backoff) -> None:
+        """Wait after a failure, at most until the store is back."""
+        with trio.move_on_after(backoff.next_wait() / MS_PER_SECOND):
+            await self._back.wait()
 
     async def _follow_step(self, prefix: str, revision: int) -> int:
         """Read all once, then wait for changes; return the revision seen."""
@@ -217,7 +231,7 @@
 
     def _renewal_due(self, lease: Lease) -> bool:
         due_ms = lease.ttl_ms * _RENEW_SHARE * _EARLIEST_RENEWAL
-        return self._clock.now_ms() - self._renewed_at >= due_ms
+        return not self._is_available or self._clock.now_ms() - self._renewed_at >= due_ms
 
     def on_own_record_gone(self) -> None:
         """Take in that the store dropped this node's record; write it again."""
@@ -231,6 +245,9 @@
             return
         if self._is_available:
             self._is_available = False
+            self._back = trio.Event()
+            # The renewal of the lease tries the store from now on.
+            self._changed.set()
             log(STORE_LOST, code=error.code.number, peer=error.peer, detail=error.detail)
             self._sink.on_store_state(is_available=False)
 
@@ -238,6 +255,7 @@
         now_ms = self._clock.now_ms()
         if not self._is_available:
             self._is_available = True
+            self._back.set()
             self._pace.unsettle(now_ms)
             for scope in self._watches:
                 # What waits since before the outage may never be answered.
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -159,3 +159,55 @@
         trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
         after_return = [at_s for at_s in store.watched_at_s if at_s > 12.0]
         self.assertLess(min(after_return), 12.0 + 3.0)
+
+
+@attrs.define
+class _BusyForSomeStore(_BusyStore):
+    """Turn this node away for a while, and count its calls meanwhile."""
+
+    away_from_s: float = 5.0
+    away_until_s: float = 15.0
+    refused: int = 0
+
+    async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
+        self._check()
+        self.watched_at_s.append(trio.current_time())
+        with trio.move_on_after(wait_ms / MS_PER_SECOND):
+            await trio.sleep_until(self.away_from_s)
+            self._check()
+            await trio.sleep_forever()
+        return StoreChanges((), after)
+
+    async def renew_lease(self, lease_id: int) -> None:
+        self._check()
+
+    def _check(self) -> None:
+        if self.away_from_s <= trio.current_time() < self.away_until_s:
+            self.refused += 1
+            raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+
+
+class TurnedAwayCases(unittest.TestCase):
+    """A store that turns this node away, each call of which has its price."""
+
+    def test_one_task_tries_for_all_and_watches_are_back_at_once(self) -> None:
+        store = _BusyForSomeStore(ends_at_s=0.0)
+
+        async def follow() -> None:
+            start_s = trio.current_time()
+            store.away_from_s += start_s
+            store.away_until_s += start_s
+            sync = _make_sync(store)
+            sync.set_record(make_member("n1"))
+            with trio.move_on_after(30.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(sync.keep_record)
+                    nursery.start_soon(sync.follow_table, "table")
+                    nursery.start_soon(sync.follow_records)
+            store.watched_at_s = [at_s - start_s for at_s in store.watched_at_s]
+
+        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        # Three tasks that each tried for themselves made 76 calls in the 10 s.
+        self.assertLess(store.refused, 76 / 2)
+        after_return = [at_s for at_s in store.watched_at_s if at_s >= 15.0]
+        self.assertLess(after_return[1], 16.0)
