--- /dev/null
+++ b/gooseberrydock/emulated_plain_node.py
@@ -0,0 +1,70 @@
+"""Baselines of the emulator: plain forwarding to random hosts, with or without fixed limits."""
+
+from typing import Protocol
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.emulated_target import EmulatedTarget
+from gooseberrydock.emulated_world import HOP_REPEATS, NOT_RUN, OK, TIMED_OUT, Asker, World
+
+
+class PlainWorld(World, Protocol):
+    """Offer targets too."""
+
+    def random_target(self, route: str) -> EmulatedTarget:
+        """Return some target of a route's service."""
+
+
+@attrs.define(eq=False)
+class PlainCall:
+    """Forward one request to random hosts, with repeats after failures."""
+
+    _world: PlainWorld
+    _asker: Asker
+    _route: str
+    _expires_at: Millis
+    _has_limits: bool
+    _tries: int = 0
+
+    def send(self) -> None:
+        """Try once more."""
+        timeline = self._world.timeline
+        left_ms = self._expires_at - timeline.now_ms
+        if left_ms <= 0:
+            self._asker.on_answer(timeline.now_ms, TIMED_OUT, 0.0)
+            return
+        self._tries += 1
+        target = self._world.random_target(self._route)
+        delay_ms = self._world.day.other_domain_ms
+        timeline.after(delay_ms, lambda: self._arrive(target, left_ms - delay_ms))
+
+    def _arrive(self, target: EmulatedTarget, left_ms: Millis) -> None:
+        if self._has_limits and target.waiting >= target.slots:
+            self._on_end(NOT_RUN)
+        else:
+            target.start(self._route, left_ms, self._on_end)
+
+    def _on_end(self, status: int) -> None:
+        is_final = status == OK or self._tries > HOP_REPEATS
+        if is_final:
+            self._asker.on_answer(self._world.timeline.now_ms, status, 0.0)
+        else:
+            self.send()
+
+
+@attrs.define(eq=False)
+class PlainNode:
+    """Forward without deciding anything."""
+
+    _world: PlainWorld
+    _has_limits: bool
+
+    def ask(self, asker: Asker, route: str, limit_ms: Millis) -> None:
+        """Forward a request."""
+        timeout_ms = self._world.route_specs[route].timeout_ms
+        expires_at = self._world.timeline.now_ms + min(limit_ms, timeout_ms)
+        PlainCall(self._world, asker, route, expires_at, self._has_limits).send()
+
+    def tick(self) -> None:
+        """Run no timers."""
--- a/gooseberrydock/emulator_report.py
+++ b/gooseberrydock/emulator_report.py
@@ -5,7 +5,8 @@
 
 from gooseberrydock.clock import MS_PER_SECOND
 from gooseberrydock.emulated_day import EmulatedDay
-from gooseberrydock.emulator import ClassOutcome, Ending, Mode, create_emulator
+from gooseberrydock.emulated_outcomes import ClassOutcome, Ending
+from gooseberrydock.emulator import Mode, create_emulator
 from gooseberrydock.errorcodes import OPTION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,7 +7,8 @@
 import attrs
 
 from gooseberrydock.emulated_day import SLOW_HOST, SURGE, EmulatedDay, Slowdown, Surge
-from gooseberrydock.emulator import ClassOutcome, Ending, Mode, create_emulator
+from gooseberrydock.emulated_outcomes import ClassOutcome, Ending
+from gooseberrydock.emulator import Mode, create_emulator
 from gooseberrydock.emulator_report import outcome_table
 
 _SHORT_SURGE: Final = attrs.evolve(SURGE, seconds=10.0, surges=(Surge(4.0, 9.0, 2.5),))
