Read the store anew after every cut watch

The store told watches nothing while the change was made, dropped its history and cut them at 8.20 s; every node made its watch anew within 10 ms, from the revision it had, and was told nothing. Nodes hand on only what one of them knows.

Now every failure of a watch is followed by a read of everything. Ruled out: a lost hand-on (all twelve nodes missed it); a stale table (the first read, by a node whose lease had ended, brought it). The stand-in that turns a node away now refuses its reads too, as a store does.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -103,6 +103,7 @@
         backoff = Backoff(self._random, RETRY_BOUNDS)
         watch_backoff = Backoff(self._random, WATCH_RETRY_BOUNDS)
         revision = -1
+        has_read = False
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
@@ -111,11 +112,12 @@
                 pause_ms = self._pace.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
+                has_read = True
             except GooseberrydockError as error:
-                if error.code is STORE_HISTORY_GONE:
-                    revision = -1
+                # Read anew: what changed before a watch was cut need not be told to the next one.
+                revision = -1
                 self._note_failure(error)
-                await self._wait_to_retry(backoff if revision < 0 else watch_backoff)
+                await self._wait_to_retry(watch_backoff if has_read else backoff)
 
     async def _wait_to_retry(self, backoff: Backoff) -> None:
         """Wait after a failure, at most until the store is back."""
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -170,6 +170,10 @@
     refused_watches: int = 0
     refused_renewals: int = 0
 
+    async def read_prefix(self, prefix: str) -> StoreChanges:
+        self._refuse_if_away()
+        return StoreChanges((), 1)
+
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
         if not self._is_away():
             self.watched_at_s.append(trio.current_time())
@@ -177,9 +181,7 @@
                 await trio.sleep_until(self.away_from_s)
                 if not self._is_away():
                     await trio.sleep_forever()
-        if self._is_away():
-            self.refused_watches += 1
-            raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+        self._refuse_if_away()
         return StoreChanges((), after)
 
     async def renew_lease(self, lease_id: int) -> None:
@@ -187,6 +189,11 @@
             self.refused_renewals += 1
             raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
 
+    def _refuse_if_away(self) -> None:
+        if self._is_away():
+            self.refused_watches += 1
+            raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+
     def _is_away(self) -> bool:
         return self.away_from_s <= trio.current_time() < self.away_until_s
 
@@ -214,3 +221,41 @@
         self.assertLess(store.refused_watches, store.refused_renewals / 2)
         after_return = [at_s for at_s in store.watched_at_s if at_s >= 15.0]
         self.assertLess(after_return[1], 16.0)
+
+
+@attrs.define
+class _CutStore(_BusyStore):
+    """Cut the first watch after a change that it did not tell, and tell later ones nothing."""
+
+    reads: int = 0
+    is_cut: bool = False
+
+    async def read_prefix(self, prefix: str) -> StoreChanges:
+        self.reads += 1
+        return StoreChanges((StoreItem(prefix, b"%d" % self.reads, self.reads),), self.reads)
+
+    async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
+        if not self.is_cut:
+            await trio.sleep(3.0)
+            self.is_cut = True
+            raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+        await trio.sleep(wait_ms / MS_PER_SECOND)
+        return StoreChanges((), after)
+
+
+class CutWatchCases(unittest.TestCase):
+    """A store that drops its history and cuts the watches, having told them nothing before."""
+
+    def test_a_cut_watch_is_followed_by_a_read(self) -> None:
+        store = _CutStore(ends_at_s=0.0)
+
+        async def follow() -> None:
+            sync = _make_sync(store)
+            sync.set_record(make_member("n1"))
+            with trio.move_on_after(5.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(sync.keep_record)
+                    nursery.start_soon(sync.follow_table, "table")
+
+        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        self.assertEqual(2, store.reads)
