Share what the change had written again

Without a change of behaviour: one token bucket for callers' limits and log lines; one JSON answer for the operators' page, both stand-ins and the platform's acknowledgements; one list of statuses without a body for both ends of the call path; the product's deadline header named once; one reader of names and one wording of malformed input in the platform's adapter; one request on a connection of its own for the operators' command and the tests' fleet.

Ruled out: the indented JSON of the admin endpoint, which is for people and stays as it is.

--- a/gooseberrydock/callerlimits.py
+++ b/gooseberrydock/callerlimits.py
@@ -2,47 +2,34 @@
 
 import attrs
 
-from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.clock import Millis
+from gooseberrydock.token_bucket import TokenBucket
 
-_MS_PER_MINUTE = 60 * MS_PER_SECOND
+_SECONDS_PER_MINUTE = 60
 _BURST_SECONDS = 2.0
 _MAX_CALLERS = 20_000
 _MIN_BURST = 5.0
 
 
-@attrs.define
-class _TokenBucket:
-    """Hold the tokens of one caller."""
-
-    tokens: float
-    filled_at: Millis
-
-
 @attrs.define
 class CallerLimits:
     """Limit the rate of each caller in each service class by token buckets."""
 
-    _buckets: dict[tuple[str, str], _TokenBucket] = attrs.field(factory=dict)
+    _buckets: dict[tuple[str, str], TokenBucket] = attrs.field(factory=dict)
 
     def take(self, now_ms: Millis, caller: str, class_name: str, per_minute: float) -> bool:
         """Use one token; a rate of zero means no limit."""
         if per_minute <= 0:
             return True
-        burst = max(_MIN_BURST, per_minute / 60 * _BURST_SECONDS)
-        bucket = self._bucket(now_ms, (caller, class_name), burst)
-        earned = (now_ms - bucket.filled_at) * per_minute / _MS_PER_MINUTE
-        bucket.tokens = min(burst, bucket.tokens + earned)
-        bucket.filled_at = now_ms
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        per_second = per_minute / _SECONDS_PER_MINUTE
+        burst = max(_MIN_BURST, per_second * _BURST_SECONDS)
+        return self._bucket(now_ms, (caller, class_name), burst).take(now_ms, per_second, burst)
 
-    def _bucket(self, now_ms: Millis, key: tuple[str, str], burst: float) -> _TokenBucket:
+    def _bucket(self, now_ms: Millis, key: tuple[str, str], burst: float) -> TokenBucket:
         bucket = self._buckets.get(key)
         if bucket is None:
             self._make_room()
-            bucket = _TokenBucket(burst, now_ms)
+            bucket = TokenBucket(burst, now_ms)
             self._buckets[key] = bucket
         return bucket
 
--- a/gooseberrydock/ctl_nodes.py
+++ b/gooseberrydock/ctl_nodes.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_client import fetch_once
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address
 
@@ -21,10 +21,10 @@
     answers: dict[Address, HttpResponse | None] = {}
 
     async def ask(address: Address, nursery: trio.Nursery) -> None:
-        pool = ClientPool(address, nursery, _MAX_DUMP_BYTES)
         request = HttpRequest(method, path, [], b"")
-        answers[address] = await fetch(pool, request, _NODE_TIMEOUT_S)
-        pool.close()
+        answers[address] = await fetch_once(
+            address, nursery, request, _NODE_TIMEOUT_S, _MAX_DUMP_BYTES
+        )
 
     async with trio.open_nursery() as nursery:
         for address in addresses:
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -255,3 +255,17 @@
     """Send one request and wait for its answer; return None where none came in time."""
     result = await fetch_or_fail(pool, request, timeout_s)
     return result if isinstance(result, HttpResponse) else None
+
+
+async def fetch_once(
+    address: Address,
+    nursery: trio.Nursery,
+    request: HttpRequest,
+    timeout_s: float,
+    max_body: int = defaults.MAX_BODY_BYTES,
+) -> HttpResponse | None:
+    """Send one request on a connection of its own; return None where no answer came in time."""
+    pool = ClientPool(address, nursery, max_body)
+    response = await fetch(pool, request, timeout_s)
+    pool.close()
+    return response
--- a/gooseberrydock/http_messages.py
+++ b/gooseberrydock/http_messages.py
@@ -23,6 +23,7 @@
 ATTEMPT_HEADER: Final = b"gooseberrydock-attempt"
 """A caller's own count of its sendings of a key; "1" says that it was never sent before."""
 RETRY_AFTER_HEADER: Final = b"retry-after"
+JSON_HEADER: Final = (b"content-type", b"application/json")
 PROBLEM_CONTENT_TYPE: Final = b"application/problem+json"
 _RETRY_AFTER_MS: Final[Millis] = 1_000.0
 """When a refused caller may return where nothing better is known."""
@@ -46,6 +47,9 @@
 
 HOP_BY_HOP_HEADERS: Final = CONNECTION_HEADERS | {b"host"}
 
+BODILESS_STATUSES: Final = frozenset((204, 304))
+"""Statuses of answers that have no body, whatever their headers say."""
+
 PRODUCT_REQUEST_HEADERS: Final = frozenset(
     (CONTEXT_HEADER, CLASS_HEADER, CALLER_HEADER, ATTEMPT_HEADER)
 )
@@ -88,6 +92,11 @@
     ]
 
 
+def json_response(status: int, value: object) -> HttpResponse:
+    """Make an answer of a value as JSON."""
+    return HttpResponse(status, [JSON_HEADER], json.dumps(value).encode())
+
+
 def status_line(status: int) -> bytes:
     """Return the first line of a response."""
     line = _STATUS_LINES.get(status)
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -22,11 +22,10 @@
     ErrorCode,
 )
 from gooseberrydock.errors import GooseberrydockError, Step
-from gooseberrydock.http_messages import Headers, HttpRequest, HttpResponse
+from gooseberrydock.http_messages import BODILESS_STATUSES, Headers, HttpRequest, HttpResponse
 
 _CONTENT_LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
-_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 @attrs.define(eq=False)
@@ -198,7 +197,7 @@
     def on_headers_complete(self) -> None:
         """Note whether the message says where it ends."""
         _MessageReader.on_headers_complete(self)
-        self._is_framed = self._status in _BODILESS_STATUSES or any(
+        self._is_framed = self._status in BODILESS_STATUSES or any(
             name in (_CONTENT_LENGTH, _TRANSFER_ENCODING) for name, _ in self._headers
         )
 
--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.events import (
     CALL_FAILED,
@@ -25,6 +25,7 @@
 from gooseberrydock.mesh.latency import LatencyHistogram
 from gooseberrydock.mesh.refusals import RecentRefusals, RefusalRecord
 from gooseberrydock.messages import RoutedCall
+from gooseberrydock.token_bucket import TokenBucket
 
 _LINES_PER_SECOND: Final = 8.0
 """Lines a second of each event: enough to trace a failure, cheap against serving it."""
@@ -39,27 +40,22 @@
     """Bound the lines of one event."""
 
     per_second: float
-    tokens: float
-    refilled_at: Millis = 0.0
+    bucket: TokenBucket
     suppressed: int = 0
 
     def take(self, now_ms: Millis) -> bool:
         """Say whether a line may be written, and count it if not."""
-        earned = (now_ms - self.refilled_at) / MS_PER_SECOND * self.per_second
-        self.tokens = min(self.per_second * _BURST_SECONDS, self.tokens + earned)
-        self.refilled_at = now_ms
-        if self.tokens < 1.0:
-            self.suppressed += 1
-            return False
-        self.tokens -= 1.0
-        return True
+        if self.bucket.take(now_ms, self.per_second, self.per_second * _BURST_SECONDS):
+            return True
+        self.suppressed += 1
+        return False
 
 
 def _create_budgets() -> dict[int, LineBudget]:
     events = (CALL_FAILED, CALL_REFUSED, REQUEST_REFUSED, REQUEST_RETRIED)
-    budgets = {event.number: LineBudget(_LINES_PER_SECOND, _LINES_PER_SECOND) for event in events}
-    budgets[REQUEST_ANSWERED.number] = LineBudget(_ANSWERED_PER_SECOND, _ANSWERED_PER_SECOND)
-    return budgets
+    rates = {event.number: _LINES_PER_SECOND for event in events}
+    rates[REQUEST_ANSWERED.number] = _ANSWERED_PER_SECOND
+    return {number: LineBudget(rate, TokenBucket(rate)) for number, rate in rates.items()}
 
 
 @attrs.define
--- a/gooseberrydock/mesh/front.py
+++ b/gooseberrydock/mesh/front.py
@@ -14,6 +14,7 @@
 from gooseberrydock.errorcodes import SLOW_REQUEST
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import (
+    BODILESS_STATUSES,
     CONNECTION_HEADERS,
     HttpRequest,
     HttpResponse,
@@ -25,7 +26,6 @@
 from gooseberrydock.mesh.model import ClientLimits
 from gooseberrydock.stream import Stream
 
-_BODILESS_STATUSES: Final = frozenset((204, 304))
 _CLOSE_HEADER: Final = b"connection: close\r\n"
 
 
@@ -129,7 +129,7 @@
         for name, value in response.headers:
             if name not in CONNECTION_HEADERS:
                 parts += (name, b": ", value, b"\r\n")
-        if response.status not in _BODILESS_STATUSES:
+        if response.status not in BODILESS_STATUSES:
             parts.append(b"content-length: %d\r\n" % len(response.body))
         if is_last:
             parts.append(_CLOSE_HEADER)
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -3,6 +3,7 @@
 import attrs
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.http_messages import DEADLINE_HEADER
 from gooseberrydock.members import Address
 
 
@@ -15,7 +16,7 @@
     """
 
     request_id: bytes = b"gooseberrydock-request-id"
-    deadline_ms: bytes = b"gooseberrydock-deadline-ms"
+    deadline_ms: bytes = DEADLINE_HEADER
     expected_instance: bytes = b"gooseberrydock-expected-instance"
     not_executed: bytes = b"gooseberrydock-not-executed"
     caller_service: bytes = b"gooseberrydock-caller-service"
--- a/gooseberrydock/mesh/state_page.py
+++ b/gooseberrydock/mesh/state_page.py
@@ -4,14 +4,18 @@
 for it, apart from the ring of refusals.
 """
 
-import json
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import NOT_FOUND
 from gooseberrydock.errors import Step
-from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
+from gooseberrydock.http_messages import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    problem_response,
+)
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import Member
 from gooseberrydock.mesh.decision_log import refusal_fields
@@ -43,10 +47,10 @@
         content, content_type = render_metrics(node)
         return HttpResponse(200, [(b"content-type", content_type.encode("ascii"))], content)
     if parts.path == STATE_PATH:
-        return _json_response(describe_node(node, now_ms))
+        return json_response(200, describe_node(node, now_ms))
     if parts.path == REFUSALS_PATH:
         wanted = parse_qs(parts.query).get("request", [""])[0]
-        return _json_response({"refusals": describe_refusals(node, now_ms, wanted)})
+        return json_response(200, {"refusals": describe_refusals(node, now_ms, wanted)})
     return problem_response(NOT_FOUND, NOT_FOUND.outcome, Step.ADMIN.value, "", parts.path)
 
 
@@ -143,8 +147,3 @@
     budget = node.parts.budget
     tokens = {service: round(balance, 2) for service, balance in budget.tokens.items()}
     return {"spent": budget.spent, "denied": budget.denied, "tokens": tokens}
-
-
-def _json_response(fields: dict[str, Any]) -> HttpResponse:
-    headers = [(b"content-type", b"application/json")]
-    return HttpResponse(200, headers, json.dumps(fields).encode())
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -6,17 +6,16 @@
 
 from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, NOT_FOUND
 from gooseberrydock.errors import GooseberrydockError, Step
-from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, json_response
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import parse_address
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
-from gooseberrydock.platform.malformed import MALFORMED_INPUT
+from gooseberrydock.platform.malformed import MALFORMED_INPUT, explain, read_name
 from gooseberrydock.stream import Stream
 
 _READY_PATH: Final = "/-/readyz"
 _INSTANCES: Final = "/-/instances/"
-_JSON: Final = [(b"content-type", b"application/json")]
 _STATES: Final = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 _MAX_SLOTS: Final = 1_000_000
 _MAX_COLD_MS: Final = 600_000.0
@@ -30,9 +29,9 @@
         if isinstance(cold_left_ms, bool) or not 0 <= float(cold_left_ms) <= _MAX_COLD_MS:
             raise ValueError("coldLeftMs is not a duration")
         return InstanceAnnouncement(
-            instance_id=_name(instance_id),
-            service=_name(fields["service"]),
-            address=parse_address(_name(fields["address"])),
+            instance_id=read_name(instance_id),
+            service=read_name(fields["service"]),
+            address=parse_address(read_name(fields["address"])),
             # "born" is the start of the process, not of the host.
             started_wall_ms=_whole(fields.get("born", 0)),
             sequence=_whole(fields["sequence"]),
@@ -41,8 +40,9 @@
             cold_left_ms=float(cold_left_ms),
         )
     except MALFORMED_INPUT as error:
-        detail = f"{type(error).__name__}: {error}"
-        raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
+        raise GooseberrydockError(
+            INVALID_ANNOUNCEMENT, Step.TARGET, detail=explain(error)
+        ) from error
 
 
 async def serve_control(node: MeshNode, stream: Stream) -> None:
@@ -97,13 +97,7 @@
 
 
 def _plain(status: int) -> HttpResponse:
-    return HttpResponse(status, list(_JSON), b"{}")
-
-
-def _name(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError("a name is missing")
-    return value
+    return json_response(status, {})
 
 
 def _whole(value: Any) -> int:
--- a/gooseberrydock/platform/configuration.py
+++ b/gooseberrydock/platform/configuration.py
@@ -13,7 +13,7 @@
     ServiceShare,
     create_route_table,
 )
-from gooseberrydock.platform.malformed import MALFORMED_INPUT
+from gooseberrydock.platform.malformed import MALFORMED_INPUT, explain
 
 TABLE_KEY: Final = "op/config"
 _KINDS: Final = {
@@ -35,10 +35,9 @@
             limits=_limits(fields["limits"]),
         )
     except MALFORMED_INPUT as error:
-        detail = f"{type(error).__name__}: {error}"
-        raise GooseberrydockError(CONFIGURATION_INVALID, Step.CONFIGURATION, detail=detail) from (
-            error
-        )
+        raise GooseberrydockError(
+            CONFIGURATION_INVALID, Step.CONFIGURATION, detail=explain(error)
+        ) from error
 
 
 def _route(name: str, fields: dict[str, Any], services: dict[str, Any]) -> Route:
--- a/gooseberrydock/platform/malformed.py
+++ b/gooseberrydock/platform/malformed.py
@@ -1,4 +1,4 @@
-"""What reading the platform's formats may raise, whatever the bytes hold."""
+"""What the readers of the platform's formats share: names, and what malformed bytes raise."""
 
 from typing import Final
 
@@ -12,3 +12,15 @@
     RecursionError,
 )
 """Exceptions of a reader that mean that its input is malformed."""
+
+
+def explain(error: Exception) -> str:
+    """Return what a reader found wrong, for the detail of a coded error."""
+    return f"{type(error).__name__}: {error}"
+
+
+def read_name(value: object) -> str:
+    """Return a text that is not empty, or raise one of ``MALFORMED_INPUT``."""
+    if not isinstance(value, str) or not value:
+        raise ValueError("a name is missing")
+    return value
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -22,10 +22,10 @@
 )
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_client import ClientPool, fetch
-from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_messages import JSON_HEADER, HttpRequest, HttpResponse
 from gooseberrydock.members import Address
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
-from gooseberrydock.platform.malformed import MALFORMED_INPUT
+from gooseberrydock.platform.malformed import MALFORMED_INPUT, explain
 
 _Decoded = TypeVar("_Decoded")
 
@@ -123,8 +123,7 @@
 
     async def _post(self, path: str, fields: object) -> Any:
         body = b"" if fields is None else json.dumps(fields).encode()
-        headers = [(b"content-type", b"application/json")]
-        return await self._call(HttpRequest("POST", path, headers, body))
+        return await self._call(HttpRequest("POST", path, [JSON_HEADER], body))
 
     async def _call(self, request: HttpRequest, wait_ms: Millis = 0.0) -> Any:
         """Make a call and return the fields of its answer."""
@@ -145,7 +144,7 @@
         try:
             return decode()
         except MALFORMED_INPUT as error:
-            raise self._error(STORE_PROTOCOL, f"{type(error).__name__}: {error}") from error
+            raise self._error(STORE_PROTOCOL, explain(error)) from error
 
     def _error(self, code: ErrorCode, detail: str) -> GooseberrydockError:
         return GooseberrydockError(code, Step.STORE, str(self._address), detail)
--- a/gooseberrydock/standin_store.py
+++ b/gooseberrydock/standin_store.py
@@ -20,7 +20,7 @@
 
 from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.events import STANDIN_STARTED
-from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, json_response
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address
@@ -80,10 +80,10 @@
     async def _answer(self, connection: HttpConnection, request: HttpRequest) -> None:
         if request.path == FAULT_PATH:
             self._set_faults(request.body)
-            connection.respond(_json(200, attrs.asdict(self.faults)))
+            connection.respond(json_response(200, attrs.asdict(self.faults)))
             return
         if request.path == COUNTERS_PATH:
-            connection.respond(_json(200, dict(self._counters)))
+            connection.respond(json_response(200, dict(self._counters)))
             return
         if self.faults.is_down:
             return
@@ -114,7 +114,7 @@
                 return self._write(key, query, request.body)
         if url.path.startswith(_SESSION_PREFIX) and request.method == "PUT":
             return self._session(url.path[len(_SESSION_PREFIX) :], request.body)
-        return _json(404, None)
+        return json_response(404, None)
 
     async def _read(self, key: str, query: dict[str, str]) -> HttpResponse:
         index = int(query.get("index", "0"))
@@ -142,20 +142,20 @@
         self._counters["writes"] += 1
         entry = self._entries.get(key)
         if "cas" in query and int(query["cas"]) != self._index_of(key):
-            return _json(200, False)
+            return json_response(200, False)
         session = entry.session if entry is not None else ""
         if "acquire" in query:
             if session not in ("", query["acquire"]) or query["acquire"] not in self._sessions:
-                return _json(200, False)
+                return json_response(200, False)
             session = query["acquire"]
         if "release" in query:
             if session != query["release"]:
-                return _json(200, False)
+                return json_response(200, False)
             session = ""
         self._index = next(self._indexes)
         self._entries[key] = _Entry(value, self._index, session)
         self._wake_watchers()
-        return _json(200, True)
+        return json_response(200, True)
 
     def _wake_watchers(self) -> None:
         self._changed.set()
@@ -168,16 +168,16 @@
             ttl_s = _seconds(json.loads(body or b"{}").get("TTL", ""), _DEFAULT_TTL_S)
             session = str(uuid.uuid4())
             self._sessions[session] = (ttl_s, trio.current_time() + ttl_s)
-            return _json(200, {"ID": session})
+            return json_response(200, {"ID": session})
         if verb == "renew" and session in self._sessions:
             ttl_s = self._sessions[session][0]
             self._sessions[session] = (ttl_s, trio.current_time() + ttl_s)
-            return _json(200, [{"ID": session}])
+            return json_response(200, [{"ID": session}])
         if verb == "destroy":
             self._sessions.pop(session, None)
             self._expire_sessions()
-            return _json(200, True)
-        return _json(404, None)
+            return json_response(200, True)
+        return json_response(404, None)
 
     def _expire_sessions(self) -> None:
         now = trio.current_time()
@@ -196,11 +196,6 @@
     return value if math.isfinite(value) and value > 0 else default
 
 
-def _json(status: int, value: object) -> HttpResponse:
-    body = json.dumps(value).encode()
-    return HttpResponse(status, [(b"content-type", b"application/json")], body)
-
-
 async def run_store(address: Address) -> None:
     """Run the stand-in until cancelled."""
     async with trio.open_nursery() as nursery:
--- a/gooseberrydock/standin_target.py
+++ b/gooseberrydock/standin_target.py
@@ -28,6 +28,7 @@
     HttpRequest,
     HttpResponse,
     header_value,
+    json_response,
 )
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.logs import log
@@ -163,14 +164,14 @@
     def _control_answer(self, request: HttpRequest) -> HttpResponse | None:
         if request.path == FAULT_PATH:
             self._set_faults(request.body)
-            return _json(200, attrs.asdict(self.faults))
+            return json_response(200, attrs.asdict(self.faults))
         if request.path == LEDGER_PATH:
-            return _json(200, self._ledger_fields())
+            return json_response(200, self._ledger_fields())
         if request.path == HEALTH_PATH:
             is_well = self.faults.health_lies or not self.faults.is_silent
-            return _json(200 if is_well else 503, {"healthy": is_well})
+            return json_response(200 if is_well else 503, {"healthy": is_well})
         if request.path == LOAD_PATH:
-            return _json(200, {"in_flight": self._reported_load})
+            return json_response(200, {"in_flight": self._reported_load})
         return None
 
     def _ledger_fields(self) -> dict[str, object]:
@@ -313,11 +314,6 @@
     return HttpResponse(answer.status, kept, answer.body)
 
 
-def _json(status: int, value: object) -> HttpResponse:
-    body = json.dumps(value).encode()
-    return HttpResponse(status, [(b"content-type", b"application/json")], body)
-
-
 async def run_target(options: TargetOptions) -> None:
     """Run the stand-in until it is told to stop."""
     async with trio.open_nursery() as nursery:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -12,7 +12,7 @@
 import trio
 
 from bench.fleet import free_ports
-from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_client import fetch_once
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address, decode_member
 from gooseberrydock.platform.store import NODES_PREFIX
@@ -166,16 +166,14 @@
         deadline_ms: int = 4_000,
     ) -> HttpResponse | None:
         """Send a request to a node as a caller beside it does."""
-        pool = ClientPool(node.entry, self.nursery)
         headers = [
             (b"request-id", request_id.encode()),
             (b"deadline-ms", str(deadline_ms).encode()),
             (b"caller-service", b"forged"),
         ]
         # The client library writes the address as the host, which routes here name.
-        response = await fetch(pool, HttpRequest("GET", path, headers, b""), timeout_s)
-        pool.close()
-        return response
+        request = HttpRequest("GET", path, headers, b"")
+        return await fetch_once(node.entry, self.nursery, request, timeout_s)
 
     async def status(self, node: FleetNode, path: str, request_id: str = "r1") -> int:
         """Send a request and return the status, 0 for none."""
@@ -184,16 +182,14 @@
 
     async def is_ready(self, node: FleetNode) -> bool:
         """Ask a node as the platform does."""
-        pool = ClientPool(node.ready, self.nursery)
-        response = await fetch(pool, HttpRequest("GET", "/-/readyz", [], b""), 1.0)
-        pool.close()
+        request = HttpRequest("GET", "/-/readyz", [], b"")
+        response = await fetch_once(node.ready, self.nursery, request, 1.0)
         return response is not None and response.status == 200
 
     async def metrics(self, node: FleetNode) -> str:
         """Return a node's metrics page."""
-        pool = ClientPool(node.metrics, self.nursery)
-        response = await fetch(pool, HttpRequest("GET", "/metrics", [], b""), 1.0)
-        pool.close()
+        request = HttpRequest("GET", "/metrics", [], b"")
+        response = await fetch_once(node.metrics, self.nursery, request, 1.0)
         return response.body.decode() if response is not None else ""
 
     async def until_known(self) -> None:
