Move the exchange out of the entry; drop checks that cannot fail

Without a change of behaviour. A call is in the table of calls only under its exchange's call id, so that the three comparisons of the two could not differ. A call under way counts as an attempt by itself, instead of being counted and uncounted around the question; a request that waited for a host ends as any other does that no host is left for.

--- a/gooseberrydock/emulated_product_node.py
+++ b/gooseberrydock/emulated_product_node.py
@@ -14,7 +14,8 @@
 from gooseberrydock.mesh.call_graph import CallGraph, create_call_graph
 from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.door import Door, Ticket, create_door
-from gooseberrydock.mesh.entry import Caller, Entry, Exchange
+from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.model import RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames, RetryBudgetOptions
--- a/gooseberrydock/mesh/decision_log.py
+++ b/gooseberrydock/mesh/decision_log.py
@@ -21,7 +21,7 @@
 )
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.door import Ticket
-from gooseberrydock.mesh.entry import Exchange
+from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.latency import LatencyHistogram
 from gooseberrydock.mesh.refusals import RecentRefusals, RefusalRecord
 from gooseberrydock.messages import RoutedCall
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 from collections.abc import Iterator
-from typing import Final, Protocol
+from typing import Final
 
 import attrs
 
@@ -40,7 +40,8 @@
 )
 from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
-from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Intake, Route, RouteTable
+from gooseberrydock.mesh.exchange import Caller, EntryEffects, Exchange
+from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, Intake, RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.placement import Placement
@@ -74,60 +75,6 @@
 )
 """Refusals that say that a node has no target for its calls now."""
 
-Caller = object
-"""Whoever waits for an answer; only the shell looks into it."""
-
-
-class EntryEffects(Protocol):
-    """Carry out what the entry decides."""
-
-    def answer(self, caller: Caller, exchange: "Exchange", response: HttpResponse) -> None:
-        """Pass on a target's answer."""
-
-    def refuse(
-        self, caller: Caller, exchange: "Exchange", code: ErrorCode, retry_after_ms: Millis
-    ) -> None:
-        """Answer in the node's own name."""
-
-    def on_retry(self, exchange: "Exchange", code: ErrorCode) -> None:
-        """Take in that a request goes to another host, and why."""
-
-    def send_call(self, node_id: str, call: RoutedCall) -> None:
-        """Send a call to a target's node."""
-
-    def send_cancel(self, node_id: str, cancel: Cancel) -> None:
-        """Withdraw a call."""
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """Track one request from its arrival until it is answered.
-
-    ``inputs`` is what a refusal by the entry was decided on, for the log. ``may_have_run`` says
-    that some attempt may have reached a target and that nobody told otherwise. ``offers`` counts
-    the targets that the request was sent to.
-    """
-
-    exchange_id: int
-    caller: Caller
-    request: HttpRequest
-    request_id: str
-    route: Route
-    service: str
-    received_at: Millis
-    deadline_at: Millis
-    is_nested: bool
-    headers: Headers
-    call_id: int = 0
-    node_id: str = ""
-    tried: set[str] = attrs.field(factory=set)
-    offers: int = 0
-    refusals: int = 0
-    may_have_run: bool = False
-    is_done: bool = False
-    last_code: ErrorCode = NO_TARGET
-    inputs: dict[str, float] = attrs.field(factory=dict)
-
 
 @attrs.define(eq=False)
 class Entry:
@@ -228,7 +175,7 @@
     def on_answer(self, now_ms: Millis, answer: RoutedAnswer) -> None:
         """Take in the answer of a target's node."""
         exchange = self._calls.pop(answer.call_id, None)
-        if exchange is None or exchange.call_id != answer.call_id:
+        if exchange is None:
             return
         node_id, route = exchange.node_id, exchange.route
         has_failed = answer.result is RunResult.UNKNOWN or (
@@ -239,11 +186,10 @@
         else:
             self._placement.on_answer(node_id, route.name, answer.report, has_failed)
         self._learn_report(now_ms, exchange, answer.report)
+        exchange.call_id = 0
         if answer.was_offered:
             is_success = answer.result is RunResult.ANSWERED and not has_failed
             self._shares.on_ending(route.name, is_success)
-        exchange.call_id = 0
-        if answer.was_offered:
             exchange.offers += 1
         if answer.result is RunResult.ANSWERED:
             self._on_target_answer(now_ms, exchange, answer)
@@ -389,23 +335,21 @@
     def _repeat_overdue(self, now_ms: Millis) -> None:
         """Send calls whose answers seem lost to other hosts, unless they may just be waiting."""
         while self._patience and self._patience[0][0] <= now_ms:
-            call_id = heapq.heappop(self._patience)[1]
-            exchange = self._calls.get(call_id)
-            if exchange is None or exchange.call_id != call_id:
+            exchange = self._calls.get(heapq.heappop(self._patience)[1])
+            if exchange is None or self._may_be_waiting(now_ms, exchange):
                 continue
-            node_id = exchange.node_id
-            is_short = self._shares.share_of(now_ms, exchange.route.name) < 1.0
-            if is_short or not self._placement.has_room(node_id):
-                continue
-            exchange.offers += 1
-            if not self._may_repeat(now_ms, exchange):
-                exchange.offers -= 1
-                continue
-            exchange.may_have_run = True
-            exchange.last_code = TARGET_TIMEOUT
-            self._withdraw(exchange)
-            self._placement.on_overdue(node_id)
-            self._send(now_ms, exchange)
+            if self._may_repeat(now_ms, exchange):
+                exchange.offers += 1
+                exchange.may_have_run = True
+                exchange.last_code = TARGET_TIMEOUT
+                self._withdraw(exchange)
+                self._placement.on_overdue(exchange.node_id)
+                self._send(now_ms, exchange)
+
+    def _may_be_waiting(self, now_ms: Millis, exchange: Exchange) -> bool:
+        """Say whether the call of a request may just be waiting for room at its target."""
+        is_short = self._shares.share_of(now_ms, exchange.route.name) < 1.0
+        return is_short or not self._placement.has_room(exchange.node_id)
 
     def _on_not_run(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         code = error_code(answer.code)
@@ -462,7 +406,9 @@
             self._inner_routes.discard(route)
 
     def _has_attempt(self, now_ms: Millis, exchange: Exchange) -> bool:
-        return exchange.offers < exchange.route.max_attempts and self._has_time(now_ms, exchange)
+        """Say whether a request may be sent to one more target, beside the call under way."""
+        offers = exchange.offers + bool(exchange.call_id)
+        return offers < exchange.route.max_attempts and self._has_time(now_ms, exchange)
 
     def _has_time(self, now_ms: Millis, exchange: Exchange) -> bool:
         return exchange.deadline_at - now_ms >= _LEAST_RETRY_MS
@@ -485,7 +431,7 @@
         )
 
     def _take_up_parked(self, now_ms: Millis) -> None:
-        """Send the waiting requests that have a host now, and refuse those that waited enough."""
+        """Send the waiting requests that have a host now; the others go on waiting, or end."""
         parked, self._parked = self._parked, []
         for exchange in parked:
             if exchange.is_done:
@@ -495,10 +441,8 @@
                 exchange.tried.clear()
                 exchange.refusals = 0
                 self._send(now_ms, exchange)
-            elif now_ms < _parked_until(exchange) and self._intake is Intake.ALL:
-                self._parked.append(exchange)
             else:
-                self._refuse(now_ms, exchange, exchange.last_code)
+                self._give_up(now_ms, exchange)
 
     def _refuse(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
         """Answer in the node's own name; promise "not run" only where that is certain."""
@@ -525,7 +469,7 @@
 
     def _drop_call(self, call_id: int) -> Exchange | None:
         exchange = self._calls.pop(call_id, None)
-        if exchange is None or exchange.call_id != call_id:
+        if exchange is None:
             return None
         self._placement.on_dropped(exchange.node_id)
         exchange.call_id = 0
--- a/gooseberrydock/mesh/front.py
+++ b/gooseberrydock/mesh/front.py
@@ -22,7 +22,7 @@
     status_line,
 )
 from gooseberrydock.http_parsing import RequestReader
-from gooseberrydock.mesh.entry import Exchange
+from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.model import ClientLimits
 from gooseberrydock.stream import Stream
 
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -18,7 +18,8 @@
 from gooseberrydock.members import Member, MemberState
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.door import Door
-from gooseberrydock.mesh.entry import Caller, Entry, Exchange
+from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.front import FrontConnection, create_front_connection
 from gooseberrydock.mesh.model import Intake, RouteTable
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -8,7 +8,8 @@
 from gooseberrydock.mesh.crash_watch import CrashWatch, create_crash_watch
 from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.door import Door, create_door
-from gooseberrydock.mesh.entry import Entry, EntryEffects
+from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.mesh.exchange import EntryEffects
 from gooseberrydock.mesh.model import RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.options import MeshOptions
--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -7,7 +7,8 @@
 from gooseberrydock.members import Address, Member, MemberState
 from gooseberrydock.mesh.call_graph import create_call_graph
 from gooseberrydock.mesh.directory import Directory, create_directory
-from gooseberrydock.mesh.entry import Caller, Entry, Exchange
+from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.model import (
     RequestKind,
     Route,
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -11,7 +11,8 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import NOT_DISPATCHED, ErrorCode
-from gooseberrydock.mesh.entry import Entry, Exchange
+from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.model import Route
 from gooseberrydock.mesh.target_registration import TargetRegistration
