Join the controllers in one place for node and emulator

Without a change of behaviour. The emulator built and joined a node's controllers by itself, passed on paths and built share notices as the node does, and had copies of its timers' pace; it now uses NodeParts, which does these. The load that is logged and the load that operators see are described once; a watch's pauses are one Backoff instead of two and a flag; two counters that nobody read are gone.

--- a/gooseberrydock/emulated_product_node.py
+++ b/gooseberrydock/emulated_product_node.py
@@ -10,27 +10,19 @@
 from gooseberrydock.emulated_world import Asker, World
 from gooseberrydock.errorcodes import NOT_DISPATCHED, ErrorCode
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
-from gooseberrydock.members import Member
-from gooseberrydock.mesh.call_graph import CallGraph, create_call_graph
-from gooseberrydock.mesh.directory import Directory, create_directory
-from gooseberrydock.mesh.door import Door, Ticket, create_door
-from gooseberrydock.mesh.entry import Entry
+from gooseberrydock.members import Address, Member
+from gooseberrydock.mesh.door import Ticket
 from gooseberrydock.mesh.exchange import Caller, Exchange
-from gooseberrydock.mesh.model import RouteTable
-from gooseberrydock.mesh.nesting import NestedRoutes
-from gooseberrydock.mesh.options import HeaderNames, RetryBudgetOptions
-from gooseberrydock.mesh.paths import paths_below
-from gooseberrydock.mesh.placement import create_placement
-from gooseberrydock.mesh.retry_budget import create_retry_budget
-from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
-from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
+from gooseberrydock.mesh.model import EMPTY_TABLE, RouteTable
+from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
+from gooseberrydock.mesh.parts import NodeParts, StoreKeys, create_parts
+from gooseberrydock.mesh.run import SHARES_EVERY
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, ShareNotice
 
 EMULATED_HOST: Final = b"emulated.example"
 """Host of all emulated routes."""
 _NAMES: Final = HeaderNames()
-_SHARES_EVERY: Final = 4
-"""Every how many ticks shares are passed on, as in ``mesh.run``."""
+_NO_ADDRESS: Final = Address("0.0.0.0", 0)
 
 
 class ProductWorld(World, Protocol):
@@ -46,52 +38,29 @@
 
     _world: ProductWorld
     node_id: str
-    _domain: str
+    _parts: NodeParts
     target: EmulatedTarget = attrs.field(init=False)
-    _directory: Directory = attrs.field(init=False)
-    _door: Door = attrs.field(init=False)
-    _nested: NestedRoutes = attrs.field(factory=NestedRoutes)
-    _graph: CallGraph = attrs.field(factory=create_call_graph)
-    _shares: AdmittedShares = attrs.field(init=False)
-    _entry: Entry = attrs.field(init=False)
-    _notices: ShareNotices = attrs.field(init=False)
     _tickets: dict[tuple[str, int], Ticket] = attrs.field(factory=dict)
     _ticks: int = 0
 
     def open(self, service: str, slots: int, members: list[Member], table: RouteTable) -> None:
-        """Make the controllers."""
-        seed = self._world.random.getrandbits(32)
-        self._directory = create_directory(self.node_id)
+        """Tell the controllers what a node learns from store, target and links."""
+        parts = self._parts
         for member in members:
             if member.node_id == self.node_id:
-                self._directory.set_own(member)
+                parts.directory.set_own(member)
             else:
-                self._directory.on_stored(member)
-        self._door = create_door(self._nested)
-        self._door.set_target(service, slots)
-        self._nested.set_service_count(len(table.services))
-        self._shares = create_admitted_shares(seed)
-        self._notices = create_share_notices(seed)
-        budget = create_retry_budget(RetryBudgetOptions())
-        budget.set_node_count(len(members))
-        self._entry = Entry(
-            effects=self,
-            directory=self._directory,
-            placement=create_placement(self._domain, seed),
-            budget=budget,
-            shares=self._shares,
-            nested=self._nested,
-            graph=self._graph,
-            names=_NAMES,
-            own_service=service,
-        )
-        self._entry.set_table(table)
+                parts.directory.on_stored(member)
+        parts.door.set_target(service, slots)
+        parts.nested.set_service_count(len(table.services))
+        parts.budget.set_node_count(len(members))
+        parts.entry.set_table(table)
 
     def ask(self, asker: Asker, route: str, limit_ms: Millis) -> None:
         """Take a request that begins on this host."""
         headers = [(b"host", EMULATED_HOST), (_NAMES.deadline_ms, b"%d" % max(1, int(limit_ms)))]
         request = HttpRequest("GET", f"/{route}/", headers, b"")
-        self._entry.on_request(self._world.timeline.now_ms, asker, request)
+        self._parts.entry.on_request(self._world.timeline.now_ms, asker, request)
 
     # What the entry decides.
 
@@ -130,14 +99,14 @@
     def on_call(self, origin: str, call: RoutedCall) -> None:
         """Admit a call."""
         now_ms = self._world.timeline.now_ms
-        self._notices.on_call(now_ms, call.route, origin)
-        ticket = self._door.create_ticket(now_ms, self._world.next_number(), origin, call)
-        code = self._door.submit(now_ms, ticket)
-        if code is None:
-            self._tickets[(origin, call.call_id)] = ticket
+        self._parts.notices.on_call(now_ms, call.route, origin)
+        ticket = self._parts.door.create_ticket(now_ms, self._world.next_number(), origin, call)
+        code = self._parts.door.submit(now_ms, ticket)
         if code is not None:
             self._reply(ticket, RunResult.NOT_RUN, code.status, code)
-        elif ticket.has_started:
+            return
+        self._tickets[(origin, call.call_id)] = ticket
+        if ticket.has_started:
             self._run(ticket)
 
     def on_cancel(self, origin: str, cancel: Cancel) -> None:
@@ -148,7 +117,7 @@
 
     def _run(self, ticket: Ticket) -> None:
         now_ms = self._world.timeline.now_ms
-        self._graph.on_start(now_ms, ticket.call.route)
+        self._parts.graph.on_start(now_ms, ticket.call.route)
         left_ms = ticket.expires_at - now_ms
         self.target.start(ticket.call.route, left_ms, lambda status: self._on_run(ticket, status))
 
@@ -160,9 +129,9 @@
     def _finish(self, ticket: Ticket, has_run: bool) -> None:
         now_ms = self._world.timeline.now_ms
         if ticket.has_started:
-            self._graph.on_end(now_ms, ticket.call.route)
-        self._door.finish(now_ms, ticket, has_run)
-        started, late = self._door.start_next(now_ms)
+            self._parts.graph.on_end(now_ms, ticket.call.route)
+        self._parts.door.finish(now_ms, ticket, has_run)
+        started, late = self._parts.door.start_next(now_ms)
         self._refuse_late(late)
         for item in started:
             self._run(item)
@@ -184,7 +153,7 @@
             [],
             b"",
             result is RunResult.ANSWERED,
-            self._door.report(call.route),
+            self._parts.door.report(call.route),
         )
         origin = self._world.product_node(ticket.link_id)
         delay_ms = self._world.delay_ms(self.node_id, ticket.link_id)
@@ -192,34 +161,55 @@
 
     def on_reply(self, answer: RoutedAnswer) -> None:
         """Take the answer to a call of this node."""
-        self._entry.on_answer(self._world.timeline.now_ms, answer)
+        self._parts.entry.on_answer(self._world.timeline.now_ms, answer)
 
     def tick(self) -> None:
         """Run timers as a node does."""
         now_ms = self._world.timeline.now_ms
-        self._entry.tick(now_ms)
-        self._refuse_late(self._door.drop_late(now_ms))
+        self._parts.entry.tick(now_ms)
+        self._refuse_late(self._parts.door.drop_late(now_ms))
         self._ticks += 1
-        if self._ticks % _SHARES_EVERY == 0:
-            paths = paths_below(
-                self._graph.needs,
-                share_of=lambda route: self._shares.share_of(now_ms, route),
-                is_nested=self._nested.is_nested,
-            )
-            for route, path in paths.items():
-                self._door.set_below(route, path.share, path.makes_calls)
+        if self._ticks % SHARES_EVERY == 0:
+            self._parts.pass_on_paths(now_ms)
             self._tell_shares(now_ms)
 
     def _tell_shares(self, now_ms: Millis) -> None:
-        door = self._door
-        for peer_id, routes in self._notices.take_due(now_ms, door.admitted_share).items():
-            peer = self._world.product_node(peer_id)
-            shares = {route: door.admitted_share(route) for route in routes}
-            tell = partial(peer.on_share_notice, self.node_id, ShareNotice(shares, door.limit))
+        for peer_id, notice in self._parts.take_due_notices(now_ms).items():
+            tell = partial(self._world.product_node(peer_id).on_share_notice, self.node_id, notice)
             self._world.timeline.after(self._world.delay_ms(self.node_id, peer_id), tell)
 
     def on_share_notice(self, node_id: str, notice: ShareNotice) -> None:
         """Take in what a target's node admits now."""
-        now_ms = self._world.timeline.now_ms
-        for route, share in notice.admitted_shares.items():
-            self._shares.on_report(now_ms, route, node_id, share, notice.limit)
+        self._parts.shares.on_notice(self._world.timeline.now_ms, node_id, notice)
+
+
+def create_product_node(world: ProductWorld, member: Member, seed: int) -> ProductNode:
+    """Make a node with the controllers of a real one."""
+    options = MeshOptions(
+        node_id=member.node_id,
+        failure_domain=member.failure_domain,
+        service=member.service,
+        target_address=_NO_ADDRESS,
+        entry_listen=_NO_ADDRESS,
+        peer_listen=_NO_ADDRESS,
+        peer_advertised=_NO_ADDRESS,
+        control_listen=_NO_ADDRESS,
+        ready_listen=_NO_ADDRESS,
+        metrics_listen=None,
+        store=_NO_ADDRESS,
+        headers=_NAMES,
+        retry_budget=RetryBudgetOptions(),
+        drain_ms=0.0,
+        stop_grace_ms=0.0,
+        lease_min_ms=0.0,
+        store_reads_per_s=1.0,
+    )
+    parts = create_parts(options, StoreKeys("", ""), _no_table, seed)
+    node = ProductNode(world, member.node_id, parts)
+    parts.join(options, node, seed)
+    return node
+
+
+def _no_table(payload: bytes) -> RouteTable:
+    """Read no table: the emulator has only one and hands it over itself."""
+    return EMPTY_TABLE
--- a/gooseberrydock/emulated_target.py
+++ b/gooseberrydock/emulated_target.py
@@ -80,7 +80,6 @@
     host: int
     slots: int
     running: int = 0
-    runs: int = 0
     _queue: deque[EmulatedRun] = attrs.field(factory=deque)
 
     @property
@@ -131,7 +130,6 @@
 
     def _begin(self, run: EmulatedRun) -> None:
         self.running += 1
-        self.runs += 1
         run.begin()
 
 
--- a/gooseberrydock/emulator.py
+++ b/gooseberrydock/emulator.py
@@ -18,7 +18,11 @@
 from gooseberrydock.emulated_day import EmulatedDay, EmulatedRoute
 from gooseberrydock.emulated_outcomes import ClassOutcome, Ended, Ending
 from gooseberrydock.emulated_plain_node import PlainNode
-from gooseberrydock.emulated_product_node import EMULATED_HOST, ProductNode
+from gooseberrydock.emulated_product_node import (
+    EMULATED_HOST,
+    ProductNode,
+    create_product_node,
+)
 from gooseberrydock.emulated_target import EmulatedTarget
 from gooseberrydock.emulated_world import HOP_REPEATS, NOT_RUN, OK, EmulatedNode, Timeline
 from gooseberrydock.members import Address, Member, MemberState
@@ -29,9 +33,8 @@
     ServiceShare,
     create_route_table,
 )
+from gooseberrydock.mesh.run import TICK_MS
 
-_TICK_MS: Final[Millis] = 25.0
-"""The pace of a node's timers (``mesh.run``)."""
 _MAX_RETURN_SHARE: Final = 1 / 3
 """Part of the time left that callers wait at most when told when to return."""
 _NO_ADDRESS: Final = Address("0.0.0.0", 0)
@@ -109,11 +112,6 @@
         }
         self._build()
 
-    @property
-    def targets(self) -> dict[str, list[EmulatedTarget]]:
-        """Return the targets of each service."""
-        return self._targets
-
     def next_number(self) -> int:
         """Return a number that was not given before."""
         return next(self._numbers)
@@ -169,7 +167,7 @@
     ) -> EmulatedNode:
         if self.mode is not Mode.PRODUCT:
             return PlainNode(self, self.mode is Mode.FIXED_LIMITS)
-        node = ProductNode(self, member.node_id, member.failure_domain)
+        node = create_product_node(self, member, self.random.getrandbits(32))
         node.open(member.service, member.slots, members, table)
         self._products[member.node_id] = node
         return node
@@ -191,7 +189,7 @@
     def _tick(self) -> None:
         for node in self._nodes:
             node.tick()
-        self.timeline.after(_TICK_MS, self._tick)
+        self.timeline.after(TICK_MS, self._tick)
 
 
 def _route_of(spec: EmulatedRoute) -> Route:
--- /dev/null
+++ b/gooseberrydock/mesh/load_view.py
@@ -0,0 +1,22 @@
+"""What a node tells of its target's load, to its log and to operators alike."""
+
+from gooseberrydock.mesh.door import Door
+
+
+def describe_load(door: Door) -> dict[str, float]:
+    """Return what runs, waits and is admitted at the local target."""
+    return {
+        "running": len(door.running),
+        "waiting": door.waiting,
+        "limit": door.limit,
+        "offered": round(door.pressure.offered, 2),
+        "admitted_share": round(door.pressure.share, 2),
+    }
+
+
+def describe_needs(needs: dict[str, dict[str, float]]) -> dict[str, dict[str, float]]:
+    """Return how far each route's runs need the routes that they call."""
+    return {
+        route: {called: round(need, 2) for called, need in below.items()}
+        for route, below in needs.items()
+    }
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -22,10 +22,10 @@
 from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.front import FrontConnection, create_front_connection
+from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import Intake, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.parts import NodeParts
-from gooseberrydock.mesh.paths import paths_below
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_side import TargetSide
 from gooseberrydock.messages import (
@@ -244,9 +244,7 @@
 
     def on_share_notice(self, node_id: str, notice: ShareNotice) -> None:
         """Take in how much of a route a target's node admits now."""
-        now_ms = self._clock.now_ms()
-        for route, share in notice.admitted_shares.items():
-            self._parts.shares.on_report(now_ms, route, node_id, share, notice.limit)
+        self._parts.shares.on_notice(self._clock.now_ms(), node_id, notice)
 
     def knows_service(self, service: str) -> bool:
         """Say whether a target of a service may be beside this node."""
@@ -300,14 +298,7 @@
 
     def pass_on_shares(self, now_ms: Millis) -> None:
         """Let the reports of each route cover the calls that its runs make."""
-        shares, nested = self._parts.shares, self._parts.nested
-        paths = paths_below(
-            self._parts.graph.needs,
-            share_of=lambda route: shares.share_of(now_ms, route),
-            is_nested=nested.is_nested,
-        )
-        for route, path in paths.items():
-            self._parts.door.set_below(route, path.share, path.makes_calls)
+        self._parts.pass_on_paths(now_ms)
         if self._fleet.record.is_usable:
             # A target that leaves has room, but not for the requests that callers' nodes admit.
             self._target.tell_shares(now_ms)
@@ -323,23 +314,15 @@
 
     def log_load(self, now_ms: Millis) -> None:
         """Log what this node believes of its target's load and of the services below."""
-        door = self._parts.door
         shares = {
             route: self._parts.shares.share_of(now_ms, route) for route in self._parts.shares.routes
         }
         log(
             LOAD_STATE,
             service=self._parts.registration.service,
-            running=len(door.running),
-            waiting=door.waiting,
-            limit=door.limit,
-            offered=round(door.pressure.offered, 2),
-            admitted_share=round(door.pressure.share, 2),
+            **describe_load(self._parts.door),
             routes={route: round(share, 2) for route, share in shares.items() if share < 1.0},
-            needs={
-                route: {called: round(need, 2) for called, need in needs.items()}
-                for route, needs in self._parts.graph.needs.items()
-            },
+            needs=describe_needs(self._parts.graph.needs),
             nodes=self._parts.directory.node_count,
             in_flight=self._parts.entry.in_flight,
         )
--- a/gooseberrydock/mesh/parts.py
+++ b/gooseberrydock/mesh/parts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gooseberrydock.clock import Millis
 from gooseberrydock.mesh.call_graph import CallGraph, create_call_graph
 from gooseberrydock.mesh.crash_watch import CrashWatch, create_crash_watch
 from gooseberrydock.mesh.directory import Directory, create_directory
@@ -13,6 +14,7 @@
 from gooseberrydock.mesh.model import RouteTable
 from gooseberrydock.mesh.nesting import NestedRoutes
 from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.paths import paths_below
 from gooseberrydock.mesh.placement import create_placement
 from gooseberrydock.mesh.retry_budget import RetryBudget, create_retry_budget
 from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
@@ -21,6 +23,7 @@
     TargetRegistration,
     create_target_registration,
 )
+from gooseberrydock.messages import ShareNotice
 
 TableDecoder = Callable[[bytes], RouteTable]
 """Read a route table, raising ``CONFIGURATION_INVALID`` where it is not a valid one."""
@@ -51,6 +54,24 @@
     notices: ShareNotices
     entry: Entry = attrs.field(init=False)
 
+    def pass_on_paths(self, now_ms: Millis) -> None:
+        """Let the reports of each route cover the calls that its runs make."""
+        paths = paths_below(
+            self.graph.needs,
+            share_of=lambda route: self.shares.share_of(now_ms, route),
+            is_nested=self.nested.is_nested,
+        )
+        for route, path in paths.items():
+            self.door.set_below(route, path.share, path.makes_calls)
+
+    def take_due_notices(self, now_ms: Millis) -> dict[str, ShareNotice]:
+        """Return, by link, the changed shares that are to be told on it now."""
+        share_of = self.door.admitted_share
+        return {
+            link_id: ShareNotice({route: share_of(route) for route in routes}, self.door.limit)
+            for link_id, routes in self.notices.take_due(now_ms, share_of).items()
+        }
+
     def join(self, options: MeshOptions, effects: EntryEffects, seed: int) -> None:
         """Make the entry, which needs all others and the shell."""
         self.entry = Entry(
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -23,11 +23,11 @@
 from gooseberrydock.mesh.store_sync import StoreSync
 from gooseberrydock.stream import Listener, Stream, StreamHandler, listen
 
-_TICK_MS: Final[Millis] = 25.0
+TICK_MS: Final[Millis] = 25.0
 """How late a deadline may be noticed."""
 _IDLE_TICK_MS: Final[Millis] = 100.0
 """The same while nothing is under way; the shortest time limits are some hundred milliseconds."""
-_SHARES_EVERY: Final = 4
+SHARES_EVERY: Final = 4
 """Every how many ticks the shares of services below are passed on in reports."""
 _FIRST_RECORD_MS: Final[Millis] = 2_500.0
 """How long a starting node waits for its target's announcement before it writes its record."""
@@ -182,12 +182,12 @@
     async def _tick(self, node: MeshNode) -> None:
         counts = itertools.count()
         while True:
-            wait_ms = _TICK_MS if node.in_flight else _IDLE_TICK_MS
+            wait_ms = TICK_MS if node.in_flight else _IDLE_TICK_MS
             await trio.sleep(wait_ms / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
             with containing_faults("timers of calls"):
                 node.tick(now_ms)
-                if next(counts) % _SHARES_EVERY == 0:
+                if next(counts) % SHARES_EVERY == 0:
                     node.tick_links(now_ms)
                     node.pass_on_shares(now_ms)
 
@@ -213,7 +213,7 @@
         calls_end_at = begun_at + self._options.stop_grace_ms * _STOP_CALLS_SHARE
         ends_at = begun_at + self._options.stop_grace_ms - _STOP_MARGIN_MS
         while node.in_flight and self._clock.now_ms() < ends_at:
-            await trio.sleep(_TICK_MS / MS_PER_SECOND)
+            await trio.sleep(TICK_MS / MS_PER_SECOND)
             node.close_idle_fronts()
             if self._clock.now_ms() >= calls_end_at:
                 node.end_calls()
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -13,6 +13,7 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.mesh.model import Route
+from gooseberrydock.messages import ShareNotice
 
 _REPORT_LIFETIME_MS: Final[Millis] = 1_000.0
 """How much older than the newest report of a route another one may be to count."""
@@ -68,6 +69,11 @@
             reports = self._reports[route] = {}
         reports[node_id] = ShareReport(share, limit, now_ms)
 
+    def on_notice(self, now_ms: Millis, node_id: str, notice: ShareNotice) -> None:
+        """Take in what a host told of routes whose share changed."""
+        for route, share in notice.admitted_shares.items():
+            self.on_report(now_ms, route, node_id, share, notice.limit)
+
     def on_ending(self, route: str, is_success: bool) -> None:
         """Take in how a request that reached a target ended."""
         known = self._success.get(route, 1.0)
--- a/gooseberrydock/mesh/state_page.py
+++ b/gooseberrydock/mesh/state_page.py
@@ -19,6 +19,7 @@
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import Member
 from gooseberrydock.mesh.decision_log import refusal_fields
+from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.metrics import render_metrics
 from gooseberrydock.mesh.model import Route
 from gooseberrydock.mesh.node import MeshNode
@@ -70,10 +71,7 @@
         },
         "routes": [_describe_route(node, now_ms, route) for route in node.table.routes.values()],
         "hosts": [_describe_host(node, now_ms, member) for member in _all_members(node)],
-        "paths": {
-            route: {called: round(need, 2) for called, need in needs.items()}
-            for route, needs in node.parts.graph.needs.items()
-        },
+        "paths": describe_needs(node.parts.graph.needs),
         "limits": _describe_limits(node),
         "budget": _describe_budget(node),
     }
@@ -132,13 +130,8 @@
 
 
 def _describe_limits(node: MeshNode) -> dict[str, Any]:
-    door = node.door
     return {
-        "running": len(door.running),
-        "waiting": door.waiting,
-        "limit": door.limit,
-        "offered": round(door.pressure.offered, 2),
-        "admitted_share": round(door.pressure.share, 2),
+        **describe_load(node.door),
         "convicted_fingerprints": [f"{item:016x}" for item in node.parts.crashes.convicted],
     }
 
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -42,7 +42,6 @@
 """Part of the time to a renewal from which one is made when there is other work anyway."""
 RETRY_BOUNDS: Final = BackoffBounds(least_ms=60.0, first_ms=60.0, longest_ms=900.0, growth=1.7)
 """Waits after failures: records are back within two seconds of a store's return."""
-
 WATCH_RETRY_BOUNDS: Final = BackoffBounds(
     least_ms=500.0, first_ms=1_000.0, longest_ms=5_000.0, growth=2.5
 )
@@ -101,23 +100,19 @@
     async def _follow(self, prefix: str, fast_ms: Millis, settled_ms: Millis) -> None:
         """Hand everything under a prefix to the sink; a pause gathers changes into one answer."""
         backoff = Backoff(self._random, RETRY_BOUNDS)
-        watch_backoff = Backoff(self._random, WATCH_RETRY_BOUNDS)
         revision = -1
-        has_read = False
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
-                backoff.reset()
-                watch_backoff.reset()
+                backoff = Backoff(self._random, WATCH_RETRY_BOUNDS)
                 pause_ms = self._pace.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
-                has_read = True
             except GooseberrydockError as error:
                 # Read anew: what changed before a watch was cut need not be told to the next one.
                 revision = -1
                 self._note_failure(error)
-                await self._wait_to_retry(watch_backoff if has_read else backoff)
+                await self._wait_to_retry(backoff)
 
     async def _wait_to_retry(self, backoff: Backoff) -> None:
         """Wait after a failure, at most until the store is back."""
@@ -141,10 +136,9 @@
         with trio.CancelScope() as scope:
             self._watches.add(scope)
             try:
-                changes = await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
+                return await self._timed(self._store.watch(prefix, revision, _WATCH_WAIT_MS))
             finally:
                 self._watches.discard(scope)
-            return changes
         return StoreChanges((), revision)
 
     async def _timed(self, call: Awaitable[StoreChanges]) -> StoreChanges:
--- a/gooseberrydock/mesh/target_side.py
+++ b/gooseberrydock/mesh/target_side.py
@@ -298,11 +298,8 @@
 
     def tell_shares(self, now_ms: Millis) -> None:
         """Tell callers' nodes at once which shares changed."""
-        door = self._parts.door
-        due = self._parts.notices.take_due(now_ms, door.admitted_share)
-        for link_id, routes in due.items():
-            shares = {route: door.admitted_share(route) for route in routes}
-            self._owner.tell_shares(link_id, ShareNotice(shares, door.limit))
+        for link_id, notice in self._parts.take_due_notices(now_ms).items():
+            self._owner.tell_shares(link_id, notice)
 
     def tick_slowly(self, now_ms: Millis) -> None:
         """Close connections that were idle for too long, and clear suspicions."""
