--- a/tests/mesh_helpers.py
+++ b/tests/mesh_helpers.py
@@ -3,7 +3,7 @@
 import attrs
 
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.http_messages import Headers, HttpRequest, HttpResponse
 from gooseberrydock.members import Address, Member, MemberState
 from gooseberrydock.mesh.call_graph import create_call_graph
 from gooseberrydock.mesh.directory import Directory, create_directory
@@ -82,6 +82,24 @@
     return HttpRequest("GET", path, headers, b"")
 
 
+def make_call(
+    target: str = "/", headers: Headers | None = None, remaining_ms: float = 1_000.0
+) -> RoutedCall:
+    """Make a call as it reaches a target's node."""
+    return RoutedCall(
+        call_id=1,
+        route="look",
+        service="shop",
+        caller_service="web",
+        method="GET",
+        target=target,
+        headers=headers or [],
+        body=b"",
+        remaining_ms=remaining_ms,
+        priority=2,
+    )
+
+
 def make_answer(
     call: RoutedCall,
     result: RunResult = RunResult.ANSWERED,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,7 +11,7 @@
 from gooseberrydock.logs import LineWriter
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.door import Ticket
-from gooseberrydock.messages import RoutedCall
+from tests.mesh_helpers import make_call
 
 
 def _read_all(descriptor: int) -> bytes:
@@ -62,7 +62,7 @@
     def test_volume_is_bounded_and_the_rest_counted(self) -> None:
         collector = self._collect()
         log = DecisionLog()
-        call = RoutedCall(1, "look", "shop", "web", "GET", "/", [], b"", 100.0, 2)
+        call = make_call(remaining_ms=100.0)
         ticket = Ticket(1, "link", call, 2, 0.0, 100.0, False)
         for step in range(10_000):
             log.on_call_failed(step * 1.0, ticket, TARGET_LOST, 0)
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -24,7 +24,7 @@
 from gooseberrydock.mesh.store_sync import RETRY_BOUNDS
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
 from gooseberrydock.messages import RoutedCall
-from tests.mesh_helpers import make_member
+from tests.mesh_helpers import make_call, make_member
 
 _TARGET = Address("10.0.0.1", 80)
 _OPTIONS = MeshOptions(
@@ -154,9 +154,7 @@
         node = _make_node()
         headers = [(_OPTIONS.headers.request_id, b"r-7")]
         with self.assertLogs("gooseberrydock", "INFO") as logs:
-            node.target.on_call(
-                "", RoutedCall(1, "look", "shop", "web", "GET", "/", headers, b"", 1_000.0, 2)
-            )
+            node.target.on_call("", make_call(headers=headers))
         lines = [vars(record) for record in logs.records]
         refused = next(line for line in lines if line["event"] == CALL_REFUSED.number)
         self.assertEqual(("r-7", "no-target"), (refused["request"], refused["cause"]))
@@ -182,7 +180,7 @@
         announced = InstanceAnnouncement("i-1", "shop", _TARGET, 1, 1, TargetState.READY, 10, 0.0)
         node.target.on_announcement(announced)
         self.assertEqual("shop", _own(node).service)
-        call = RoutedCall(1, "look", "shop", "web", "GET", "/", [], b"", 1_000.0, 2)
+        call = make_call()
         ticket = node.door.create_ticket(0.0, 1, "link", call)
         node.door.submit(0.0, ticket)
         Run(ticket, node.target, HeaderNames()).on_failure(TARGET_UNREACHABLE, was_sent=False)
@@ -192,10 +190,7 @@
 
     def test_request_that_crashes_targets_is_refused_after_the_second(self) -> None:
         watch, other = create_crash_watch(), create_crash_watch()
-        bad, good = (
-            RoutedCall(1, "look", "shop", "web", "GET", path, [], b"", 1_000.0, 2)
-            for path in ("/bad", "/good")
-        )
+        bad, good = make_call("/bad"), make_call("/good")
         watch.on_run_lost(0.0, bad)
         watch.on_run_lost(0.0, good)
         first = watch.on_target_dead(100.0)
@@ -213,7 +208,7 @@
 
     def test_lost_connections_of_a_living_target_blame_nobody(self) -> None:
         watch = create_crash_watch()
-        call = RoutedCall(1, "look", "shop", "web", "GET", "/a", [], b"", 1_000.0, 2)
+        call = make_call("/a")
         for step in range(4):
             watch.on_run_lost(step * 10_000.0, call)
             watch.tick(step * 10_000.0 + 5_000.0)
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -2,7 +2,7 @@
 
 import random
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from itertools import pairwise
 
 import attrs
@@ -31,18 +31,23 @@
 class _BusyStore:
     """Have a change at hand for every watch; one of them ends a record."""
 
-    ends_at_s: float
+    ends_at_s: float = 0.0
     watched_at_s: list[float] = attrs.field(factory=list)
     has_ended: bool = False
+    started_at_s: float = 0.0
+
+    @property
+    def now_s(self) -> float:
+        """Return the time since the play began."""
+        return trio.current_time() - self.started_at_s
 
     async def read_prefix(self, prefix: str) -> StoreChanges:
         return StoreChanges((), 1)
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
-        now_s = trio.current_time()
-        self.watched_at_s.append(now_s)
+        self.watched_at_s.append(self.now_s)
         value: bytes | None = b""
-        if now_s >= self.ends_at_s and not self.has_ended:
+        if self.now_s >= self.ends_at_s and not self.has_ended:
             self.has_ended = True
             value = None
         return StoreChanges((StoreItem(prefix + "n1", value, after + 1),), after + 1)
@@ -86,6 +91,27 @@
     )
 
 
+def _play(
+    store: _BusyStore, seconds: float, *tasks: Callable[[StoreSync], Awaitable[None]]
+) -> None:
+    """Run tasks of a node's part of the store on a virtual clock."""
+
+    async def main() -> None:
+        store.started_at_s = trio.current_time()
+        sync = _make_sync(store)
+        sync.set_record(make_member("n1"))
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                for task in tasks:
+                    nursery.start_soon(task, sync)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+async def _follow_table(sync: StoreSync) -> None:
+    await sync.follow_table("table")
+
+
 class ReadPaceCases(unittest.TestCase):
     """Answers what following costs the store: reads grow with nodes times changes."""
 
@@ -100,16 +126,7 @@
 
     def test_changes_gather_in_a_settled_fleet_and_not_after_a_record_ended(self) -> None:
         store = _BusyStore(ends_at_s=30.0)
-
-        async def follow() -> None:
-            start_s = trio.current_time()
-            store.ends_at_s += start_s
-            sync = _make_sync(store)
-            with trio.move_on_after(60.0):
-                await sync.follow_records()
-            store.watched_at_s = [at_s - start_s for at_s in store.watched_at_s]
-
-        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        _play(store, 60.0, StoreSync.follow_records)
         gaps = [(before, after - before) for before, after in pairwise(store.watched_at_s)]
         self.assertLess(max(gap for at, gap in gaps if at < 5.0), 1.0)
         self.assertGreater(min(gap for at, gap in gaps if 8.0 < at < 27.0), 2.5)
@@ -125,38 +142,25 @@
     away_until_s: float = 12.0
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
-        self.watched_at_s.append(trio.current_time())
+        self.watched_at_s.append(self.now_s)
         await trio.sleep(wait_ms / MS_PER_SECOND if self._is_away_soon() else 0.5)
         return StoreChanges((), after)
 
     async def renew_lease(self, lease_id: int) -> None:
-        if self.away_from_s <= trio.current_time() < self.away_until_s:
+        if self.away_from_s <= self.now_s < self.away_until_s:
             await trio.sleep(1.0)
             raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
 
     def _is_away_soon(self) -> bool:
-        return trio.current_time() < self.away_until_s
+        return self.now_s < self.away_until_s
 
 
 class SilentStoreCases(unittest.TestCase):
     """A store that goes silent for all and comes back."""
 
     def test_watch_that_waited_through_an_outage_is_made_anew(self) -> None:
-        store = _SilentStore(ends_at_s=0.0)
-
-        async def follow() -> None:
-            start_s = trio.current_time()
-            store.away_from_s += start_s
-            store.away_until_s += start_s
-            sync = _make_sync(store)
-            sync.set_record(make_member("n1"))
-            with trio.move_on_after(30.0):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(sync.keep_record)
-                    nursery.start_soon(sync.follow_table, "table")
-            store.watched_at_s = [at_s - start_s for at_s in store.watched_at_s]
-
-        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        store = _SilentStore()
+        _play(store, 30.0, StoreSync.keep_record, _follow_table)
         after_return = [at_s for at_s in store.watched_at_s if at_s > 12.0]
         self.assertLess(min(after_return), 12.0 + 3.0)
 
@@ -172,14 +176,14 @@
 
     async def read_prefix(self, prefix: str) -> StoreChanges:
         self._refuse_if_away()
-        self.watched_at_s.append(trio.current_time())
+        self.watched_at_s.append(self.now_s)
         return StoreChanges((), 1)
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
         if not self._is_away():
-            self.watched_at_s.append(trio.current_time())
+            self.watched_at_s.append(self.now_s)
             with trio.move_on_after(wait_ms / MS_PER_SECOND):
-                await trio.sleep_until(self.away_from_s)
+                await trio.sleep_until(self.started_at_s + self.away_from_s)
                 if not self._is_away():
                     await trio.sleep_forever()
         self._refuse_if_away()
@@ -196,29 +200,15 @@
             raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
 
     def _is_away(self) -> bool:
-        return self.away_from_s <= trio.current_time() < self.away_until_s
+        return self.away_from_s <= self.now_s < self.away_until_s
 
 
 class TurnedAwayCases(unittest.TestCase):
     """A store that turns this node away, each call of which has its price."""
 
     def test_one_task_tries_for_all_and_watches_are_back_at_once(self) -> None:
-        store = _BusyForSomeStore(ends_at_s=0.0)
-
-        async def follow() -> None:
-            start_s = trio.current_time()
-            store.away_from_s += start_s
-            store.away_until_s += start_s
-            sync = _make_sync(store)
-            sync.set_record(make_member("n1"))
-            with trio.move_on_after(30.0):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(sync.keep_record)
-                    nursery.start_soon(sync.follow_table, "table")
-                    nursery.start_soon(sync.follow_records)
-            store.watched_at_s = [at_s - start_s for at_s in store.watched_at_s]
-
-        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        store = _BusyForSomeStore()
+        _play(store, 30.0, StoreSync.keep_record, _follow_table, StoreSync.follow_records)
         self.assertLess(store.refused_watches, store.refused_renewals / 2)
         # Both prefixes are read anew first.
         after_return = [at_s for at_s in store.watched_at_s if at_s >= 15.0]
@@ -249,15 +239,6 @@
     """A store that drops its history and cuts the watches, having told them nothing before."""
 
     def test_a_cut_watch_is_followed_by_a_read(self) -> None:
-        store = _CutStore(ends_at_s=0.0)
-
-        async def follow() -> None:
-            sync = _make_sync(store)
-            sync.set_record(make_member("n1"))
-            with trio.move_on_after(5.0):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(sync.keep_record)
-                    nursery.start_soon(sync.follow_table, "table")
-
-        trio.run(follow, clock=trio.testing.MockClock(autojump_threshold=0.0))
+        store = _CutStore()
+        _play(store, 5.0, StoreSync.keep_record, _follow_table)
         self.assertEqual(2, store.reads)
