Keep a pause after a failed read though the store renews leases

Cause, found in reading this change once more: a watch that fails marks the store as away, the renewal of the lease tries at once, and if it is answered it wakes the watch. The first pause after a failure, of 60 to 900 ms and growing, now holds in any case; only after it does a watch leave trying to the renewal. That also takes the place of the second set of bounds.

Ruled out: waking only once in a row (a watch would then miss the end of a longer outage by seconds). Test on a virtual clock, failed before; the cases of being turned away, silent and cut still pass.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -42,11 +42,9 @@
 """Part of the time to a renewal from which one is made when there is other work anyway."""
 RETRY_BOUNDS: Final = BackoffBounds(least_ms=60.0, first_ms=60.0, longest_ms=900.0, growth=1.7)
 """Waits after failures: records are back within two seconds of a store's return."""
-WATCH_RETRY_BOUNDS: Final = BackoffBounds(
-    least_ms=500.0, first_ms=1_000.0, longest_ms=5_000.0, growth=2.5
-)
-"""The same for watches that have read once: renewals of the lease try the store meanwhile, and wake
-them when it answers."""
+_LEFT_TO_RENEWAL_MS: Final[Millis] = 5_000.0
+"""How long a watch leaves it to the renewal of the lease to try a store that is away. The renewal
+tries at the pace above and wakes the watches; this is for the case that it stands still."""
 
 
 class StoreSink(Protocol):
@@ -104,7 +102,7 @@
         while True:
             try:
                 revision = await self._follow_step(prefix, revision)
-                backoff = Backoff(self._random, WATCH_RETRY_BOUNDS)
+                backoff.reset()
                 pause_ms = self._pace.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
                 if pause_ms:
                     await trio.sleep(pause_ms / MS_PER_SECOND)
@@ -115,9 +113,14 @@
                 await self._wait_to_retry(backoff)
 
     async def _wait_to_retry(self, backoff: Backoff) -> None:
-        """Wait after a failure, at most until the store is back."""
-        with trio.move_on_after(backoff.next_wait() / MS_PER_SECOND):
-            await self._back.wait()
+        """Wait after a failure, and on while the store is away and this node's record tries it.
+
+        The first wait holds in any case: a store may refuse reads and renew leases all the same.
+        """
+        await trio.sleep(backoff.next_wait() / MS_PER_SECOND)
+        if not self._is_available and self._record is not None:
+            with trio.move_on_after(_LEFT_TO_RENEWAL_MS / MS_PER_SECOND):
+                await self._back.wait()
 
     async def _follow_step(self, prefix: str, revision: int) -> int:
         """Read all once, then wait for changes; return the revision seen."""
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -215,6 +215,28 @@
         self.assertLess(after_return[1], 16.0)
 
 
+@attrs.define
+class _RenewingStore(_BusyStore):
+    """Renew leases and refuse every read."""
+
+    refused: int = 0
+
+    async def read_prefix(self, prefix: str) -> StoreChanges:
+        self.refused += 1
+        await trio.sleep(0.004)
+        raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+
+
+class RefusedReadsCases(unittest.TestCase):
+    """A store that is over its rate of reads, and must not be asked the faster for it."""
+
+    def test_renewals_that_succeed_do_not_hurry_reads_that_fail(self) -> None:
+        store = _RenewingStore()
+        _play(store, 10.0, StoreSync.keep_record, _follow_table, StoreSync.follow_records)
+        # Two tasks, with waits of 60 to 900 ms that grow with each failure.
+        self.assertLess(store.refused, 10.0 * 10)
+
+
 @attrs.define
 class _CutStore(_BusyStore):
     """Cut the first watch after a change that it did not tell, and tell later ones nothing."""
