--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -110,6 +110,12 @@
     _ERROR,
     "Changed settings are invalid; the previous settings remain in effect",
 )
+CONFIGURATION_NOT_UNDERSTOOD: Final = _register(
+    1305,
+    "configuration-not-understood",
+    _WARNING,
+    "Routes have a kind that this version does not know; their requests are not repeated",
+)
 STORE_LOST: Final = _register(
     1400, "store-lost", _WARNING, "The key-value service does not respond"
 )
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -16,6 +16,7 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
     CONFIGURATION_IN_FORCE,
+    CONFIGURATION_NOT_UNDERSTOOD,
     CONFIGURATION_REFUSED,
     MEMBER_CHANGED,
     RECORD_REFUSED,
@@ -270,6 +271,8 @@
         self._table_payload = payload
         self._owner.on_table(table)
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
+        if table.unknown_kinds:
+            log(CONFIGURATION_NOT_UNDERSTOOD, kinds=sorted(table.unknown_kinds))
 
     # Timers.
 
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -59,6 +59,10 @@
     admission_queue = node.admission_queue
     values = {
         "table_version": (node.table.version, "Version of the route table in force"),
+        "unknown_kinds": (
+            len(node.table.unknown_kinds),
+            "Kinds of request in the route table that this version does not know",
+        ),
         "nodes": (node.controllers.directory.node_count, "Known nodes with this one"),
         "requests_in_flight": (node.entry.in_flight, "Requests that began here"),
         "runs": (len(admission_queue.running), "Calls at the target"),
