Answer what reached a connection before its end, in order; bound what a target may send

Now: the listener hands on what the kernel has established, a connection with unread bytes is not idle, the others get the end of the stream and are read to the caller's own, and the node ends after its callers' connections, within the grace. An answer that announces the close is no longer destroyed by the reset that unread further requests caused (tests.test_connection_end). - A second answer that reached an idle connection to a target was taken for the answer to the next request, on both interfaces ('ok', 'late' instead of 'ok', 'ok'): a connection with unread bytes is not used again. - Requests answered at once recursed; an invalid request dropped complete ones before it. A request's path counts as part of its headers; the end of a long body no longer counts as header of the next request; trailers are not headers; an oversize pipelined request gets 413 on the own interface.

--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -44,9 +44,12 @@
     _body: bytearray = attrs.field(factory=bytearray)
 
     @property
-    def is_closed(self) -> bool:
-        """Return whether the connection is closed."""
-        return self._stream.is_closed
+    def is_usable(self) -> bool:
+        """Return whether an idle connection may carry a request.
+
+        Bytes that arrived while it was idle belong to no request, and must not answer the next one.
+        """
+        return not self._stream.is_closed and not self._stream.has_unread_bytes
 
     def start(
         self, request: HttpRequest, on_response: ResponseHandler, on_failure: FailureHandler
@@ -182,8 +185,9 @@
     def _take_idle(self) -> ClientConnection | None:
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if not connection.is_closed:
+            if connection.is_usable:
                 return connection
+            connection.abort()
         return None
 
     async def _start_on_new_connection(
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -27,6 +27,8 @@
 
 _CONTENT_LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
+_MAX_INFORMATIONAL_RESPONSES: Final = 16
+"""Informational responses accepted before a final one; a target may send them without end."""
 
 
 @attrs.define(eq=False)
@@ -41,6 +43,8 @@
     _header_size: int = 0
     _in_head: bool = False
     _in_body: bool = False
+    _has_progressed: bool = False
+    _pending_bytes: int = 0
 
     @property
     def is_between_messages(self) -> bool:
@@ -52,6 +56,17 @@
         """Return whether a message has begun and its headers are incomplete."""
         return self._in_head
 
+    def _check_progress(self, size: int) -> None:
+        """Bound the bytes fed since the last part of a body or the end of a message.
+
+        ``size`` is the number of bytes fed now. The parser reports a header or trailer only once
+        its line is complete, and the framing of chunks not at all, so either may grow without end.
+        """
+        self._pending_bytes = 0 if self._has_progressed else self._pending_bytes + size
+        self._has_progressed = False
+        if self._pending_bytes > self._max_header_bytes:
+            raise self._oversize_headers()
+
     def on_message_begin(self) -> None:
         """Reset the state for a new message."""
         self._headers = []
@@ -63,10 +78,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header; raise if the headers exceed their limit."""
         # 4 bytes for the colon and space after the name and for the line end.
-        self._header_size += len(name) + len(value) + 4
+        self._add_header_bytes(len(name) + len(value) + 4)
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+
+    def _add_header_bytes(self, size: int) -> None:
+        self._header_size += size
         if self._header_size > self._max_header_bytes:
             raise self._oversize_headers()
-        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Record the end of the headers."""
@@ -75,6 +94,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body; raise if the body exceeds its limit."""
+        self._has_progressed = True
         self._body_size += len(data)
         if self._body_size > self._max_body_bytes:
             raise self._oversize_body()
@@ -101,7 +121,7 @@
     _complete_messages: list[HttpRequest] = attrs.field(factory=list)
     _expects_continue: bool = False
     _is_closing: bool = False
-    _partial_head_bytes: int = 0
+    _error: GooseberrydockError | None = None
 
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
@@ -117,8 +137,26 @@
         expects_continue, self._expects_continue = self._expects_continue, False
         return expects_continue and self._in_body
 
+    @property
+    def error(self) -> GooseberrydockError | None:
+        """Return why the bytes after the last complete requests are not a valid request."""
+        return self._error
+
     def feed(self, data: bytes) -> list[HttpRequest]:
-        """Parse bytes and return the requests that they complete."""
+        """Parse bytes and return the requests that they complete.
+
+        Invalid bytes raise an error, or set ``error`` if there are complete requests before them.
+        """
+        try:
+            self._feed_parser(data)
+        except GooseberrydockError as error:
+            if not self._complete_messages:
+                raise
+            self._error = error
+        messages, self._complete_messages = self._complete_messages, []
+        return messages
+
+    def _feed_parser(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -126,14 +164,11 @@
             if isinstance(cause, GooseberrydockError):
                 raise cause from None
             raise _request_error(MALFORMED_REQUEST, str(error)) from error
-        self._partial_head_bytes = self._partial_head_bytes + len(data) if self._in_head else 0
-        if self._partial_head_bytes > self._max_header_bytes:
-            raise self._oversize_headers()
-        messages, self._complete_messages = self._complete_messages, []
-        return messages
+        self._check_progress(len(data))
 
     def on_url(self, part: bytes) -> None:
         """Add a part of the request target."""
+        self._add_header_bytes(len(part))
         self._request_target = self._request_target + part if self._request_target else part
 
     def on_headers_complete(self) -> None:
@@ -143,6 +178,7 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that ``feed`` returns."""
+        self._has_progressed = True
         self._in_body = False
         self._is_closing = not self._parser.should_keep_alive()
         request_target, self._request_target = self._request_target, b""
@@ -168,6 +204,7 @@
     _complete_messages: list[HttpResponse] = attrs.field(factory=list)
     _is_self_delimited: bool = True
     _has_invalid_data: bool = False
+    _informational_responses: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -180,18 +217,25 @@
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse bytes and return the responses that they complete."""
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._feed_parser(data)
+        except GooseberrydockError:
             self._has_invalid_data = True
             # A complete response remains valid, whatever bytes follow it.
             if not self._complete_messages:
-                cause = error.__context__
-                if isinstance(cause, GooseberrydockError):
-                    raise cause from None
-                raise _response_error(TARGET_PROTOCOL, str(error)) from error
+                raise
         messages, self._complete_messages = self._complete_messages, []
         return messages
 
+    def _feed_parser(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            cause = error.__context__
+            if isinstance(cause, GooseberrydockError):
+                raise cause from None
+            raise _response_error(TARGET_PROTOCOL, str(error)) from error
+        self._check_progress(len(data))
+
     def finish(self) -> HttpResponse:
         """Return the response delimited by the end of its connection; raise if it is truncated."""
         if self._in_body and not self._is_self_delimited:
@@ -207,9 +251,14 @@
 
     def on_message_complete(self) -> None:
         """Add the complete response to those that ``feed`` returns; skip informational ones."""
+        self._has_progressed = True
         if self._status < 200:
             self._in_body = False
+            self._informational_responses += 1
+            if self._informational_responses > _MAX_INFORMATIONAL_RESPONSES:
+                raise self._oversize_headers()
             return
+        self._informational_responses = 0
         self._complete_messages.append(self._take_response())
 
     @property
--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -72,21 +72,31 @@
     def request_tag(self, value: int) -> None:
         self._request_tag = value
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether everything that was read has been answered."""
+        has_begun = self._head is not None or bool(self._h11.trailing_data[0])
+        return not self._is_request_pending and not has_begun
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is in flight or has reached the socket."""
+        if self.is_idle and not self._stream.has_unread_bytes:
+            self._stream.finish()
+
     async def run(self) -> None:
         """Read until the caller or this side closes the connection."""
         try:
             while not self._stream.is_closed:
                 data = await self._receive()
-                if data is None or not self._feed(data):
+                if self._stream.is_finishing or not self._feed(data):
                     return
         finally:
             if self._is_request_pending:
                 self._on_disconnect(self)
 
-    async def _receive(self) -> bytes | None:
+    async def _receive(self) -> bytes:
         """Return the next bytes; reject a request that is not complete before its read timeout."""
-        has_begun = self._head is not None or bool(self._h11.trailing_data[0])
-        if self._is_request_pending or not has_begun:
+        if self._is_request_pending or self.is_idle or self._stream.is_finishing:
             self._read_deadline = math.inf
             return await self._stream.receive()
         if self._read_deadline == math.inf:
@@ -95,7 +105,7 @@
         with trio.move_on_at(self._read_deadline):
             return await self._stream.receive()
         self._reject(SLOW_REQUEST)
-        return None
+        return await self._stream.receive()
 
     def _feed(self, data: bytes) -> bool:
         """Parse bytes; return whether the connection stays open."""
@@ -105,11 +115,10 @@
                 self._parse()
             return bool(data) and not self._stream.is_closed
         except h11.RemoteProtocolError as error:
-            is_oversize = error.error_status_hint == _OVERSIZE_STATUS
-            self._reject(OVERSIZE_REQUEST if is_oversize else MALFORMED_REQUEST, str(error))
+            self._reject(_protocol_error_code(error), str(error))
         except GooseberrydockError as error:
             self._reject(error.code, error.detail)
-        return False
+        return bool(data) and not self._stream.is_closed
 
     def _parse(self) -> None:
         """Parse the received bytes and dispatch a request once it is complete."""
@@ -163,7 +172,11 @@
         self._head = None
         self._send(response)
         if self._h11.our_state is h11.MUST_CLOSE:
-            self._stream.close_when_sent()
+            if self._h11.their_state is h11.MUST_CLOSE:
+                # The caller has announced that it sends nothing more.
+                self._stream.close_when_sent()
+            else:
+                self._stream.finish()
             return
         self._h11.start_next_cycle()
         if self._h11.trailing_data[0]:
@@ -173,8 +186,10 @@
         """Parse a request that arrived before the previous one was answered."""
         try:
             self._parse()
-        except (h11.RemoteProtocolError, GooseberrydockError) as error:
-            self._reject(MALFORMED_REQUEST, str(error))
+        except h11.RemoteProtocolError as error:
+            self._reject(_protocol_error_code(error), str(error))
+        except GooseberrydockError as error:
+            self._reject(error.code, error.detail)
 
     def _send(self, response: HttpResponse) -> None:
         headers = [
@@ -204,7 +219,12 @@
         except h11.LocalProtocolError:
             # The failure occurred after an answer was started, so no other answer can be sent.
             pass
-        self._stream.close_when_sent()
+        self._stream.finish()
+
+
+def _protocol_error_code(error: h11.RemoteProtocolError) -> ErrorCode:
+    is_oversize = error.error_status_hint == _OVERSIZE_STATUS
+    return OVERSIZE_REQUEST if is_oversize else MALFORMED_REQUEST
 
 
 RequestHandler = Callable[[HttpConnection, HttpRequest], None]
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -154,6 +154,12 @@
         self._send(now_ms, exchange)
         return None if exchange.is_done else exchange
 
+    def may_repeat(self, request: HttpRequest) -> bool:
+        """Return whether a request may run more than once; one without a route may not."""
+        host, _, _ = self._read_headers(request.headers)
+        route = self._table.find(host, request.path)
+        return route is not None and route.is_idempotent
+
     def _admit(self, now_ms: Millis, exchange: Exchange) -> ErrorCode | None:
         """Set the route, service and deadline of a request; return an error if it is refused."""
         host, exchange.request_id, timeout_text = self._read_headers(exchange.request.headers)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -17,7 +17,11 @@
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
-from gooseberrydock.mesh.caller_connections import CallerConnection, create_caller_connection
+from gooseberrydock.mesh.caller_connections import (
+    CallerConnection,
+    CallerRequest,
+    create_caller_connection,
+)
 from gooseberrydock.mesh.controllers import NodeControllers
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.entry import Entry
@@ -163,9 +167,13 @@
         finally:
             self._caller_connections.discard(connection)
 
-    def on_request(self, connection: CallerConnection, request: HttpRequest) -> Exchange | None:
+    def on_request(self, caller: CallerRequest, request: HttpRequest) -> Exchange | None:
         """Handle a complete request."""
-        return self._controllers.entry.on_request(self._clock.now_ms(), connection, request)
+        return self._controllers.entry.on_request(self._clock.now_ms(), caller, request)
+
+    def may_repeat(self, request: HttpRequest) -> bool:
+        """Return whether a request may run more than once, according to its route."""
+        return self._controllers.entry.may_repeat(request)
 
     def on_caller_disconnected(self, exchange: Exchange) -> None:
         """Record that the caller of a request disconnected."""
@@ -176,7 +184,7 @@
     def answer(self, caller: Caller, exchange: Exchange, response: HttpResponse) -> None:
         """Forward a target's response to the caller."""
         self._decision_log.on_answered(self._clock.now_ms(), exchange, response.status)
-        if isinstance(caller, CallerConnection):
+        if isinstance(caller, CallerRequest):
             caller.respond(response)
 
     def refuse(
@@ -190,7 +198,7 @@
         )
         name = self._options.headers.request_id
         response.headers.append((name, exchange.request_id.encode("latin-1")))
-        if isinstance(caller, CallerConnection):
+        if isinstance(caller, CallerRequest):
             caller.respond(response)
 
     def on_retry(self, exchange: Exchange, code: ErrorCode) -> None:
@@ -350,6 +358,11 @@
         """Reject all new work, including calls of the local target."""
         self._controllers.entry.set_accepted_work(AcceptedWork.NOTHING)
 
+    @property
+    def has_callers(self) -> bool:
+        """Return whether a caller's connection is open, or its last response is not sent yet."""
+        return bool(self._caller_connections)
+
     def close_idle_caller_connections(self) -> None:
         """Close the caller connections that have no request in flight."""
         for connection in list(self._caller_connections):
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -42,6 +42,8 @@
 finish in time."""
 _STOP_MARGIN_MS: Final[Millis] = 500.0
 """Part of the stop grace that is reserved for the last log lines and store calls."""
+_CALLERS_END_MS: Final[Millis] = 1_500.0
+"""Time for callers to close their connections once all requests are answered."""
 _STOP_CALLS_FRACTION: Final = 0.75
 """Fraction of the stop grace after which calls of the local target are also rejected. They are
 short, but an interrupted call costs more than one that does not start."""
@@ -82,7 +84,7 @@
     _clock: Clock
     _random: random.Random
     _stop_requested: trio.Event = attrs.field(factory=trio.Event)
-    _listeners: list[Listener] = attrs.field(factory=list)
+    _listeners: dict[Address, Listener] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Run until a signal requests the stop."""
@@ -159,7 +161,7 @@
         for address, handler in served:
             if address is not None:
                 listener = listen(address, is_local=address != options.peer_listen)
-                self._listeners.append(listener)
+                self._listeners[address] = listener
                 nursery.start_soon(listener.serve, handler)
 
     async def _handle_signals(self, node: MeshNode) -> None:
@@ -218,6 +220,13 @@
             node.close_idle_caller_connections()
             if self._clock.now_ms() >= calls_end_at:
                 node.stop_accepting_calls()
+        # Requests that reach the entry before it closes are refused like those before them, and
+        # their callers read the refusal to its end.
+        self._listeners[self._options.entry_listen].close()
+        ends_at = min(ends_at, self._clock.now_ms() + _CALLERS_END_MS)
+        while node.has_callers and self._clock.now_ms() < ends_at:
+            node.close_idle_caller_connections()
+            await trio.sleep(TICK_MS / MS_PER_SECOND)
         if node.in_flight:
             log(STOP_TIMED_OUT, in_flight=node.in_flight)
         await sync.remove_record(_STOP_MARGIN_MS / 2)
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -68,6 +68,11 @@
         """Return whether the connection is closed."""
         return self._stream.is_closed
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that belong to no request, or the target has closed."""
+        return self._stream.has_unread_bytes
+
     @property
     def usable_until(self) -> Millis:
         """Return the time until which the target keeps the idle connection, less a margin."""
@@ -238,6 +243,9 @@
                 # has run.
                 self._idle.append(connection)
                 return None
+            if connection.has_unread_bytes:
+                connection.abort()
+                continue
             return connection
         return None
 
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -73,6 +73,7 @@
     _ownership_loop: OwnershipLoop = attrs.field(init=False)
     _stop: GracefulStop = attrs.field(init=False)
     _connections: dict[int, HttpConnection] = attrs.field(factory=dict)
+    _caller_connections: set[HttpConnection] = attrs.field(factory=set)
     _announced_at: Millis = 0.0
     _configuration_requested_at: Millis = -_MIN_CONFIGURATION_REQUEST_INTERVAL_MS
     _is_checking_crash: bool = False
@@ -113,6 +114,7 @@
             links=self._links,
             gossip=self._gossip,
             entry=self._listeners["entry"],
+            close_idle_callers=self.close_idle_callers,
             timeout_ms=self._options.stop_timeout_ms,
         )
 
@@ -207,13 +209,24 @@
 
     async def serve_entry(self, stream: Stream) -> None:
         """Serve one caller's connection."""
-        await serve_http(
+        connection = HttpConnection(
             stream,
             self._on_entry_request,
             self._on_disconnect,
             self._max_body_bytes,
             self._is_leaving,
         )
+        self._caller_connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._caller_connections.discard(connection)
+
+    def close_idle_callers(self) -> bool:
+        """Close the callers' connections without a request; return whether others are open."""
+        for connection in list(self._caller_connections):
+            connection.close_if_idle()
+        return bool(self._caller_connections)
 
     async def serve_local(self, stream: Stream) -> None:
         """Serve one connection of the local target."""
--- a/gooseberrydock/node_stop.py
+++ b/gooseberrydock/node_stop.py
@@ -1,6 +1,7 @@
 """The graceful stop of a node, which accepts no new work and lets calls in flight finish."""
 
 import signal
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -30,6 +31,7 @@
     _links: PeerLinks
     _gossip: GossipSocket
     _entry: Listener
+    _close_idle_callers: Callable[[], bool]
     _timeout_ms: Millis
     _waiting_connections: list[HttpConnection] = attrs.field(factory=list)
     _requested: trio.Event = attrs.field(factory=trio.Event)
@@ -71,7 +73,9 @@
 
     async def _wait_until_idle(self) -> None:
         with trio.move_on_after(self._timeout_ms / MS_PER_SECOND) as scope:
-            while self._core.is_busy:
+            # A connection without a request is closed only now: until then, a caller's next request
+            # is answered, and the answer tells it to open a connection to another node.
+            while self._close_idle_callers() or self._core.is_busy:
                 await trio.sleep(_CHECK_INTERVAL_MS / MS_PER_SECOND)
         if scope.cancelled_caught:
             log(STOP_TIMED_OUT, in_flight=self._core.outbound.in_flight)
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -9,6 +9,7 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final
 
 import attrs
@@ -27,6 +28,8 @@
 _USER_TIMEOUT_MS: Final = 5_000
 _MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 """Buffered bytes above which a connection is closed, because its peer does not read."""
+_FINISH_TIMEOUT_MS: Final[Millis] = 1_000.0
+"""Time after the end of the sent stream in which the peer has to close its side too."""
 
 
 @attrs.define(eq=False)
@@ -40,6 +43,7 @@
     _is_closed: bool = False
     _is_flushing: bool = False
     _closes_when_flushed: bool = False
+    _is_finishing: bool = False
     _was_reset: bool = False
 
     @property
@@ -52,17 +56,36 @@
         """Return whether this side closed the connection."""
         return self._is_closed
 
+    @property
+    def is_finishing(self) -> bool:
+        """Return whether this side sends nothing more and only waits for the peer to close."""
+        return self._is_finishing
+
     @property
     def peer_host(self) -> str:
         """Return the IP address of the other side."""
         return self._peer_host
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes or the end of the stream have arrived and were not received yet."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     async def receive(self) -> bytes:
         """Return the next bytes, or ``b""`` at the end or after a failure of the connection."""
         while not self._is_closed:
             try:
                 await trio.lowlevel.wait_readable(self._socket)
-                return self._socket.recv(defaults.RECEIVE_BYTES)
+                data = self._socket.recv(defaults.RECEIVE_BYTES)
+                if data and self._is_finishing:
+                    continue
+                return data
             except BlockingIOError:
                 continue
             except OSError:
@@ -74,7 +97,7 @@
 
     def send(self, data: bytes) -> None:
         """Send bytes now or once the socket accepts them; close the connection if that fails."""
-        if self._is_closed or not data:
+        if self._is_closed or self._is_finishing or not data:
             return
         if self._unsent_bytes:
             self._buffer(data)
@@ -98,12 +121,34 @@
         self._socket.close()
 
     def close_when_sent(self) -> None:
-        """Close the connection once the socket has accepted all bytes."""
+        """Close the connection once the socket has accepted all bytes.
+
+        Only for a peer that sends nothing more: bytes that it sent and nobody read would reset the
+        connection, and the last answer with it.
+        """
+        if self._is_closed:
+            return
         if self._unsent_bytes:
             self._closes_when_flushed = True
             return
+        self._shut_down_sending()
+        self.close()
+
+    def finish(self) -> None:
+        """Send the end of the stream after all bytes, and discard what the peer has still sent."""
+        if self._is_closed or self._is_finishing:
+            return
+        self._is_finishing = True
+        if not self._unsent_bytes:
+            self._shut_down_sending()
+            self._nursery.start_soon(self._close_if_peer_stays)
+
+    def _shut_down_sending(self) -> None:
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
+
+    async def _close_if_peer_stays(self) -> None:
+        await trio.sleep(_FINISH_TIMEOUT_MS / MS_PER_SECOND)
         self.close()
 
     def _buffer(self, data: bytes) -> None:
@@ -126,8 +171,13 @@
             self.close()
         finally:
             self._is_flushing = False
+        if self._is_closed:
+            return
         if self._closes_when_flushed:
             self.close_when_sent()
+        elif self._is_finishing:
+            self._shut_down_sending()
+            self._nursery.start_soon(self._close_if_peer_stays)
 
 
 StreamHandler = Callable[[Stream], Awaitable[None]]
@@ -164,6 +214,7 @@
 
     _socket: socket.socket
     _is_local: bool = False
+    _accept_pending: Callable[[], None] | None = None
 
     @property
     def address(self) -> Address:
@@ -175,10 +226,11 @@
         """Accept connections until cancelled or closed, and handle each in its own task."""
         self._socket.listen(_BACKLOG)
         async with trio.open_nursery() as nursery:
+            self._accept_pending = partial(self._accept_all, handler, nursery)
             while True:
                 try:
                     await trio.lowlevel.wait_readable(self._socket)
-                    accepted, peer_address = self._socket.accept()
+                    self._accept_one(handler, nursery)
                 except (BlockingIOError, ConnectionAbortedError):
                     continue
                 except trio.ClosedResourceError:
@@ -186,13 +238,23 @@
                 except OSError:
                     # No file descriptor is left; connections that end release some.
                     await trio.sleep(_ACCEPT_RETRY_DELAY_S)
-                    continue
-                _configure(accepted, self._is_local)
-                stream = Stream(accepted, nursery, str(peer_address[0]))
-                nursery.start_soon(_handle, handler, stream)
+
+    def _accept_one(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        accepted, peer_address = self._socket.accept()
+        _configure(accepted, self._is_local)
+        stream = Stream(accepted, nursery, str(peer_address[0]))
+        nursery.start_soon(_handle, handler, stream)
+
+    def _accept_all(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
+        """Accept the connections that the kernel has established already."""
+        with contextlib.suppress(OSError):
+            while True:
+                self._accept_one(handler, nursery)
 
     def close(self) -> None:
-        """Stop accepting connections; open connections are not affected."""
+        """Stop accepting connections; open and established ones are not affected."""
+        if self._accept_pending is not None:
+            self._accept_pending()
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -12,6 +12,7 @@
     MALFORMED_REQUEST,
     OVERSIZE_HEADERS,
     OVERSIZE_REQUEST,
+    TARGET_OVERSIZE,
     TARGET_PROTOCOL,
     TARGET_TRUNCATED,
     ErrorCode,
@@ -42,6 +43,7 @@
     ("bad chunk", _CHUNKED_REQUEST.replace(b"3\r\nabc", b"zz\r\nabc"), MALFORMED_REQUEST),
     ("large header", b"GET / HTTP/1.1\r\nA: " + b"x" * 1_001 + b"\r\n\r\n", OVERSIZE_HEADERS),
     ("endless header", b"GET / HTTP/1.1\r\nA: " + b"x" * 2_000, OVERSIZE_HEADERS),
+    ("endless path", b"GET /" + b"x" * 2_000, OVERSIZE_HEADERS),
     (
         "large body",
         b"POST / HTTP/1.1\r\nContent-Length: 2001\r\n\r\n" + b"x" * 2_001,
@@ -49,6 +51,22 @@
     ),
 ]
 
+_HEAD = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_RESPONSES: list[tuple[str, bytes, bytes]] = [
+    ("status line", b"HTTP/1.1 200 ", b"O" * 64),
+    ("header name", _HEAD, b"n" * 64),
+    ("header value", _HEAD + b"A: ", b"v" * 64),
+    ("header lines", _HEAD, b"A: b\r\n" * 8),
+    ("informational responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ("body without length", _HEAD + b"\r\n", b"b" * 64),
+    ("chunks", _CHUNKED_HEAD, b"4\r\nbody\r\n" * 8),
+    ("chunk extension", _CHUNKED_HEAD + b"4;a=", b"x" * 64),
+    ("trailer lines", _CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 8),
+    ("trailer value", _CHUNKED_HEAD + b"0\r\nA: ", b"v" * 64),
+]
+"""Responses that begin with the first bytes and then repeat the second ones without end."""
+
 _VALID_RESPONSE = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"
 
 
@@ -76,6 +94,20 @@
         bodies = [request.body for request in reader.feed(_CHUNKED_REQUEST + _FIXED_LENGTH_REQUEST)]
         self.assertEqual([b"abcde", b"abcde"], bodies)
 
+    def test_complete_requests_before_invalid_bytes_are_read(self) -> None:
+        reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        complete = reader.feed(_FIXED_LENGTH_REQUEST + _CHUNKED_REQUEST + b"\x00\x01\r\n\r\n")
+        self.assertEqual([b"abcde", b"abcde"], [request.body for request in complete])
+        assert reader.error is not None
+        self.assertIs(MALFORMED_REQUEST, reader.error.code)
+
+    def test_long_body_does_not_count_as_header_of_the_next_request(self) -> None:
+        body = b"x" * 1_900
+        first = b"POST / HTTP/1.1\r\nContent-Length: 1900\r\n\r\n" + body
+        reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        self.assertEqual([body], [item.body for item in reader.feed(first + b"GET /a HTTP/1.1")])
+        self.assertEqual(["/a"], [item.path for item in reader.feed(b"\r\nHost: x\r\n\r\n")])
+
     def test_close_header_is_recognized(self) -> None:
         reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
         reader.feed(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
@@ -129,6 +161,16 @@
         complete = reader.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + _VALID_RESPONSE)
         self.assertEqual([200], [response.status for response in complete])
 
+    def test_answer_without_end_is_refused_at_a_bound(self) -> None:
+        for title, beginning, repeated in ENDLESS_RESPONSES:
+            with self.subTest(title):
+                reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+                reader.feed(beginning)
+                with self.assertRaises(GooseberrydockError) as caught:
+                    for _ in range(4 * _MAX_BODY_BYTES // len(repeated)):
+                        self.assertEqual([], reader.feed(repeated))
+                self.assertIn(caught.exception.code, (TARGET_OVERSIZE, TARGET_PROTOCOL))
+
     def test_bytes_that_are_no_answer_are_refused(self) -> None:
         reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
         with self.assertRaises(GooseberrydockError) as caught:
