Let a few nodes of each failure domain watch the store for the others

Cause: every node watched the table and the records for itself, so each change was read by the whole fleet. A new table is offered on all links of a watching node, and a node with an older one requests it. A removal of the own record counts only if it is later than the last write. Ruled out: forwarding only a diff of what was applied, since it loses changes that one of two watching nodes had from the other; a push of the table by each of the three, since it may be large.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -28,9 +28,16 @@
 from gooseberrydock.mesh.model import EMPTY_TABLE, RouteTable
 from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
-from gooseberrydock.messages import ConfigurationPush, ConfigurationRequest, MemberSync
+from gooseberrydock.messages import (
+    ConfigurationPush,
+    ConfigurationRequest,
+    MemberSync,
+    RecordChanges,
+)
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 
+_STORE: Final = "store"
+_PEER: Final = "peer"
 _MAX_SENT_RECORDS: Final = 10
 """Records of other nodes sent on a new link. A new node has many links, and the traffic on all
 links when a fleet starts grows with the square of the fleet's size times this number."""
@@ -46,6 +53,8 @@
 number of all linked nodes."""
 _MAX_REOPENED_LINKS: Final = 16
 """Missing links opened per round."""
+_TABLE_REQUEST_MS: Final[Millis] = 300.0
+"""Time to wait for a requested table before it is requested from another node."""
 _MAX_SILENT_ROUNDS: Final = 4
 """Successive rounds in which nothing may arrive on a link before it is closed. The number is
 multiplied by the rounds that a node needs to send on each of its links once. Rounds are counted
@@ -78,6 +87,8 @@
     _table_payload: bytes = b""
     _is_store_unavailable: bool = False
     _round: int = 0
+    _requested_version: int = 0
+    _requested_at: Millis = 0.0
 
     def __attrs_post_init__(self) -> None:
         self._directory.set_own(self._record)
@@ -155,15 +166,30 @@
         for data in message.members:
             self._on_peer_record(decode_member(data, link.node_id))
 
+    def on_record_changes(self, changes: RecordChanges) -> None:
+        """Apply changes of records that a node which watches the store has forwarded."""
+        if self._sync is not None:
+            self._sync.on_forwarded_changes(changes)
+
     def on_configuration_request(self, request: ConfigurationRequest, link: PeerLink) -> None:
-        """Send the route table if it is newer than the requesting node's."""
+        """Send the route table if it is newer than the other node's, request it if it is older."""
         if self._table.version > request.generation:
             link.send(ConfigurationPush(self._table.version, self._table_payload))
+        elif self._table.version < request.generation:
+            self._request_table(request.generation, link)
+
+    def _request_table(self, version: int, link: PeerLink) -> None:
+        """Request a newer table, not from every node that offers it at the same time."""
+        now_ms = self._clock.now_ms()
+        if version > self._requested_version or now_ms >= self._requested_at + _TABLE_REQUEST_MS:
+            self._requested_version = version
+            self._requested_at = now_ms
+            link.send(ConfigurationRequest(self._table.version))
 
     def on_configuration_push(self, push: ConfigurationPush) -> None:
         """Apply a route table from another node if it is newer."""
         if push.generation > self._table.version:
-            self._apply_table(push.payload, "peer")
+            self._apply_table(push.payload, _PEER)
 
     def _on_peer_record(self, member: Member) -> None:
         if member.node_id == self._record.node_id:
@@ -204,7 +230,7 @@
         for item in items:
             if item.key == self._keys.table:
                 if item.value is not None:
-                    self._apply_table(item.value, "store")
+                    self._apply_table(item.value, _STORE)
             elif item.key.startswith(self._keys.nodes):
                 member = self._read_record(now_ms, item)
                 if member is not None:
@@ -235,6 +261,12 @@
     def _is_in_other_domain(self, member: Member) -> bool:
         return member.failure_domain != self._record.failure_domain
 
+    def forward_record_changes(self, changes: RecordChanges) -> None:
+        """Send changes of records to the nodes of the failure domain, most of which only poll."""
+        for member in self._directory.others:
+            if not self._is_in_other_domain(member):
+                self._links.send(member.node_id, changes)
+
     def on_store_availability(self, is_available: bool) -> None:
         """Record whether the store is available to this node."""
         self._is_store_unavailable = not is_available
@@ -246,7 +278,7 @@
         if item.value is None:
             self._directory.on_store_record_removed(now_ms, node_id)
             if is_own and self._sync is not None:
-                self._sync.on_own_record_removed()
+                self._sync.on_own_record_removed(item.revision)
             return None
         try:
             member = decode_member(item.value, node_id)
@@ -271,6 +303,9 @@
         self._table_payload = payload
         self._owner.on_table(table)
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
+        if source == _STORE:
+            # Most nodes only poll the store; those that have an older table request this one.
+            self._links.broadcast(ConfigurationRequest(table.version))
         if table.unknown_kinds:
             log(CONFIGURATION_NOT_UNDERSTOOD, kinds=sorted(table.unknown_kinds))
 
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -38,6 +38,7 @@
     ConfigurationRequest,
     CrashNotice,
     MemberSync,
+    RecordChanges,
     RoutedAnswer,
     RoutedCall,
     ShareNotice,
@@ -404,6 +405,11 @@
     node.fleet.on_member_sync(message, link)
 
 
+@handle_message.register
+def _(message: RecordChanges, node: MeshNode, link: PeerLink) -> None:
+    node.fleet.on_record_changes(message)
+
+
 @handle_message.register
 def _(message: ConfigurationRequest, node: MeshNode, link: PeerLink) -> None:
     node.fleet.on_configuration_request(message, link)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -21,6 +21,7 @@
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Store
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.stream import Listener, Stream, StreamHandler, listen
 
 TICK_MS: Final[Millis] = 25.0
@@ -126,8 +127,15 @@
 
     def _create_sync(self, node: MeshNode, nursery: trio.Nursery) -> StoreSync:
         directory = node.controllers.directory
+        now_ms = self._clock.now_ms()
         pacer = create_read_pacer(
-            self._options.store_reads_per_s, lambda: directory.node_count, self._clock.now_ms()
+            self._options.store_reads_per_s, lambda: directory.node_count, now_ms
+        )
+        plan = WatchPlan(
+            own_record=lambda: node.fleet.record,
+            others=lambda: directory.others,
+            node_count=lambda: directory.node_count,
+            started_at=now_ms,
         )
         return StoreSync(
             store=self._environment.open_store(nursery),
@@ -137,6 +145,7 @@
             node_prefix=self._environment.keys.nodes,
             lease_min_ms=self._options.lease_min_ms,
             pacer=pacer,
+            plan=plan,
         )
 
     def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
--- a/gooseberrydock/mesh/store.py
+++ b/gooseberrydock/mesh/store.py
@@ -39,8 +39,11 @@
 class Store(Protocol):
     """Read, watch and change the store."""
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
-        """Return all items with a key prefix, using as many calls as needed."""
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
+        """Return all items with a key prefix, using as many calls as needed.
+
+        With ``may_be_old``, the items may be those of an earlier revision, which costs less.
+        """
 
     async def watch(self, prefix: str, after: int, wait_ms: Millis) -> StoreChanges:
         """Return the changes after a revision, or no changes once the wait is over.
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -1,10 +1,15 @@
-"""The tasks that synchronize a node with the store: watches, and writes of the node's record.
+"""The tasks that synchronize a node with the store: reads of changes, and writes of its record.
+
+A node watches the store or polls it, as ``watch_plan`` decides. A node that watches the records
+forwards their changes to the nodes of its failure domain, each time with the revisions between
+which these are all changes. A node that misses some of them notices the gap and reads all records.
 
 Lease renewals are cheap and writes are not, so the record is written only when it changes or when
 its lease was lost. All delays after failures have jitter, so that not all nodes send requests at
 once to a store that has recovered.
 """
 
+import math
 import random
 from collections.abc import Awaitable
 from typing import Final, Protocol
@@ -26,6 +31,8 @@
 from gooseberrydock.members import Member, encode_member
 from gooseberrydock.mesh.read_pacing import ReadPacer
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
+from gooseberrydock.mesh.watch_plan import WatchPlan
+from gooseberrydock.messages import RecordChange, RecordChanges
 
 _WATCH_WAIT_MS: Final[Millis] = 25_000.0
 """Wait time of one watch. Lease renewals detect an unresponsive store sooner, but not a single
@@ -46,6 +53,8 @@
     min_delay_ms=60.0, base_delay_ms=60.0, max_delay_ms=900.0, multiplier=1.7
 )
 """Delays after failures; records are written again within two seconds of a store's recovery."""
+_GAP_READ_JITTER_MS: Final[Millis] = 400.0
+"""Time over which the nodes that missed forwarded changes spread their reads."""
 _MAX_RECOVERY_WAIT_MS: Final[Millis] = 5_000.0
 """Time that a watch leaves retries of an unavailable store to the lease renewal. The renewal
 retries with the delays above and wakes the watches; this bound covers a renewal that is stuck."""
@@ -61,10 +70,62 @@
         time.
         """
 
+    def forward_record_changes(self, changes: RecordChanges) -> None:
+        """Send changes of records to the nodes of the failure domain, most of which only poll."""
+
     def on_store_availability(self, is_available: bool) -> None:
         """Record whether the store is available to this node."""
 
 
+@attrs.define(eq=False)
+class _WatchedPrefix:
+    """What a node has read of a key prefix; revisions are -1 before the first read.
+
+    ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
+    items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
+    forwarded to others.
+    """
+
+    prefix: str
+    fast_ms: Millis
+    settled_ms: Millis
+    read_revision: int = -1
+    revision: int = -1
+    forwarded_revision: int = -1
+    revisions: dict[str, int] = attrs.field(factory=dict)
+    must_read: bool = True
+    is_watched: bool = False
+    has_gap: bool = False
+    polled_at: Millis = -math.inf
+    woken: trio.Event = attrs.field(factory=trio.Event)
+
+    def add(self, changes: StoreChanges) -> None:
+        """Record the changes after the last read."""
+        for item in changes.items:
+            if item.value is None:
+                self.revisions.pop(item.key, None)
+            else:
+                self.revisions[item.key] = item.revision
+        self._advance(changes.revision)
+
+    def replace_all(self, changes: StoreChanges) -> tuple[StoreItem, ...]:
+        """Record a read of all items; return the changes since the last read."""
+        present = {item.key for item in changes.items}
+        removed = [
+            StoreItem(key, None, changes.revision) for key in self.revisions if key not in present
+        ]
+        changed = [item for item in changes.items if self.revisions.get(item.key) != item.revision]
+        self.revisions = {item.key: item.revision for item in changes.items}
+        self._advance(changes.revision)
+        self.must_read = False
+        self.has_gap = False
+        return (*changed, *removed)
+
+    def _advance(self, revision: int) -> None:
+        self.read_revision = max(self.read_revision, revision)
+        self.revision = max(self.revision, revision)
+
+
 @attrs.define(eq=False)
 class StoreSync:
     """Watch the store and maintain the record of this node in it."""
@@ -76,6 +137,8 @@
     _node_prefix: str
     _lease_min_ms: Millis
     _pacer: ReadPacer
+    _plan: WatchPlan
+    _records: "_WatchedPrefix" = attrs.field(init=False)
     _is_available: bool = True
     _last_success_at: Millis = 0.0
     _record: Member | None = None
@@ -87,6 +150,10 @@
     _watch_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _available_again: trio.Event = attrs.field(factory=trio.Event)
 
+    @_records.default
+    def _create_records(self) -> "_WatchedPrefix":
+        return _WatchedPrefix(self._node_prefix, _FAST_RECORDS_PAUSE_MS, _SETTLED_RECORDS_PAUSE_MS)
+
     def set_record(self, member: Member) -> None:
         """Schedule a write of this node's record."""
         self._record = member
@@ -94,28 +161,49 @@
 
     async def watch_table(self, key: str) -> None:
         """Pass the route table to the sink, at first and after each change."""
-        await self._watch_prefix(key, fast_ms=0.0, settled_ms=0.0)
+        await self._follow(_WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0))
 
     async def watch_records(self) -> None:
         """Pass the node records to the sink, at first and after changes."""
-        await self._watch_prefix(
-            self._node_prefix, _FAST_RECORDS_PAUSE_MS, _SETTLED_RECORDS_PAUSE_MS
+        await self._follow(self._records)
+
+    def on_forwarded_changes(self, changes: RecordChanges) -> None:
+        """Apply changes of records that a watching node forwarded, or read all after a gap."""
+        records = self._records
+        if changes.upto <= records.revision:
+            return
+        if changes.after > records.revision:
+            records.has_gap = True
+            records.woken.set()
+            return
+        items = tuple(
+            StoreItem(records.prefix + item.node_id, item.value or None, item.revision)
+            for item in changes.changes
+            if item.revision > records.revision
         )
+        records.revision = changes.upto
+        self._apply(items, is_snapshot=False)
 
-    async def _watch_prefix(self, prefix: str, fast_ms: Millis, settled_ms: Millis) -> None:
+    async def _follow(self, prefix: "_WatchedPrefix") -> None:
         """Pass all items of a prefix to the sink; a pause batches changes into one answer."""
         backoff = Backoff(self._random, RETRY_POLICY)
-        revision = -1
         while True:
             try:
-                revision = await self._watch_step(prefix, revision)
-                backoff.reset()
-                pause_ms = self._pacer.pause_ms(self._clock.now_ms(), fast_ms, settled_ms)
-                if pause_ms:
-                    await trio.sleep(pause_ms / MS_PER_SECOND)
+                if self._plan.watches(self._clock.now_ms()):
+                    await self._watch_step(prefix)
+                    backoff.reset()
+                    pause_ms = self._pacer.pause_ms(
+                        self._clock.now_ms(), prefix.fast_ms, prefix.settled_ms
+                    )
+                    if pause_ms:
+                        await trio.sleep(pause_ms / MS_PER_SECOND)
+                else:
+                    await self._poll_step(prefix)
+                    backoff.reset()
+                    await self._wait_for_poll(prefix)
             except GooseberrydockError as error:
                 # Read all items again: a new watch might miss changes from before the failure.
-                revision = -1
+                prefix.must_read = True
                 self._note_failure(error)
                 await self._wait_to_retry(backoff)
 
@@ -129,17 +217,73 @@
             with trio.move_on_after(_MAX_RECOVERY_WAIT_MS / MS_PER_SECOND):
                 await self._available_again.wait()
 
-    async def _watch_step(self, prefix: str, revision: int) -> int:
-        """Read all items at first, or wait for changes later; return the last revision seen."""
-        if revision < 0:
-            changes = await self._await_changes(self._store.read_prefix(prefix))
+    async def _watch_step(self, prefix: "_WatchedPrefix") -> None:
+        """Read all items if that is due, or wait for changes; forward changes of records."""
+        if not prefix.is_watched:
+            prefix.is_watched = True
+            prefix.forwarded_revision = prefix.read_revision
+        if prefix.must_read:
+            changes = await self._await_changes(self._store.read_prefix(prefix.prefix))
+            items = prefix.replace_all(changes)
+            self._apply(changes.items, is_snapshot=True)
         else:
-            changes = await self._watch_once(prefix, revision)
-        if changes.items or revision < 0:
-            may_reappear = self._sink.on_store_items(changes.items, is_snapshot=revision < 0)
-            if may_reappear:
-                self._pacer.read_fast(self._clock.now_ms())
-        return max(revision, changes.revision)
+            changes = await self._watch_once(prefix.prefix, prefix.read_revision)
+            items = changes.items
+            prefix.add(changes)
+            if items:
+                self._apply(items, is_snapshot=False)
+        if prefix is self._records and items:
+            self._forward(prefix.forwarded_revision, changes.revision, items)
+            prefix.forwarded_revision = changes.revision
+
+    async def _poll_step(self, prefix: "_WatchedPrefix") -> None:
+        """Read all items if that is due."""
+        prefix.is_watched = False
+        now_ms = self._clock.now_ms()
+        is_due = now_ms - prefix.polled_at >= self._plan.poll_interval_ms(now_ms)
+        if not (is_due or prefix.must_read or prefix.has_gap):
+            return
+        may_be_old = not prefix.has_gap
+        if prefix.has_gap:
+            # All nodes of the failure domain may have the gap.
+            await trio.sleep(self._random.uniform(0.0, _GAP_READ_JITTER_MS) / MS_PER_SECOND)
+        changes = await self._await_changes(self._store.read_prefix(prefix.prefix, may_be_old))
+        prefix.polled_at = now_ms
+        if changes.revision >= prefix.revision:
+            prefix.replace_all(changes)
+            self._apply(changes.items, is_snapshot=True)
+            if prefix is self._records:
+                self._check_own_record(changes)
+
+    async def _wait_for_poll(self, prefix: "_WatchedPrefix") -> None:
+        """Wait until a poll may be due, or until the changes forwarded to this node have a gap."""
+        now_ms = self._clock.now_ms()
+        due_ms = prefix.polled_at + self._plan.poll_interval_ms(now_ms) - now_ms
+        wait_ms = min(due_ms * self._random.uniform(0.9, 1.1), self._plan.check_interval_ms(now_ms))
+        with trio.move_on_after(max(0.0, wait_ms) / MS_PER_SECOND):
+            await prefix.woken.wait()
+        prefix.woken = trio.Event()
+
+    def _apply(self, items: tuple[StoreItem, ...], is_snapshot: bool) -> None:
+        may_reappear = self._sink.on_store_items(items, is_snapshot)
+        if may_reappear:
+            self._pacer.read_fast(self._clock.now_ms())
+
+    def _forward(self, after: int, upto: int, items: tuple[StoreItem, ...]) -> None:
+        """Forward changes of records to the nodes that do not watch."""
+        changes = tuple(
+            RecordChange(item.key.removeprefix(self._node_prefix), item.value or b"", item.revision)
+            for item in items
+        )
+        self._sink.forward_record_changes(RecordChanges(after, upto, changes))
+
+    def _check_own_record(self, changes: StoreChanges) -> None:
+        """Write this node's record again if the store has removed it."""
+        if self._written_record is None:
+            return
+        own_key = self._node_prefix + self._written_record.node_id
+        if all(item.key != own_key for item in changes.items):
+            self.on_own_record_removed(changes.revision)
 
     async def _watch_once(self, prefix: str, revision: int) -> StoreChanges:
         """Wait for changes; return none if the store recovers during the wait."""
@@ -241,8 +385,10 @@
         due_ms = lease.ttl_ms * _RENEWAL_FRACTION * _EARLIEST_RENEWAL_FRACTION
         return not self._is_available or self._clock.now_ms() - self._renewed_at >= due_ms
 
-    def on_own_record_removed(self) -> None:
-        """Record that the store removed this node's record, and schedule a new write."""
+    def on_own_record_removed(self, revision: int) -> None:
+        """Schedule a new write if the store removed this node's record after its last write."""
+        if revision < self._revision:
+            return
         self._written_record = None
         self._revision = 0
         self._lease = None
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -261,6 +261,24 @@
     limit: int
 
 
+@attrs.frozen
+class RecordChange:
+    """Change of a node's record in the store; the value is empty if the record was removed."""
+
+    node_id: str
+    value: bytes
+    revision: int
+
+
+@attrs.frozen
+class RecordChanges:
+    """Changes of node records in the store after one revision and up to another."""
+
+    after: int
+    upto: int
+    changes: tuple[RecordChange, ...]
+
+
 PeerMessage = (
     Call
     | Answer
@@ -278,4 +296,5 @@
     | RoutedCall
     | RoutedAnswer
     | ShareNotice
+    | RecordChanges
 )
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -70,10 +70,12 @@
             raise
         return self._decode_or_raise(lambda: _decode_item(fields))
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
-        """Return all items with a prefix, read in pages."""
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
+        """Return all items with a prefix, read in pages; old ones may be some seconds old."""
         items: list[StoreItem] = []
         query = {"prefix": prefix}
+        if may_be_old:
+            query["staleOk"] = "1"
         first_revision: int | None = None
         while True:
             fields = await self._get("/-/kv-range", query)
--- a/gooseberrydock/watchers.py
+++ b/gooseberrydock/watchers.py
@@ -13,7 +13,11 @@
 from gooseberrydock.members import Member, MemberState
 
 
-def is_watcher(local_member: Member, members: Iterable[Member]) -> bool:
+def is_watcher(
+    local_member: Member,
+    members: Iterable[Member],
+    watchers_per_domain: int = defaults.WATCHERS_PER_DOMAIN,
+) -> bool:
     """Return whether this node watches the key-value service for its failure domain."""
     local_score = _score(local_member)
     higher_ranked = sum(
@@ -24,7 +28,7 @@
         and member.node_id != local_member.node_id
         and _score(member) > local_score
     )
-    return higher_ranked < defaults.WATCHERS_PER_DOMAIN
+    return higher_ranked < watchers_per_domain
 
 
 def _score(member: Member) -> int:
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -35,6 +35,7 @@
 TAG_ROUTED_CALL: Final = 14
 TAG_ROUTED_ANSWER: Final = 15
 TAG_SHARE_NOTICE: Final = 16
+TAG_RECORD_CHANGES: Final = 17
 
 
 class _FieldError(ValueError):
@@ -172,6 +173,12 @@
     return [TAG_SHARE_NOTICE, message.admitted_shares, message.limit]
 
 
+@_to_array.register
+def _record_changes_to_array(message: messages.RecordChanges) -> list[Any]:
+    changes = [[item.node_id, item.value, item.revision] for item in message.changes]
+    return [TAG_RECORD_CHANGES, message.after, message.upto, changes]
+
+
 @_to_array.register
 def _owner_heartbeat_to_array(message: messages.OwnerHeartbeat) -> list[Any]:
     return [
@@ -385,6 +392,19 @@
     return messages.ShareNotice(shares, array[2])
 
 
+def _to_record_changes(array: list[Any]) -> messages.RecordChanges:
+    _check_field_types(array, (int, int, list))
+    return messages.RecordChanges(
+        array[1], array[2], tuple(_to_record_change(item) for item in array[3])
+    )
+
+
+def _to_record_change(item: Any) -> messages.RecordChange:
+    if type(item) is not list or [type(value) for value in item] != [str, bytes, int]:
+        raise _FieldError("a change of a record is not an id, a value and a revision")
+    return messages.RecordChange(*item)
+
+
 def _to_owner_heartbeat(array: list[Any]) -> messages.OwnerHeartbeat:
     _check_field_types(array, (int, int, int, int, bool))
     return messages.OwnerHeartbeat(*array[1:])
@@ -461,4 +481,5 @@
     TAG_ROUTED_CALL: _to_routed_call,
     TAG_ROUTED_ANSWER: _to_routed_answer,
     TAG_SHARE_NOTICE: _to_share_notice,
+    TAG_RECORD_CHANGES: _to_record_changes,
 }
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -12,9 +12,12 @@
 from gooseberrydock.clock import MS_PER_SECOND, Clock
 from gooseberrydock.errorcodes import STORE_UNAVAILABLE
 from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.members import Member
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.watch_plan import WatchPlan
+from gooseberrydock.messages import RecordChanges
 from tests.mesh_helpers import make_member
 
 _CLOCK = Clock(
@@ -41,7 +44,7 @@
         """Return the time since the start of the run."""
         return trio.current_time() - self.started_at_s
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         return StoreChanges((), 1)
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreChanges:
@@ -75,10 +78,18 @@
         """Return whether any record was removed; each one counts as possibly written again."""
         return any(item.value is None for item in items)
 
+    def forward_record_changes(self, changes: RecordChanges) -> None:
+        """Ignore changes for other nodes."""
+
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
 
 
+def _make_plan(others: tuple[Member, ...], started_at: float = -60_000.0) -> WatchPlan:
+    """Create the plan of the node n1, which by default started long ago."""
+    return WatchPlan(lambda: make_member("n1"), lambda: others, lambda: len(others) + 1, started_at)
+
+
 def _make_sync(store: _ChangingStore) -> StoreSync:
     return StoreSync(
         store=store,
@@ -88,6 +99,7 @@
         node_prefix="nodes/",
         lease_min_ms=1_000.0,
         pacer=create_read_pacer(2_000.0, lambda: 12, _CLOCK.now_ms()),
+        plan=_make_plan(others=()),
     )
 
 
@@ -174,7 +186,7 @@
     rejected_watches: int = 0
     rejected_renewals: int = 0
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         self._reject_if_unavailable()
         self.watched_at_s.append(self.now_s)
         return StoreChanges((), 1)
@@ -221,7 +233,7 @@
 
     rejected_reads: int = 0
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         self.rejected_reads += 1
         await trio.sleep(0.004)
         raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
@@ -244,7 +256,7 @@
     reads: int = 0
     has_failed: bool = False
 
-    async def read_prefix(self, prefix: str) -> StoreChanges:
+    async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         self.reads += 1
         return StoreChanges((StoreItem(prefix, b"%d" % self.reads, self.reads),), self.reads)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -85,6 +85,19 @@
         admitted_shares=st.dictionaries(_SHORT_TEXTS, st.floats(0.0, 1.0), max_size=3),
         limit=_NUMBERS,
     ),
+    st.builds(
+        messages.RecordChanges,
+        after=_NUMBERS,
+        upto=_NUMBERS,
+        changes=st.lists(
+            st.builds(
+                messages.RecordChange,
+                node_id=_SHORT_TEXTS,
+                value=st.binary(max_size=9),
+                revision=_NUMBERS,
+            )
+        ).map(tuple),
+    ),
     st.builds(messages.ConfigurationPush, generation=_NUMBERS, payload=st.binary(max_size=9)),
     st.builds(messages.MemberSyncRequest, digests=st.lists(_NUMBERS).map(tuple)),
 )
