Keep the retries of all nodes within the budget for any size of the fleet

Cause: a node kept at least one token for each service whatever the slack (194 on 194 hosts, and as many again for requests that make calls), and a starting node, which knows no others yet, began with half of the whole fleet's share, so that restarts handed out new ones. Change: a node starts without tokens. What it may keep is a share of the slack; below one token it stakes the part it has, and a retry is granted with that probability. The share of the ratio for calls at the end of a path is what the services before it leave over: 0.6 instead of 0.4 with four services, as the reserve for deeper paths than there can be was never used. Ruled out: a token for a part of the nodes only, as callers of the others would get no retry.

--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -102,7 +102,7 @@
         registration=create_target_registration(options.target_address, options.drain_ms),
         directory=create_directory(options.node_id),
         admission_queue=create_admission_queue(nested_routes),
-        budget=create_retry_budget(options.retry_budget),
+        budget=create_retry_budget(options.retry_budget, seed),
         shares=create_admitted_shares(seed),
         nested_routes=nested_routes,
         call_graph=create_call_graph(),
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -270,6 +270,7 @@
     def on_table(self, table: RouteTable) -> None:
         """Apply a new route table."""
         self._controllers.nested_routes.set_service_count(len(table.services))
+        self._controllers.budget.set_service_count(len(table.services))
         self._controllers.entry.set_table(table)
 
     def on_node_changed(self, node_id: str, drops_statistics: bool) -> None:
