Let suspects run again, and quarantine a request that crashes targets after its quarantine

Causes: once the last suspect was cleared, the end of its run was not recorded, so that no later suspect ever ran on that node; an expired quarantine kept its fingerprint from becoming a suspect; two equal requests lost in one crash counted as a crash that repeated, which quarantined an innocent one.

--- a/gooseberrydock/quarantine.py
+++ b/gooseberrydock/quarantine.py
@@ -33,8 +33,11 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether no suspect or quarantined fingerprint is recorded, expired or not."""
-        return not self._suspects and not self._quarantined
+        """Return whether no fingerprint is recorded as suspect, running suspect or quarantined.
+
+        Entries that have expired still count.
+        """
+        return not self._suspects and not self._quarantined and not self._running_suspects
 
     def is_quarantined(self, now_ms: Millis, fingerprint: int) -> bool:
         """Return whether requests with this fingerprint are refused."""
@@ -65,7 +68,8 @@
 
     def on_connection_lost(self, now_ms: Millis, fingerprint: int) -> None:
         """Record that a request lost its connection to the target and may have crashed it."""
-        self._lost_runs[fingerprint] = self.is_suspect(now_ms, fingerprint)
+        # Several runs with one fingerprint may be lost in the same crash.
+        self._lost_runs.setdefault(fingerprint, self.is_suspect(now_ms, fingerprint))
         self._running_suspects.discard(fingerprint)
         self.mark_suspect(now_ms, fingerprint)
 
@@ -95,9 +99,11 @@
 
     def mark_suspect(self, now_ms: Millis, fingerprint: int) -> None:
         """Make a fingerprint a suspect for a limited time, unless it is quarantined."""
-        if fingerprint not in self._quarantined:
-            _evict_if_full(self._suspects)
-            self._suspects[fingerprint] = now_ms + SUSPECT_MS
+        if self.is_quarantined(now_ms, fingerprint):
+            return
+        self._quarantined.pop(fingerprint, None)
+        _evict_if_full(self._suspects)
+        self._suspects[fingerprint] = now_ms + SUSPECT_MS
 
 
 def _evict_if_full(entries: dict[int, Millis]) -> None:
