Base decisions on what several hosts report, and forget what no longer holds

Causes: the last report alone said whether a route's requests are calls of targets and whether its runs make calls, so that a host which had just started, and knows neither, changed both for the whole node; the share that downstream services admitted stayed in force for a route without runs; shares of hosts that left counted on; a waiting call that was refused at its start freed a slot that no other took; a record could be written again after it was removed at the stop. Change: a moving average of the reports (route_flags.py), all downstream capacities replaced at each computation, reports forgotten with their host, waiting calls started until no slot is free, no write after the removal. The test of share notices at a stop set the downstream share directly, which is now computed; it brings the same share about through the call graph, with the same assertion.

--- a/gooseberrydock/mesh/admission_queue.py
+++ b/gooseberrydock/mesh/admission_queue.py
@@ -8,13 +8,14 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 import attrs
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import TARGET_BUSY, ErrorCode
+from gooseberrydock.mesh.downstream import UNLIMITED, DownstreamCapacity
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.overload_controller import OverloadController
 from gooseberrydock.messages import RoutedCall, TargetReport
@@ -78,8 +79,7 @@
     _serials: Iterator[int] = attrs.field(factory=itertools.count)
     _run_ms_by_route: dict[str, Millis] = attrs.field(factory=dict)
     _mean_run_ms: Millis = 0.0
-    _downstream_shares: dict[str, float] = attrs.field(factory=dict)
-    _makes_calls: dict[str, bool] = attrs.field(factory=dict)
+    _downstream_capacities: Mapping[str, DownstreamCapacity] = attrs.field(factory=dict)
     _nested_routes: NestedRoutes = attrs.field(factory=NestedRoutes)
 
     @property
@@ -191,14 +191,16 @@
         self._overload_controller.tick(now_ms, self.limit, self._waiting, self._mean_run_ms)
         return late
 
-    def set_downstream_capacity(self, route: str, share: float, makes_calls: bool) -> None:
-        """Set whether runs of a route make calls, and the share that downstream services admit."""
-        self._downstream_shares[route] = share
-        self._makes_calls[route] = makes_calls
+    def set_downstream_capacities(self, capacities: Mapping[str, DownstreamCapacity]) -> None:
+        """Set, by route, whether its runs make calls and the share that their services admit.
+
+        A route without runs has none, so that its last share does not stay in force.
+        """
+        self._downstream_capacities = capacities
 
     def admitted_share(self, route: str) -> float:
         """Return the share of a route that this target and its downstream services can take."""
-        return min(self._own_share(route), self._downstream_shares.get(route, 1.0))
+        return min(self._own_share(route), self._downstream_capacity(route).share)
 
     def report(self, route: str) -> TargetReport:
         """Return the report on this target that is sent to callers' nodes, for one route."""
@@ -208,9 +210,12 @@
             mean_run_ms=self._run_ms_by_route.get(route, 0.0),
             admitted_share=self.admitted_share(route),
             is_nested=self._nested_routes.classify(route, self._service),
-            makes_calls=self._makes_calls.get(route, False),
+            makes_calls=self._downstream_capacity(route).makes_calls,
         )
 
+    def _downstream_capacity(self, route: str) -> DownstreamCapacity:
+        return self._downstream_capacities.get(route, UNLIMITED)
+
     def _own_share(self, route: str) -> float:
         """Return this target's own admitted share of a route, lower for routes with long runs."""
         share = self._overload_controller.share
--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -61,10 +61,7 @@
             share_of=lambda route: self.shares.share_of(now_ms, route),
             is_nested=self.nested_routes.is_nested,
         )
-        for route, capacity in capacities.items():
-            self.admission_queue.set_downstream_capacity(
-                route, capacity.share, capacity.makes_calls
-            )
+        self.admission_queue.set_downstream_capacities(capacities)
 
     def take_due_notices(self, now_ms: Millis) -> dict[str, ShareNotice]:
         """Return, by link ID, the notices of changed shares that are due now."""
--- a/gooseberrydock/mesh/downstream.py
+++ b/gooseberrydock/mesh/downstream.py
@@ -25,6 +25,10 @@
     share: float
 
 
+UNLIMITED: Final = DownstreamCapacity(makes_calls=False, share=1.0)
+"""Capacity of a route whose runs make no calls."""
+
+
 def downstream_capacities(
     needs: Mapping[str, Mapping[str, float]],
     share_of: Callable[[str], float],
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -46,6 +46,7 @@
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.retry_budget import RetryBudget
+from gooseberrydock.mesh.route_flags import RouteFlags
 from gooseberrydock.mesh.shares import AdmittedShares
 from gooseberrydock.mesh.traffic_split import TrafficSplitter
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
@@ -101,7 +102,7 @@
     _accepted_work: AcceptedWork = AcceptedWork.ALL
     _deferred: list[Exchange] = attrs.field(factory=list)
     _response_timeouts: list[tuple[Millis, int]] = attrs.field(factory=list)
-    _routes_with_calls: set[str] = attrs.field(factory=set)
+    _routes_with_calls: RouteFlags = attrs.field(factory=RouteFlags)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _stripped: frozenset[bytes] = attrs.field(init=False)
 
@@ -411,17 +412,19 @@
         return self._budget.try_spend(exchange.service, self._makes_calls(exchange))
 
     def _makes_calls(self, exchange: Exchange) -> bool:
-        return exchange.route.name in self._routes_with_calls
+        return self._routes_with_calls.is_set(exchange.route.name)
 
     def _record_report(self, now_ms: Millis, exchange: Exchange, report: TargetReport) -> None:
         """Record the report that a target's node sends with an answer."""
-        route = exchange.route.name
-        self._shares.on_report(now_ms, route, exchange.node_id, report.admitted_share, report.limit)
+        route, node_id = exchange.route.name, exchange.node_id
+        self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.limit)
         self._nested_routes.on_report(route, report.is_nested)
-        if report.makes_calls:
-            self._routes_with_calls.add(route)
-        else:
-            self._routes_with_calls.discard(route)
+        self._routes_with_calls.on_report(route, report.makes_calls)
+
+    def forget_host(self, node_id: str) -> None:
+        """Discard what a host that restarted or left has reported."""
+        self._host_selector.forget(node_id)
+        self._shares.forget(node_id)
 
     def _has_attempt_left(self, now_ms: Millis, exchange: Exchange) -> bool:
         """Return whether attempts and time are left, counting a call in flight as an attempt."""
--- a/gooseberrydock/mesh/nested_routes.py
+++ b/gooseberrydock/mesh/nested_routes.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from gooseberrydock.mesh.route_flags import RouteFlags
+
 _MIN_REQUESTS: Final = 40
 """Number of requests of a route that must arrive before the route is classified."""
 _MIN_ORIGIN_SHARE: Final = 0.04
@@ -58,7 +60,7 @@
 
     _service_count: int = 0
     _origins: dict[str, RouteOrigins] = attrs.field(factory=dict)
-    _reported: dict[str, bool] = attrs.field(factory=dict)
+    _reported: RouteFlags = attrs.field(factory=RouteFlags)
 
     def set_service_count(self, count: int) -> None:
         """Set the number of services in the route table."""
@@ -88,8 +90,8 @@
 
     def on_report(self, route: str, is_nested: bool) -> None:
         """Record how a target's node classified a route."""
-        self._reported[route] = is_nested
+        self._reported.on_report(route, is_nested)
 
     def is_nested(self, route: str) -> bool:
         """Return whether requests of a route that begin at this node are calls of its target."""
-        return self._reported.get(route, False)
+        return self._reported.is_set(route)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -276,7 +276,7 @@
     def on_node_changed(self, node_id: str, drops_statistics: bool) -> None:
         """Record an added, changed or removed node; drop its statistics if ``drops_statistics``."""
         if drops_statistics:
-            self._controllers.entry.host_selector.forget(node_id)
+            self._controllers.entry.forget_host(node_id)
         self._controllers.budget.set_node_count(self._controllers.directory.node_count)
 
     # Links.
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -74,6 +74,11 @@
             reports = self._reports[route] = {}
         reports[node_id] = ShareReport(share, limit, now_ms)
 
+    def forget(self, node_id: str) -> None:
+        """Discard the reports of a host that restarted or left."""
+        for reports in self._reports.values():
+            reports.pop(node_id, None)
+
     def on_notice(self, now_ms: Millis, node_id: str, notice: ShareNotice) -> None:
         """Record a host's notice of routes whose share changed."""
         for route, share in notice.admitted_shares.items():
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -146,6 +146,7 @@
     _revision: int = 0
     _lease: Lease | None = None
     _renewed_at: Millis = 0.0
+    _is_removing: bool = False
     _work_available: trio.Event = attrs.field(factory=trio.Event)
     _watch_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _available_again: trio.Event = attrs.field(factory=trio.Event)
@@ -315,7 +316,11 @@
                 await trio.sleep(backoff.next_delay_ms() / MS_PER_SECOND)
 
     async def remove_record(self, timeout_ms: Millis) -> None:
-        """Revoke the lease, and the record with it, if the store answers before the timeout."""
+        """Revoke the lease, and the record with it, if the store answers before the timeout.
+
+        The record is not written again, whatever the store answers to calls in progress.
+        """
+        self._is_removing = True
         lease = self._lease
         if lease is None:
             return
@@ -331,13 +336,13 @@
         lease = self._lease
         if lease is not None and self._is_renewal_due(lease):
             await self._renew(lease)
-        if self._record is None:
+        if self._record is None or self._is_removing:
             return
         if self._lease is None:
             self._lease = await self._store.grant_lease(max(_LEASE_TTL_MS, self._lease_min_ms))
             self._renewed_at = self._clock.now_ms()
             self._written_record = None
-        if self._written_record is not self._record:
+        if self._written_record is not self._record and not self._is_removing:
             await self._write(self._record, self._lease)
 
     async def _renew(self, lease: Lease) -> None:
@@ -373,7 +378,7 @@
 
     async def _wait_for_work(self) -> None:
         """Wait until the record changes or a lease renewal is due."""
-        if self._written_record is not self._record:
+        if self._written_record is not self._record and not self._is_removing:
             return
         lease = self._lease
         wait_ms = lease.ttl_ms * _RENEWAL_FRACTION if lease is not None else _LEASE_TTL_MS
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -204,13 +204,17 @@
         self._controllers.admission_queue.finish(now_ms, ticket, has_completed)
 
     def _start_waiting_calls(self) -> None:
+        """Start waiting calls until no slot is free; a call refused at its start frees its slot."""
         now_ms = self._clock.now_ms()
-        started, late = self._controllers.admission_queue.start_next(now_ms)
-        self._refuse_late(now_ms, late)
-        for ticket in started:
-            run = self._runs.get(ticket.run_id)
-            if run is not None:
-                self._start_run(run)
+        has_started = True
+        while has_started:
+            started, late = self._controllers.admission_queue.start_next(now_ms)
+            self._refuse_late(now_ms, late)
+            has_started = bool(started)
+            for ticket in started:
+                run = self._runs.get(ticket.run_id)
+                if run is not None:
+                    self._start_run(run)
 
     def _refuse_late(self, now_ms: Millis, late: list[Ticket]) -> None:
         for ticket in late:
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -21,9 +21,10 @@
 from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
 from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.store_sync import RETRY_POLICY
+from gooseberrydock.mesh.target_connections import PendingRun, TargetPool
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
 from gooseberrydock.mesh.target_run import Run
-from gooseberrydock.messages import RoutedCall
+from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
 from tests.mesh_helpers import make_call, make_member
 
 _ADDRESS = Address("10.0.0.1", 80)
@@ -170,15 +171,48 @@
                     InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
                 )
                 node.controllers.share_notices.on_call(0.0, "look", "link-1")
-                node.controllers.admission_queue.set_downstream_capacity(
-                    "look", 0.3, makes_calls=True
-                )
+                node.controllers.call_graph._needs = {"look": {"inner": 1.0}}
+                node.controllers.nested_routes.on_report("inner", True)
+                node.controllers.shares.on_report(0.0, "inner", "n1", 0.3, 10)
                 if is_stopping:
                     node.begin_stop()
                 with mock.patch.object(MeshNode, "notify_shares") as notify_shares:
                     node.propagate_shares(100.0)
                 self.assertEqual(not is_stopping, notify_shares.called)
 
+    def test_share_of_a_host_that_restarted_is_forgotten(self) -> None:
+        node = _make_node()
+        node.controllers.shares.on_report(0.0, "look", "other", 0.2, 10)
+        self.assertLess(node.controllers.shares.share_of(0.0, "look"), 1.0)
+        for incarnation in (1, 2):
+            member = attrs.evolve(make_member("other"), incarnation=incarnation)
+            item = StoreItem("nodes/other", encode_member(member), incarnation)
+            node.fleet.on_store_items((item,), is_snapshot=False)
+        self.assertEqual(1.0, node.controllers.shares.share_of(0.0, "look"))
+
+    def test_waiting_calls_are_refused_at_once_when_the_target_leaves(self) -> None:
+        node = _make_node()
+        dispatcher = node.target_dispatcher
+        dispatcher.on_announcement(
+            InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 2, 0.0)
+        )
+        answers: list[RoutedAnswer] = []
+        calls = [attrs.evolve(make_call(), call_id=number) for number in range(1, 4)]
+        with (
+            mock.patch.object(
+                MeshNode, "answer_call", lambda self, link_id, answer: answers.append(answer)
+            ),
+            mock.patch.object(TargetPool, "start", lambda *arguments: PendingRun()),
+        ):
+            for call in calls:
+                dispatcher.on_call("link-1", call)
+            self.assertEqual(3, dispatcher.in_flight)
+            dispatcher.on_other_instance()
+            dispatcher.on_cancel("link-1", Cancel(1))
+        self.assertEqual([2, 3], [answer.call_id for answer in answers])
+        self.assertEqual({RunResult.NOT_RUN}, {answer.result for answer in answers})
+        self.assertEqual(0, dispatcher.in_flight)
+
     def test_unreachable_target_is_withdrawn_until_its_next_announcement(self) -> None:
         node = _make_node()
         announced = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -11,6 +11,7 @@
 from gooseberrydock.http_messages import Headers, HttpResponse
 from gooseberrydock.members import Address
 from gooseberrydock.mesh.admission_queue import AdmissionQueue, Ticket, create_admission_queue
+from gooseberrydock.mesh.downstream import DownstreamCapacity
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.target_answers import classify_answer
@@ -226,6 +227,19 @@
             self.assertLessEqual(len(admission_queue.running), admission_queue.limit)
 
 
+class DownstreamShareCases(unittest.TestCase):
+    """Shares of the services that a route's runs call."""
+
+    def test_share_of_a_route_without_runs_does_not_stay_in_force(self) -> None:
+        admission_queue = _create_admission_queue(slots=10)
+        admission_queue.set_downstream_capacities({"a": DownstreamCapacity(True, 0.1)})
+        self.assertEqual(0.1, admission_queue.report("a").admitted_share)
+        self.assertTrue(admission_queue.report("a").makes_calls)
+        admission_queue.set_downstream_capacities({})
+        self.assertEqual(1.0, admission_queue.report("a").admitted_share)
+        self.assertFalse(admission_queue.report("a").makes_calls)
+
+
 class LongRunCases(unittest.TestCase):
     """Overload of a target that runs short and long requests of the same priority."""
 
@@ -271,6 +285,19 @@
             nested.on_call("outer", "web")
         self.assertFalse(nested.classify("outer", "shop"))
 
+    def test_report_of_one_new_host_changes_nothing(self) -> None:
+        nested = NestedRoutes()
+        nested.on_report("inner", True)
+        for _ in range(20):
+            nested.on_report("inner", True)
+            nested.on_report("outer", False)
+        nested.on_report("inner", False)
+        nested.on_report("outer", True)
+        self.assertEqual((True, False), (nested.is_nested("inner"), nested.is_nested("outer")))
+        for _ in range(5):
+            nested.on_report("inner", False)
+        self.assertFalse(nested.is_nested("inner"))
+
     def test_route_with_few_requests_is_not_classified(self) -> None:
         nested = NestedRoutes()
         nested.set_service_count(4)
--- a/tests/test_watch_plan.py
+++ b/tests/test_watch_plan.py
@@ -121,7 +121,9 @@
             raise GooseberrydockError(LEASE_ENDED, Step.STORE)
 
     async def end_lease(self, lease_id: int) -> None:
-        """Accept the end of a lease."""
+        await self._answer()
+        for key in self.leases.pop(lease_id):
+            self.put(key, None)
 
     async def write(self, key: str, value: bytes, lease_id: int, expected_revision: int) -> int:
         await self._answer()
@@ -335,6 +337,20 @@
 
         self._run(scenario)
 
+    def test_record_removed_at_a_stop_is_not_written_again(self) -> None:
+        async def scenario(fleet: _Fleet) -> None:
+            stopping = fleet.nodes[0]
+            key = _PREFIX + stopping.member.node_id
+            changed = attrs.evolve(stopping.member, version=2)
+            stopping.sync.set_record(changed)
+            await stopping.sync.remove_record(1_000.0)
+            stopping.sync.set_record(attrs.evolve(changed, version=3))
+            await trio.sleep(20.0)
+            writes = [item for _, item in fleet.store.history if item.key == key]
+            self.assertIsNone(writes[-1].value)
+
+        self._run(scenario)
+
     def test_lost_history_is_read_again_by_those_that_watch(self) -> None:
         async def scenario(fleet: _Fleet) -> None:
             store = fleet.store
