Wait at a stop for connections that no task serves yet

Cause: a connection that the listener took over from the kernel at its close was not counted before its task ran, and the stop found no caller left and ended in the same moment. Change: the listener counts the connections that it has accepted, and a stop ends after them.

--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -360,11 +360,6 @@
         """Reject all new work, including calls of the local target."""
         self._controllers.entry.set_accepted_work(AcceptedWork.NOTHING)
 
-    @property
-    def has_callers(self) -> bool:
-        """Return whether a caller's connection is open, or its last response is not sent yet."""
-        return bool(self._caller_connections)
-
     def close_idle_caller_connections(self) -> None:
         """Close the caller connections that have no request in flight."""
         for connection in list(self._caller_connections):
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -231,9 +231,10 @@
                 node.stop_accepting_calls()
         # Requests that reach the entry before it closes are refused like those before them, and
         # their callers read the refusal to its end.
-        self._listeners[self._options.entry_listen].close()
+        entry = self._listeners[self._options.entry_listen]
+        entry.close()
         ends_at = min(ends_at, self._clock.now_ms() + _CALLERS_END_MS)
-        while node.has_callers and self._clock.now_ms() < ends_at:
+        while entry.has_open_connections and self._clock.now_ms() < ends_at:
             node.close_idle_caller_connections()
             await trio.sleep(TICK_MS / MS_PER_SECOND)
         if node.in_flight:
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -153,6 +153,10 @@
         """Return the client of the local target."""
         return self._target
 
+    def create_random(self) -> random.Random:
+        """Return a new random generator, seeded by the node's own."""
+        return random.Random(self._random.getrandbits(_RANDOM_SEED_BITS))
+
     def now_ms(self) -> Millis:
         """Return the current monotonic time of the node's clock."""
         return self._clock.now_ms()
@@ -222,11 +226,10 @@
         finally:
             self._caller_connections.discard(connection)
 
-    def close_idle_callers(self) -> bool:
-        """Close the callers' connections without a request; return whether others are open."""
+    def close_idle_callers(self) -> None:
+        """Close the callers' connections that have no request in flight."""
         for connection in list(self._caller_connections):
             connection.close_if_idle()
-        return bool(self._caller_connections)
 
     async def serve_local(self, stream: Stream) -> None:
         """Serve one connection of the local target."""
--- a/gooseberrydock/node_stop.py
+++ b/gooseberrydock/node_stop.py
@@ -31,7 +31,7 @@
     _links: PeerLinks
     _gossip: GossipSocket
     _entry: Listener
-    _close_idle_callers: Callable[[], bool]
+    _close_idle_callers: Callable[[], None]
     _timeout_ms: Millis
     _waiting_connections: list[HttpConnection] = attrs.field(factory=list)
     _requested: trio.Event = attrs.field(factory=trio.Event)
@@ -75,7 +75,8 @@
         with trio.move_on_after(self._timeout_ms / MS_PER_SECOND) as scope:
             # A connection without a request is closed only now: until then, a caller's next request
             # is answered, and the answer tells it to open a connection to another node.
-            while self._close_idle_callers() or self._core.is_busy:
+            while self._entry.has_open_connections or self._core.is_busy:
+                self._close_idle_callers()
                 await trio.sleep(_CHECK_INTERVAL_MS / MS_PER_SECOND)
         if scope.cancelled_caught:
             log(STOP_TIMED_OUT, in_flight=self._core.outbound.in_flight)
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -215,6 +215,12 @@
     _socket: socket.socket
     _is_local: bool = False
     _accept_pending: Callable[[], None] | None = None
+    _open_connections: int = 0
+
+    @property
+    def has_open_connections(self) -> bool:
+        """Return whether an accepted connection is open, also if no task serves it yet."""
+        return self._open_connections > 0
 
     @property
     def address(self) -> Address:
@@ -243,7 +249,16 @@
         accepted, peer_address = self._socket.accept()
         _configure(accepted, self._is_local)
         stream = Stream(accepted, nursery, str(peer_address[0]))
-        nursery.start_soon(_handle, handler, stream)
+        self._open_connections += 1
+        nursery.start_soon(self._handle, handler, stream)
+
+    async def _handle(self, handler: StreamHandler, stream: Stream) -> None:
+        try:
+            with log_and_suppress_errors(stream.peer_host):
+                await handler(stream)
+        finally:
+            self._open_connections -= 1
+            stream.close_when_sent()
 
     def _accept_all(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
         """Accept the connections that the kernel has established already."""
@@ -276,14 +291,6 @@
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
-async def _handle(handler: StreamHandler, stream: Stream) -> None:
-    try:
-        with log_and_suppress_errors(stream.peer_host):
-            await handler(stream)
-    finally:
-        stream.close_when_sent()
-
-
 def listen(address: Address, is_open: bool = True, is_local: bool = False) -> Listener:
     """Bind a TCP listener; port 0 selects any free port.
 
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -187,7 +187,12 @@
                     client.settimeout(5.0)
                     client.sendall(_REQUEST)
                     listener.close()
+                    # A stop must not end here, before the task of the connection has run.
+                    self.assertTrue(listener.has_open_connections)
                     received = await trio.to_thread.run_sync(client.recv, 65_536)
+                with trio.fail_after(5):
+                    while listener.has_open_connections:
+                        await trio.sleep(_TRANSMISSION_S)
                 nursery.cancel_scope.cancel()
             return received
 
