--- a/gooseberrydock/configuration_store.py
+++ b/gooseberrydock/configuration_store.py
@@ -97,6 +97,8 @@
                 found = _configuration_of(current)
                 detail = f"{found.author} put generation {found.generation} in force first"
                 raise _conflict(detail, found, before.classes)
+            # The store rejected the swap although the value has not changed.
+            await self._wait_before_retry(deadline, after.write_id)
 
     async def _read_until(self, deadline: Millis, write_id: str) -> StoredValue:
         while True:
--- a/gooseberrydock/exchanges.py
+++ b/gooseberrydock/exchanges.py
@@ -79,7 +79,8 @@
     ``is_first_attempt`` is true if the same key cannot have been sent before, ``may_replace_key``
     if in addition no other sender will ever send it. ``owner_hint`` is the id of the node that may
     decide about the key. ``seal_code`` is the error code of a refusal that the owner of the key
-    still has to confirm.
+    still has to confirm. ``joined_id`` is the id of the exchange with the same key whose answer is
+    awaited.
     """
 
     exchange_id: int
@@ -112,6 +113,8 @@
     owner_hint: str = ""
     seal_code: int = 0
     has_unknown_attempt: bool = False
+    joined_id: int | None = None
+    is_caller_gone: bool = False
     admitted_filter_count: int = 0
 
     @property
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -134,7 +134,8 @@
         if not text.isascii() or not text.isdigit():
             return Refusal(MALFORMED_REQUEST, "the deadline header is not a decimal integer")
         # int() rejects very long strings; 12 digits are about 31 years, longer than any deadline.
-        requested_deadline_at = exchange.received_at + float(int(text[:12]))
+        digits = text.lstrip("0")[:12] or "0"
+        requested_deadline_at = exchange.received_at + float(int(digits))
         exchange.deadline_at = min(exchange.deadline_at, requested_deadline_at)
         return None
 
--- a/gooseberrydock/gossip.py
+++ b/gooseberrydock/gossip.py
@@ -53,14 +53,18 @@
     updates: tuple[MemberUpdate, ...]
 
 
+def _encoded_size(text: str) -> int:
+    return len(text.encode())
+
+
 def encode_gossip(gossip: GossipMessage, key: bytes) -> bytes:
     """Encode a datagram, omitting updates that would exceed ``MAX_DATAGRAM_BYTES``."""
     updates: list[list[Any]] = []
     # 64 and 8 bytes are upper bounds of what CBOR adds to the message and to each update.
-    size = 64 + DIGEST_BYTES + len(gossip.sender) + len(gossip.probed_node_id)
+    size = 64 + DIGEST_BYTES + _encoded_size(gossip.sender) + _encoded_size(gossip.probed_node_id)
     for update in gossip.updates:
         record = encode_member(update.member)
-        size += len(record) + len(update.reporter) + 8
+        size += len(record) + _encoded_size(update.reporter) + 8
         if size > defaults.MAX_DATAGRAM_BYTES:
             break
         updates.append([record, update.reporter])
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -74,6 +74,11 @@
         self._on_failure = None
         self._stream.close()
 
+    def fail_pending(self) -> None:
+        """Report the pending request as failed, if an error ended its connection."""
+        self._stream.close()
+        self._fail(TARGET_LOST)
+
     async def run(self) -> None:
         """Read answers until the connection ends."""
         while not self._stream.is_closed:
@@ -216,6 +221,7 @@
                 connection.start(request, on_response, on_failure)
                 await connection.run()
         finally:
+            connection.fail_pending()
             self._open_connections -= 1
             if connection in self._idle_connections:
                 self._idle_connections.remove(connection)
--- a/gooseberrydock/node_run.py
+++ b/gooseberrydock/node_run.py
@@ -62,7 +62,7 @@
 
 def _start_tasks(node: Node, seeds: tuple[Address, ...], nursery: trio.Nursery) -> None:
     admin = AdminEndpoint(node)
-    tasks = NodeTasks(node, seeds, random.Random())
+    tasks = NodeTasks(node, seeds, node.create_random())
     nursery.start_soon(tasks.accept_callers)
     nursery.start_soon(node.listeners["local"].serve, node.serve_local)
     nursery.start_soon(node.listeners["peer"].serve, node.links.serve)
@@ -88,8 +88,9 @@
 def _create_store_watch(node: Node) -> StoreWatch | None:
     if node.store is None:
         return None
-    generator = random.Random()
-    return StoreWatch(node.store, generator, node.is_store_watcher, node.apply_configuration)
+    return StoreWatch(
+        node.store, node.create_random(), node.is_store_watcher, node.apply_configuration
+    )
 
 
 async def _cancel_tasks_after_stop(node: Node, nursery: trio.Nursery) -> None:
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -147,10 +147,16 @@
         exchange = self._exchanges.get(exchange_id)
         if exchange is None:
             return
-        if self._is_joined_by_others(exchange) or not exchange.is_idempotent:
+        exchange.is_caller_gone = True
+        leader = exchange
+        if exchange.joined_id is not None:
+            leader = self._exchanges[exchange.joined_id]
+            self._joined[leader.exchange_id].remove(exchange)
+            del self._exchanges[exchange_id]
+        if not (leader.is_caller_gone and leader.is_idempotent and not self._is_joined(leader)):
             return
         self._stats.cancellations += 1
-        self._abandon(exchange)
+        self._abandon(leader)
 
     def on_run_cancelled(self, run_id: int) -> None:
         """Cancel the calls that a cancelled run of the local target made."""
@@ -189,6 +195,7 @@
             return True
         self._stats.joined_requests += 1
         exchange.class_name = leader.class_name
+        exchange.joined_id = leader.exchange_id
         self._joined.setdefault(leader.exchange_id, []).append(exchange)
         return True
 
@@ -382,7 +389,7 @@
             self._routing.on_cancelled(attempt.node_id)
         self._remove_exchange(exchange)
 
-    def _is_joined_by_others(self, exchange: Exchange) -> bool:
+    def _is_joined(self, exchange: Exchange) -> bool:
         return bool(self._joined.get(exchange.exchange_id))
 
     def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
@@ -425,7 +432,7 @@
         self._remove_exchange(exchange)
         for finished in [exchange, *joined]:
             self._exchanges.pop(finished.exchange_id, None)
-            if finished.source is Source.ENTRY:
+            if finished.source is Source.ENTRY and not finished.is_caller_gone:
                 self._stats.answered[(finished.class_name, outcome.label, code)] += 1
             self._effects.answer_caller(finished.exchange_id, response)
 
--- a/gooseberrydock/routing.py
+++ b/gooseberrydock/routing.py
@@ -190,7 +190,7 @@
     def _eject(self, now_ms: Millis, stats: TargetStats) -> None:
         ejection_ms = defaults.EJECTION_BASE_MS * 2**stats.ejections
         stats.ejected_until = now_ms + min(ejection_ms, defaults.EJECTION_MAX_MS)
-        stats.ejections += 1
+        stats.ejections = min(stats.ejections + 1, _MAX_BACKOFF_DOUBLINGS)
         stats.consecutive_failures = 0
 
     def on_cancelled(self, node_id: str) -> None:
--- a/gooseberrydock/target_client.py
+++ b/gooseberrydock/target_client.py
@@ -45,7 +45,10 @@
             raise ValueError("service must be a non-empty string without a slash")
         if type(slots) is not int or not 0 < slots <= _MAX_SLOTS:
             raise ValueError("slots must be a positive integer within the allowed range")
-        return Announcement(service, address, slots, bool(fields.get("cold", False)))
+        is_cold = fields.get("cold", False)
+        if type(is_cold) is not bool:
+            raise ValueError("cold must be true or false")
+        return Announcement(service, address, slots, is_cold)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         detail = f"{type(error).__name__}: {error}"
         raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -19,6 +19,7 @@
 )
 from gooseberrydock.http_messages import (
     CODE_HEADER,
+    DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     OUTCOME_HEADER,
     Headers,
@@ -205,6 +206,65 @@
         self.assertEqual(shop.core.quarantine.quarantined, {})
 
 
+class JoinedRequestTest(unittest.TestCase):
+    """A lookup that its caller sends again while the first one is in flight."""
+
+    def setUp(self) -> None:
+        self.cluster = create_cluster()
+        self.entry = self.cluster.nodes["entry-1"]
+        headers = new_key_headers(self.cluster)
+        self.first = self.entry.request("/shop/look", headers)
+        self.second = self.entry.request("/shop/look", headers)
+        self.cluster.deliver_all()
+        self.shop = next(node for node in self.cluster.nodes.values() if node.runs)
+
+    def _leave(self, exchange_id: int) -> None:
+        self.entry.core.on_caller_disconnected(exchange_id)
+        self.cluster.deliver_all()
+
+    def test_work_goes_on_while_one_of_both_waits(self) -> None:
+        for left, stays in ((self.first, self.second), (self.second, self.first)):
+            with self.subTest(left=left):
+                self.setUp()
+                self._leave(left)
+                self.assertEqual(1, len(self.shop.runs))
+                self.shop.finish_run(next(iter(self.shop.runs)), 200)
+                self.cluster.deliver_all()
+                self.assertEqual("done", self.entry.outcome(stays))
+                answered = self.entry.core.outbound._stats.answered
+                self.assertEqual(1, sum(answered.values()))
+                self.assertEqual(0, self.entry.core.outbound.in_flight)
+
+    def test_work_is_cancelled_once_both_have_left(self) -> None:
+        for order in ((self.first, self.second), (self.second, self.first)):
+            with self.subTest(order=order):
+                self.setUp()
+                for exchange_id in order:
+                    self._leave(exchange_id)
+                self.assertEqual({}, self.shop.runs)
+                self.assertEqual(0, self.entry.core.outbound.in_flight)
+
+
+class DeadlineHeaderTest(unittest.TestCase):
+    """Deadlines that callers request."""
+
+    def test_leading_zeros_and_many_digits(self) -> None:
+        for text, is_served in (
+            (b"0" * 20 + b"5000", True),
+            (b"9" * 40, True),
+            (b"0" * 20, False),
+            (b"0", False),
+        ):
+            with self.subTest(text):
+                cluster = create_cluster()
+                entry = cluster.nodes["entry-1"]
+                exchange_id = entry.request("/shop/look", [(DEADLINE_HEADER, text)])
+                cluster.deliver_all()
+                started = sum(len(node.started) for node in cluster.nodes.values())
+                self.assertEqual(is_served, started == 1)
+                self.assertEqual(not is_served, exchange_id in entry.responses)
+
+
 class BookingTest(unittest.TestCase):
     """Non-idempotent requests."""
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -121,6 +121,20 @@
         self.assertEqual(len(generations), len(set(generations)))
         self.assertEqual(len(store.history), len(set(store.history)))
 
+    def test_swap_rejected_without_a_change_is_retried_at_a_bounded_rate(self) -> None:
+        class RejectingStore(FakeStore):
+            swaps = 0
+
+            async def compare_and_swap(self, key: str, value: bytes, modify_index: int) -> bool:
+                self.swaps += 1
+                await trio.sleep(0.001)
+                return False
+
+        store, results = RejectingStore(iter(())), dict[str, Any]()
+        _run(_apply, store, "ana", results)
+        self.assertIs(STORE_UNAVAILABLE, results["ana"])
+        self.assertLess(store.swaps, 100)
+
     def test_swap_with_a_lost_answer_is_reported_as_success(self) -> None:
         store, results = FakeStore(iter(["ok", "lost"])), dict[str, Any]()
         _run(_apply, store, "ana", results)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,7 +13,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.errorcodes import TARGET_LOST, TARGET_PROTOCOL, TARGET_TRUNCATED
-from gooseberrydock.http_client import ClientPool, fetch
+from gooseberrydock.http_client import ClientPool, fetch, fetch_result
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import Address
@@ -207,3 +207,18 @@
             return bodies
 
         self.assertEqual(trio.run(main), [b"ok"] * 3)
+
+    def test_a_request_that_cannot_be_sent_is_reported_as_failed(self) -> None:
+        async def main() -> object:
+            async with trio.open_nursery() as nursery:
+                listener = listen(_ANY_PORT)
+                nursery.start_soon(listener.serve, _serve)
+                pool = ClientPool(listener.address, nursery)
+                request = HttpRequest("GET", "/", [(b"bad", b"a\nb")], b"")
+                with trio.fail_after(2):
+                    result = await fetch_result(pool, request, 5.0)
+                nursery.cancel_scope.cancel()
+            return result
+
+        with self.assertLogs("gooseberrydock", "ERROR"):
+            self.assertEqual(TARGET_LOST, trio.run(main))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -55,6 +55,13 @@
         routing = create_controller(create_member("near", "d1"), create_member("far", "d2"))
         self.assertGreater(choice_shares(routing, 1.0)["near"], 0.9)
 
+    def test_ejection_stays_bounded_after_any_number_of_failures(self) -> None:
+        routing = create_controller(create_member("good"), create_member("bad"))
+        for number in range(5_000):
+            routing.on_failure(float(number), "bad", is_unreachable=False)
+        self.assertEqual({"good": 1.0}, choice_shares(routing, 5_000.0))
+        self.assertIn("bad", choice_shares(routing, 5_000.0 + 30_000.0))
+
     def test_late_joiner_gets_slow_start(self) -> None:
         routing = create_controller(create_member("old"))
         routing.on_member(1_000.0, create_member("new"), is_late_joiner=True)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,13 +3,14 @@
 Valid messages survive a round trip, and any other bytes raise an error with a code.
 """
 
+import json
 import unittest
 
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberrydock import messages, wire
+from gooseberrydock import defaults, messages, wire
 from gooseberrydock.configuration import decode_configuration, encode_configuration
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.gossip import (
@@ -157,6 +158,17 @@
 class GossipTest(unittest.TestCase):
     """Encoding and decoding of gossip datagrams."""
 
+    def test_datagram_with_names_of_any_script_stays_below_the_limit(self) -> None:
+        update = MemberUpdate(_MEMBER, "\N{OLD PERSIAN SIGN A}" * 30)
+        gossip = GossipMessage(GossipKind.PING, 1, "ñ" * 40, "ñ" * 40, 7, (update,) * 50)
+        self.assertLessEqual(len(encode_gossip(gossip, _KEY)), defaults.MAX_DATAGRAM_BYTES)
+
+    def test_announcement_with_a_text_for_cold_is_refused(self) -> None:
+        fields = {"service": "s", "slots": 3, "address": "127.0.0.1:1"}
+        self.assertTrue(parse_announcement(json.dumps({**fields, "cold": True}).encode()).is_cold)
+        with self.assertRaises(GooseberrydockError):
+            parse_announcement(json.dumps({**fields, "cold": "false"}).encode())
+
     def test_round_trip_and_authentication(self) -> None:
         gossip = GossipMessage(GossipKind.PING, 1, "a", "b", 7, (MemberUpdate(_MEMBER, "c"),))
         data = encode_gossip(gossip, _KEY)
