Tell the hosts of a failure domain each other's load and run times

Cause: in a service of many hosts a node sends too few calls to learn their speed (0.4 bookings a second into 39 hosts on the large deployment), compared three of its failure domain at random, and tried unknown hosts elsewhere for their speed. A third of the hosts runs 2.4 times as fast; bookings on the others end at their 3 s more often. Change: each target's node sends load and mean run times once a second on its links within the failure domain, at most 64, if a call has ended; eight hosts of the domain and four others are compared; only unknown hosts of the domain are taken to be fast.

--- a/gooseberrydock/mesh/admission_queue.py
+++ b/gooseberrydock/mesh/admission_queue.py
@@ -18,7 +18,7 @@
 from gooseberrydock.mesh.downstream import UNLIMITED, DownstreamCapacity
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.overload_controller import OverloadController
-from gooseberrydock.messages import RoutedCall, TargetReport
+from gooseberrydock.messages import LoadNotice, RoutedCall, TargetReport
 
 _USABLE_SLOT_SHARE: Final = 0.94
 """Concurrency limit as a share of the announced slots; targets may slow down above it."""
@@ -81,6 +81,7 @@
     _mean_run_ms: Millis = 0.0
     _downstream_capacities: Mapping[str, DownstreamCapacity] = attrs.field(factory=dict)
     _nested_routes: NestedRoutes = attrs.field(factory=NestedRoutes)
+    _has_finished: bool = False
 
     @property
     def running(self) -> dict[int, Ticket]:
@@ -156,6 +157,7 @@
                 self._waiting -= 1
         elif has_completed:
             self._overload_controller.on_finish()
+            self._has_finished = True
             self._record_run_time(ticket.call.route, now_ms - ticket.started_at)
 
     def start_next(self, now_ms: Millis) -> tuple[list[Ticket], list[Ticket]]:
@@ -216,6 +218,13 @@
     def _downstream_capacity(self, route: str) -> DownstreamCapacity:
         return self._downstream_capacities.get(route, UNLIMITED)
 
+    def take_load_notice(self) -> LoadNotice | None:
+        """Return a notice of the load and the run times, or None if no call has ended since."""
+        if not self._has_finished:
+            return None
+        self._has_finished = False
+        return LoadNotice(self.in_flight, self.limit, dict(self._run_ms_by_route))
+
     def _own_share(self, route: str) -> float:
         """Return this target's own admitted share of a route, lower for routes with long runs."""
         share = self._overload_controller.share
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -31,6 +31,7 @@
 from gooseberrydock.messages import (
     ConfigurationPush,
     ConfigurationRequest,
+    LoadNotice,
     MemberSync,
     RecordChanges,
 )
@@ -53,6 +54,8 @@
 number of all linked nodes."""
 _MAX_REOPENED_LINKS: Final = 16
 """Missing links opened per round."""
+_MAX_DOMAIN_RECIPIENTS: Final = 64
+"""Nodes of the failure domain to which a node sends its load at a time."""
 _TABLE_REQUEST_MS: Final[Millis] = 300.0
 """Time to wait for a requested table before it is requested from another node."""
 _MAX_SILENT_ROUNDS: Final = 4
@@ -309,6 +312,18 @@
         if table.unknown_kinds:
             log(CONFIGURATION_NOT_UNDERSTOOD, kinds=sorted(table.unknown_kinds))
 
+    def send_to_domain(self, message: LoadNotice) -> None:
+        """Send a message on the open links within the failure domain, or on some of many."""
+        links = [link for link in self._links.open_links if self._is_in_own_domain(link.node_id)]
+        if len(links) > _MAX_DOMAIN_RECIPIENTS:
+            links = random.sample(links, _MAX_DOMAIN_RECIPIENTS)
+        for link in links:
+            link.send(message)
+
+    def _is_in_own_domain(self, node_id: str) -> bool:
+        member = self._directory.find(node_id)
+        return member is not None and not self._is_in_other_domain(member)
+
     # Timers.
 
     def tick_maintenance(self, now_ms: Millis) -> None:
--- a/gooseberrydock/mesh/host_selection.py
+++ b/gooseberrydock/mesh/host_selection.py
@@ -15,7 +15,7 @@
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Member
 from gooseberrydock.mesh.model import Route
-from gooseberrydock.messages import TargetReport
+from gooseberrydock.messages import LoadNotice, TargetReport
 
 _RUN_TIME_WEIGHT: Final = 0.3
 """Weight of a new report in the exponentially weighted moving average of a route's run time. The
@@ -58,12 +58,13 @@
 _MAX_UTILIZATION_WITH_CAPACITY: Final = 0.9
 """Utilization of a host from which a call may have to wait for a slot there."""
 _NEW_HOST_FACTOR: Final = 0.5
-"""Assumed run time of a host without reports relative to the route's mean. It is below one so that
-the host receives calls and its speed becomes known."""
+"""Assumed run time of a host of the failure domain without reports, relative to the route's mean.
+It is below one so that the host receives calls and its speed becomes known. Hosts elsewhere are not
+tried for this, since a call there costs more."""
 _MAX_EJECTION_DOUBLINGS: Final = 4
 """Bound of the number of doublings, at which the ejection time has reached its upper bound."""
-_OWN_DOMAIN_SAMPLE: Final = 3
-_OTHER_DOMAINS_SAMPLE: Final = 2
+_OWN_DOMAIN_SAMPLE: Final = 8
+_OTHER_DOMAINS_SAMPLE: Final = 4
 """Number of hosts inside and outside the failure domain that are compared in a large service."""
 
 
@@ -137,7 +138,10 @@
         run_ms = stats.run_ms_by_route.get(route.name)
         if run_ms is None:
             run_ms = self._mean_run_ms_by_route.get(route.name, 0.0)
-            run_ms *= _COLD_HOST_FACTOR if host.is_cold else _NEW_HOST_FACTOR
+            if host.is_cold:
+                run_ms *= _COLD_HOST_FACTOR
+            elif host.failure_domain == self._failure_domain:
+                run_ms *= _NEW_HOST_FACTOR
         cost = run_ms
         scale_ms = min(route.target_latency_ms, route.timeout_ms)
         utilization = stats.utilization
@@ -172,6 +176,17 @@
             mean_ms += (report.mean_run_ms - mean_ms) * _RUN_TIME_WEIGHT
             self._mean_run_ms_by_route[route] = mean_ms
 
+    def on_load_notice(self, node_id: str, notice: LoadNotice) -> None:
+        """Record the load of a host and its run times, also of routes that were not called there.
+
+        In a large service, a node sends too few calls to learn them from its own answers.
+        """
+        stats = self._stats_of(node_id)
+        stats.sent_since_report = 0
+        stats.reported_calls = notice.in_flight
+        stats.limit = notice.limit
+        stats.run_ms_by_route.update(notice.run_ms_by_route)
+
     def on_unavailable(self, now_ms: Millis, node_id: str) -> None:
         """Eject a host whose node has no target for the call, with exponential backoff."""
         stats = self._stats_of(node_id)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -37,6 +37,7 @@
     ConfigurationPush,
     ConfigurationRequest,
     CrashNotice,
+    LoadNotice,
     MemberSync,
     RecordChanges,
     RoutedAnswer,
@@ -322,6 +323,16 @@
         if self._fleet.record.is_cold and not self._controllers.registration.is_cold(now_ms):
             self.publish(write_to_store=False)
 
+    def send_load_notice(self) -> None:
+        """Send the load of the local target to the nodes of the failure domain if it has any."""
+        notice = self._controllers.admission_queue.take_load_notice()
+        if notice is not None:
+            self._fleet.send_to_domain(notice)
+
+    def on_load_notice(self, node_id: str, notice: LoadNotice) -> None:
+        """Record the load of a target on another host."""
+        self._controllers.entry.host_selector.on_load_notice(node_id, notice)
+
     def log_load(self, now_ms: Millis) -> None:
         """Log the estimated load of the local target and of downstream services."""
         shares = {
@@ -401,6 +412,11 @@
     node.fleet.on_member_sync(message, link)
 
 
+@handle_message.register
+def _(message: LoadNotice, node: MeshNode, link: PeerLink) -> None:
+    node.on_load_notice(link.node_id, message)
+
+
 @handle_message.register
 def _(message: RecordChanges, node: MeshNode, link: PeerLink) -> None:
     node.fleet.on_record_changes(message)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -35,6 +35,8 @@
 _MAINTENANCE_TICK_MS: Final[Millis] = 500.0
 _LOAD_LOG_INTERVAL_TICKS: Final = 4
 """Maintenance ticks between two log lines of the load."""
+_LOAD_NOTICE_INTERVAL_TICKS: Final = 2
+"""Maintenance ticks between two notices of the load to the nodes of the failure domain."""
 _GC_INTERVAL_MS: Final[Millis] = 1_000.0
 _FULL_GC_INTERVAL_CYCLES: Final = 30
 _STOP_LINGER_MS: Final[Millis] = 2_600.0
@@ -211,7 +213,10 @@
             now_ms = self._clock.now_ms()
             with log_and_suppress_errors("connection and record timers"):
                 node.tick_maintenance(now_ms)
-                if next(counts) % _LOAD_LOG_INTERVAL_TICKS == 0:
+                count = next(counts)
+                if count % _LOAD_NOTICE_INTERVAL_TICKS == 0:
+                    node.send_load_notice()
+                if count % _LOAD_LOG_INTERVAL_TICKS == 0:
                     node.log_load(now_ms)
 
     async def _shut_down(self, node: MeshNode, sync: StoreSync) -> None:
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -261,6 +261,15 @@
     limit: int
 
 
+@attrs.frozen
+class LoadNotice:
+    """Load of a target and its mean run times, sent regularly within the failure domain."""
+
+    in_flight: int
+    limit: int
+    run_ms_by_route: dict[str, float]
+
+
 @attrs.frozen
 class RecordChange:
     """Change of a node's record in the store; the value is empty if the record was removed."""
@@ -297,4 +306,5 @@
     | RoutedAnswer
     | ShareNotice
     | RecordChanges
+    | LoadNotice
 )
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -36,6 +36,7 @@
 TAG_ROUTED_ANSWER: Final = 15
 TAG_SHARE_NOTICE: Final = 16
 TAG_RECORD_CHANGES: Final = 17
+TAG_LOAD_NOTICE: Final = 18
 
 
 class _FieldError(ValueError):
@@ -179,6 +180,11 @@
     return [TAG_RECORD_CHANGES, message.after, message.upto, changes]
 
 
+@_to_array.register
+def _load_notice_to_array(message: messages.LoadNotice) -> list[Any]:
+    return [TAG_LOAD_NOTICE, message.in_flight, message.limit, message.run_ms_by_route]
+
+
 @_to_array.register
 def _owner_heartbeat_to_array(message: messages.OwnerHeartbeat) -> list[Any]:
     return [
@@ -385,11 +391,22 @@
 
 def _to_share_notice(array: list[Any]) -> messages.ShareNotice:
     _check_field_types(array, (dict, int))
-    shares = array[1]
-    if any(type(route) is not str or type(share) is not float for route, share in shares.items()):
-        raise _FieldError("the shares do not map route names to floats")
-    _check_finite_not_negative(array[2], *shares.values())
-    return messages.ShareNotice(shares, array[2])
+    _check_route_values(array[1])
+    _check_finite_not_negative(array[2])
+    return messages.ShareNotice(array[1], array[2])
+
+
+def _to_load_notice(array: list[Any]) -> messages.LoadNotice:
+    _check_field_types(array, (int, int, dict))
+    _check_finite_not_negative(array[1], array[2])
+    _check_route_values(array[3])
+    return messages.LoadNotice(*array[1:])
+
+
+def _check_route_values(values: dict[Any, Any]) -> None:
+    if any(type(route) is not str or type(value) is not float for route, value in values.items()):
+        raise _FieldError("the values do not map route names to floats")
+    _check_finite_not_negative(*values.values())
 
 
 def _to_record_changes(array: list[Any]) -> messages.RecordChanges:
@@ -482,4 +499,5 @@
     TAG_ROUTED_ANSWER: _to_routed_answer,
     TAG_SHARE_NOTICE: _to_share_notice,
     TAG_RECORD_CHANGES: _to_record_changes,
+    TAG_LOAD_NOTICE: _to_load_notice,
 }
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -99,6 +99,12 @@
             )
         ).map(tuple),
     ),
+    st.builds(
+        messages.LoadNotice,
+        in_flight=_NUMBERS,
+        limit=_NUMBERS,
+        run_ms_by_route=st.dictionaries(_SHORT_TEXTS, st.floats(0.0, 1e6), max_size=3),
+    ),
     st.builds(messages.ConfigurationPush, generation=_NUMBERS, payload=st.binary(max_size=9)),
     st.builds(messages.MemberSyncRequest, digests=st.lists(_NUMBERS).map(tuple)),
 )
