Bound the memory of answers without end, over all connections to a target

Cause: each connection could hold 8 MB of an answer, kept as a list of parts, which for chunks of four bytes took 94 MB for 8 MB; and what a failed answer had brought stayed until the garbage collector ran. Change: parts are joined as they arrive, unfinished answers of all connections share 16 MB, above which the run fails as oversize, and a failed answer is released at once.

--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -38,7 +38,7 @@
     _max_header_bytes: int
     _max_body_bytes: int
     _headers: Headers = attrs.field(factory=list)
-    _body: list[bytes] = attrs.field(factory=list)
+    _body: bytes | bytearray = b""
     _body_size: int = 0
     _header_size: int = 0
     _in_head: bool = False
@@ -51,6 +51,11 @@
         """Return whether no message is in progress."""
         return not self._in_head and not self._in_body
 
+    @property
+    def pending_body_bytes(self) -> int:
+        """Return the size of the body of the message in progress, as far as it has arrived."""
+        return self._body_size if self._in_body else 0
+
     @property
     def is_in_head(self) -> bool:
         """Return whether a message has begun and its headers are incomplete."""
@@ -70,7 +75,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new message."""
         self._headers = []
-        self._body = []
+        self._body = b""
         self._body_size = 0
         self._header_size = 0
         self._in_head = True
@@ -98,12 +103,22 @@
         self._body_size += len(data)
         if self._body_size > self._max_body_bytes:
             raise self._oversize_body()
-        self._body.append(data)
+        if not self._body:
+            self._body = data
+            return
+        if isinstance(self._body, bytes):
+            # Not a list of parts: many small ones would take several times their size.
+            self._body = bytearray(self._body)
+        self._body += data
+
+    def discard(self) -> None:
+        """Release what has arrived of the message in progress."""
+        self._headers = []
+        self._body = b""
 
     def _take_body(self) -> bytes:
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        self._body = []
-        return body
+        body, self._body = self._body, b""
+        return bytes(body)
 
     def _oversize_headers(self) -> GooseberrydockError:
         raise NotImplementedError
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -13,7 +13,12 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import Clock, Millis
-from gooseberrydock.errorcodes import TARGET_LOST, TARGET_UNREACHABLE, ErrorCode
+from gooseberrydock.errorcodes import (
+    TARGET_LOST,
+    TARGET_OVERSIZE,
+    TARGET_UNREACHABLE,
+    ErrorCode,
+)
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.http_messages import HttpResponse, header_value
 from gooseberrydock.http_parsing import ResponseReader
@@ -24,6 +29,8 @@
 _MAX_HEADER_BYTES: Final = 64 * 1024
 _MAX_ANSWER_BYTES: Final = defaults.MAX_PEER_MESSAGE_BYTES - _MAX_HEADER_BYTES
 """The largest answer that fits on a link between nodes."""
+_MAX_PENDING_BYTES: Final = 16 * 1024 * 1024
+"""Bytes of unfinished answers on all connections; a target in trouble may send without end."""
 _DEFAULT_IDLE_MS: Final[Millis] = 4_000.0
 """Time for which an idle connection is kept if the target states no keep-alive timeout."""
 _IDLE_MARGIN_MS: Final[Millis] = 1_000.0
@@ -48,6 +55,18 @@
         """Record that no complete answer will arrive."""
 
 
+@attrs.define(eq=False)
+class PendingBytes:
+    """Bytes of unfinished answers on all connections to a target."""
+
+    total: int = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether there are more than a node may hold."""
+        return self.total > _MAX_PENDING_BYTES
+
+
 @attrs.define(eq=False)
 class TargetConnection:
     """Connection to the target."""
@@ -55,6 +74,7 @@
     _stream: Stream
     _clock: Clock
     _on_idle: Callable[["TargetConnection"], None]
+    _pending_bytes: PendingBytes
     _reader: ResponseReader = attrs.field(
         factory=lambda: ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
     )
@@ -62,6 +82,7 @@
     _is_reusable: bool = True
     _usable_until: Millis = 0.0
     _used_at: Millis = 0.0
+    _own_pending_bytes: int = 0
 
     @property
     def is_closed(self) -> bool:
@@ -96,13 +117,22 @@
     async def run(self) -> None:
         """Read until either side closes the connection."""
         stream = self._stream
-        while data := await stream.receive():
-            if not self._feed(data):
-                break
-        else:
-            self._on_stream_end()
+        try:
+            while data := await stream.receive():
+                if not self._feed(data):
+                    break
+            else:
+                self._on_stream_end()
+        finally:
+            self._count_pending(0)
+            self._reader.discard()
         stream.close()
 
+    def _count_pending(self, size: int) -> None:
+        """Update the share of this connection in the bytes of unfinished answers."""
+        self._pending_bytes.total += size - self._own_pending_bytes
+        self._own_pending_bytes = size
+
     def _feed(self, data: bytes) -> bool:
         """Parse bytes; return whether the connection stays open."""
         if self._observer is None:
@@ -113,6 +143,10 @@
         except GooseberrydockError as error:
             self._fail(error.code)
             return False
+        self._count_pending(self._reader.pending_body_bytes)
+        if self._pending_bytes.is_exceeded:
+            self._fail(TARGET_OVERSIZE)
+            return False
         for response in complete:
             if self._observer is not None and self._observer.accepts(response):
                 self._finish(response, is_only_answer=len(complete) == 1)
@@ -184,6 +218,7 @@
     _nursery: trio.Nursery
     _clock: Clock
     _idle: list[TargetConnection] = attrs.field(factory=list)
+    _pending_bytes: PendingBytes = attrs.field(factory=PendingBytes)
     _open: int = 0
     _opened: int = 0
 
@@ -261,7 +296,9 @@
         if stream is None:
             observer.on_failure(TARGET_UNREACHABLE, was_sent=False)
             return
-        connection = TargetConnection(stream, self._clock, self._return_to_idle)
+        connection = TargetConnection(
+            stream, self._clock, self._return_to_idle, self._pending_bytes
+        )
         pending.connection = connection
         self._open += 1
         self._opened += 1
