Apply changed settings or say which need a restart; commands report what failed

Change: service, retry budget, drain time and stop grace take effect at once; event 1303 lists the others under restart_required. Commands treat an answer that is no success as none and exit with 1. Measured: tests.test_mesh_node and tests.test_options; the cases of the commands fail before.

--- a/gooseberrydock/ctl_main.py
+++ b/gooseberrydock/ctl_main.py
@@ -101,6 +101,8 @@
     wait: bool,
 ) -> None:
     """Put a sheet in force."""
+    if wait and not admin:
+        raise click.UsageError("--wait needs the nodes to wait for: --admin")
     classes = _load_sheet(path)
     timeout_ms = timeout_s * MS_PER_SECOND
     _print_plan(classes, admin)
@@ -161,8 +163,11 @@
 @admin_setting
 def drain(admin: tuple[Address, ...]) -> None:
     """Drain nodes: they accept no new work and stop once all calls have ended."""
-    for address, response in trio.run(query_nodes, admin, "POST", "/drain"):
+    rows = trio.run(query_nodes, admin, "POST", "/drain")
+    for address, response in rows:
         click.echo(f"{address}: {'leaving' if response is not None else 'no answer'}")
+    if any(response is None for _, response in rows):
+        sys.exit(1)
 
 
 def _load_sheet(path: Path) -> tuple[ServiceClass, ...]:
--- a/gooseberrydock/ctl_nodes.py
+++ b/gooseberrydock/ctl_nodes.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+import click
 import trio
 
 from gooseberrydock.http_client import fetch_on_new_connection
@@ -17,14 +18,21 @@
 async def query_nodes(
     addresses: tuple[Address, ...], method: str, path: str
 ) -> list[tuple[Address, HttpResponse | None]]:
-    """Send a request to all nodes concurrently; a node without a response gets None."""
+    """Send a request to all nodes concurrently; a node without a success gets None.
+
+    A response with another status comes from a program that is not a node, or not of this version.
+    """
     responses: dict[Address, HttpResponse | None] = {}
 
     async def query(address: Address, nursery: trio.Nursery) -> None:
         request = HttpRequest(method, path, [], b"")
-        responses[address] = await fetch_on_new_connection(
+        response = await fetch_on_new_connection(
             address, nursery, request, _NODE_TIMEOUT_S, _MAX_RESPONSE_BYTES
         )
+        if response is not None and not 200 <= response.status < 300:
+            click.echo(f"{address}: status {response.status}", err=True)
+            response = None
+        responses[address] = response
 
     async with trio.open_nursery() as nursery:
         for address in addresses:
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -102,7 +102,10 @@
     1302, "record-refused", _WARNING, "A record in the store is malformed and is ignored"
 )
 SETTINGS_RELOADED: Final = _register(
-    1303, "settings-reloaded", _INFO, "Changed settings were applied"
+    1303,
+    "settings-reloaded",
+    _INFO,
+    "Settings have changed; those listed under restart_required take effect at the next start",
 )
 SETTINGS_REFUSED: Final = _register(
     1304,
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -353,6 +353,8 @@
         """Apply changed settings."""
         self._options = options
         self._controllers.entry.set_own_service(options.service)
+        self._controllers.budget.set_options(options.retry_budget)
+        self._controllers.registration.set_drain_time(options.drain_ms)
 
     def begin_stop(self) -> None:
         """Report this node as leaving and not ready, so that no new work is sent to it."""
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -1,5 +1,7 @@
 """The settings of a node on the routed call path, as one object that is passed explicitly."""
 
+from typing import Final
+
 import attrs
 
 from gooseberrydock.clock import Millis
@@ -64,3 +66,28 @@
     stop_grace_ms: Millis
     lease_min_ms: Millis
     store_reads_per_s: float
+
+
+_LIVE_SETTINGS: Final = frozenset(("service", "retry_budget", "drain_ms", "stop_grace_ms"))
+"""Settings that take effect without a restart; the others belong to sockets and tasks in use."""
+
+
+@attrs.frozen
+class SettingsChange:
+    """Result of a change of settings: the options in force, and the names of what changed."""
+
+    options: MeshOptions
+    applied: tuple[str, ...]
+    restart_required: tuple[str, ...]
+
+
+def apply_settings(current: MeshOptions, wanted: MeshOptions) -> SettingsChange:
+    """Return the options after a change, of which only some take effect without a restart."""
+    changed = {
+        field.name: getattr(wanted, field.name)
+        for field in attrs.fields(MeshOptions)
+        if getattr(wanted, field.name) != getattr(current, field.name)
+    }
+    live = {name: value for name, value in changed.items() if name in _LIVE_SETTINGS}
+    restart_required = tuple(name for name in changed if name not in _LIVE_SETTINGS)
+    return SettingsChange(attrs.evolve(current, **live), tuple(live), restart_required)
--- a/gooseberrydock/mesh/retry_budget.py
+++ b/gooseberrydock/mesh/retry_budget.py
@@ -60,6 +60,10 @@
             totals[service] = totals.get(service, 0.0) + balance
         return totals
 
+    def set_options(self, options: RetryBudgetOptions) -> None:
+        """Set the bounds, which apply to tokens that were earned before as well."""
+        self._options = options
+
     def set_node_count(self, count: int) -> None:
         """Set the number of nodes among which the slack is divided."""
         self._node_count = max(1, count)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -10,14 +10,20 @@
 import trio
 
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
-from gooseberrydock.events import NODE_STARTED, NODE_STOPPED, NODE_STOPPING, STOP_TIMED_OUT
+from gooseberrydock.events import (
+    NODE_STARTED,
+    NODE_STOPPED,
+    NODE_STOPPING,
+    SETTINGS_RELOADED,
+    STOP_TIMED_OUT,
+)
 from gooseberrydock.logs import log, log_and_suppress_errors
 from gooseberrydock.members import Address, Member, MemberState
 from gooseberrydock.mesh.admin_http import serve_admin
 from gooseberrydock.mesh.controllers import StoreKeys, TableDecoder, create_controllers
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.node import MeshNode
-from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.options import MeshOptions, apply_settings
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Store
 from gooseberrydock.mesh.store_sync import StoreSync
@@ -189,9 +195,15 @@
             self._reload(node)
 
     def _reload(self, node: MeshNode) -> None:
-        options = self._environment.reload()
-        if options is not None:
-            node.set_options(options)
+        wanted = self._environment.reload()
+        if wanted is not None:
+            change = apply_settings(node.options, wanted)
+            node.set_options(change.options)
+            log(
+                SETTINGS_RELOADED,
+                applied=change.applied,
+                restart_required=change.restart_required,
+            )
 
     async def _tick(self, node: MeshNode) -> None:
         counts = itertools.count()
@@ -227,8 +239,9 @@
         await trio.sleep(_STOP_LINGER_MS / MS_PER_SECOND)
         node.stop_accepting_requests()
         node.close_idle_caller_connections()
-        calls_end_at = started_at + self._options.stop_grace_ms * _STOP_CALLS_FRACTION
-        ends_at = started_at + self._options.stop_grace_ms - _STOP_MARGIN_MS
+        grace_ms = node.options.stop_grace_ms
+        calls_end_at = started_at + grace_ms * _STOP_CALLS_FRACTION
+        ends_at = started_at + grace_ms - _STOP_MARGIN_MS
         while node.in_flight and self._clock.now_ms() < ends_at:
             await trio.sleep(TICK_MS / MS_PER_SECOND)
             node.close_idle_caller_connections()
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -98,6 +98,10 @@
             return True
         return now_ms - self._leaving_since < max(0.0, self._drain_ms - _DRAIN_MARGIN_MS)
 
+    def set_drain_time(self, drain_ms: Millis) -> None:
+        """Set how long a leaving target may still receive requests."""
+        self._drain_ms = drain_ms
+
     def on_announcement(self, now_ms: Millis, announcement: InstanceAnnouncement) -> bool:
         """Process an announcement; return whether the state of the target has changed."""
         current = self._current
--- a/gooseberrydock/platform/environment.py
+++ b/gooseberrydock/platform/environment.py
@@ -6,7 +6,7 @@
 import trio
 
 from gooseberrydock.errors import GooseberrydockError
-from gooseberrydock.events import SETTINGS_REFUSED, SETTINGS_RELOADED
+from gooseberrydock.events import SETTINGS_REFUSED
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.controllers import StoreKeys, TableDecoder
 from gooseberrydock.mesh.node import MeshNode
@@ -65,7 +65,6 @@
             return None
         self._settings_text = text
         self._options = options
-        log(SETTINGS_RELOADED, service=options.service)
         return options
 
 
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -18,7 +18,12 @@
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.model import EMPTY_TABLE, create_route_table
 from gooseberrydock.mesh.node import MeshNode
-from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
+from gooseberrydock.mesh.options import (
+    HeaderNames,
+    MeshOptions,
+    RetryBudgetOptions,
+    apply_settings,
+)
 from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.store_sync import RETRY_POLICY
 from gooseberrydock.mesh.target_connections import PendingRun, TargetPool
@@ -180,6 +185,34 @@
                     node.propagate_shares(100.0)
                 self.assertEqual(not is_stopping, notify_shares.called)
 
+    def test_each_changed_setting_takes_effect_or_requires_a_restart(self) -> None:
+        wanted = attrs.evolve(
+            _OPTIONS,
+            service="other",
+            drain_ms=100.0,
+            stop_grace_ms=9_000.0,
+            retry_budget=RetryBudgetOptions(ratio=0.0, slack=0.0),
+            entry_listen=Address("10.0.0.1", 81),
+            lease_min_ms=2_000.0,
+        )
+        change = apply_settings(_OPTIONS, wanted)
+        self.assertEqual({"entry_listen", "lease_min_ms"}, set(change.restart_required))
+        self.assertEqual(
+            {"service", "drain_ms", "stop_grace_ms", "retry_budget"}, set(change.applied)
+        )
+        node = _make_node()
+        node.set_options(change.options)
+        self.assertEqual(_OPTIONS.entry_listen, node.options.entry_listen)
+        self.assertEqual(9_000.0, node.options.stop_grace_ms)
+        budget, registration = node.controllers.budget, node.controllers.registration
+        for _ in range(1_000):
+            budget.on_request("shop")
+        self.assertFalse(budget.try_spend("shop"))
+        registration.on_announcement(
+            0.0, InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.LEAVING, 2, 0.0)
+        )
+        self.assertFalse(registration.accepts(0.0, "shop"))
+
     def test_share_of_a_host_that_restarted_is_forgotten(self) -> None:
         node = _make_node()
         node.controllers.shares.on_report(0.0, "look", "other", 0.2, 10)
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -1,11 +1,15 @@
 """The settings are checked at the start, and each error names the invalid setting."""
 
+import contextlib
+import socket
+import tempfile
+import threading
 import unittest
 from unittest import mock
 
-from click.testing import CliRunner
+from click.testing import CliRunner, Result
 
-from gooseberrydock import node_main, standin_main
+from gooseberrydock import ctl_main, node_main, standin_main
 from gooseberrydock.members import Address
 from gooseberrydock.options import NodeOptions
 
@@ -54,3 +58,40 @@
         result = CliRunner().invoke(standin_main.main, arguments)
         self.assertNotEqual(result.exit_code, 0)
         self.assertIn("operation=service/operation", result.output)
+
+
+class CommandTest(unittest.TestCase):
+    """Operators' commands report what they could not do."""
+
+    def _invoke(self, arguments: list[str], status: int) -> Result:
+        """Run a command against a program that answers every request with a status."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            threading.Thread(target=_respond, args=(listener, status), daemon=True).start()
+            return CliRunner().invoke(ctl_main.main, [*arguments, "--admin", address])
+
+    def test_drain_fails_unless_the_node_accepts_it(self) -> None:
+        for status, exit_code in ((202, 0), (404, 1), (503, 1)):
+            with self.subTest(status=status):
+                result = self._invoke(["drain"], status)
+                self.assertEqual(exit_code, result.exit_code, result.output)
+
+    def test_status_of_another_program_is_no_answer(self) -> None:
+        result = self._invoke(["status"], 404)
+        self.assertEqual(1, result.exit_code)
+        self.assertIn("no answer", result.output)
+
+    def test_wait_needs_nodes_to_wait_for(self) -> None:
+        with tempfile.NamedTemporaryFile(suffix=".csv") as file:
+            arguments = ["sheet", "apply", file.name, "--store", "127.0.0.1:9", "--wait"]
+            result = CliRunner().invoke(ctl_main.main, arguments)
+        self.assertEqual(2, result.exit_code)
+        self.assertIn("--admin", result.output)
+
+
+def _respond(listener: socket.socket, status: int) -> None:
+    with contextlib.suppress(OSError):
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65_536)
+            connection.sendall(b"HTTP/1.1 %d x\r\ncontent-length: 2\r\n\r\n{}" % status)
