Refuse answers whose status does not exist

Cause: a status above 599 was forwarded, and on the link of another node any number was accepted. Change: an answer of a target with such a status is unknown (routed path) or not valid HTTP (own interface), before it reaches a link; a message with a status out of range breaks the protocol. Measured: cases in tests.test_wire, tests.test_mesh_target and tests.test_http, which fail before.

--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from typing import Final
 
 import attrs
 import h11
@@ -25,6 +26,7 @@
 from gooseberrydock.members import Address
 from gooseberrydock.stream import Stream, connect
 
+_MAX_STATUS: Final = 599
 ResponseHandler = Callable[[HttpResponse], None]
 FailureHandler = Callable[[ErrorCode], None]
 
@@ -107,6 +109,9 @@
             if event is h11.NEED_DATA:
                 return True
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    self._fail(TARGET_PROTOCOL)
+                    return False
                 self._head = event
             elif isinstance(event, h11.Data):
                 self._body += event.data
--- a/gooseberrydock/mesh/target_answers.py
+++ b/gooseberrydock/mesh/target_answers.py
@@ -12,6 +12,7 @@
 _MISDIRECTED_REQUEST: Final = 421
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses from which a caller concludes that its request has not run and never will."""
+_MAX_STATUS: Final = 599
 
 
 @attrs.frozen
@@ -38,9 +39,9 @@
         return _OTHER_INSTANCE
     if header_value(response.headers, header_names.not_executed):
         return _NOT_RUN
-    if status in _NOT_RUN_STATUSES:
+    if status > _MAX_STATUS or status in _NOT_RUN_STATUSES:
         # The target itself does not guarantee that the call has not run, but the caller would
-        # conclude it from the status.
+        # conclude it from the status; other statuses do not exist.
         return _UNKNOWN
     if 200 <= status < 300 and not _is_intact_answer(response, header_names):
         return _UNKNOWN
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -39,6 +39,9 @@
 TAG_LOAD_NOTICE: Final = 18
 
 
+_MAX_STATUS: Final = 599
+
+
 class _FieldError(ValueError):
     """Field of a message with the wrong type or an invalid value."""
 
@@ -319,6 +322,7 @@
         outcome = Outcome(array[2])
     except ValueError as error:
         raise _FieldError("field 2 is not a valid outcome") from error
+    _check_status(array[4])
     return messages.Answer(
         call_id=array[1],
         outcome=outcome,
@@ -468,6 +472,7 @@
         result = messages.RunResult(array[2])
     except ValueError as error:
         raise _FieldError("field 2 is not a valid run result") from error
+    _check_status(array[4])
     report = messages.TargetReport(*array[8:14])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
@@ -475,6 +480,11 @@
     )
 
 
+def _check_status(status: int) -> None:
+    if not 0 <= status <= _MAX_STATUS:
+        raise _FieldError(f"{status} is not an HTTP status")
+
+
 def _to_typed_tuple(expected_type: type, values: list[Any]) -> tuple[Any, ...]:
     if any(type(value) is not expected_type for value in values):
         raise _FieldError(f"a list contains an item that is not of type {expected_type.__name__}")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -153,6 +153,7 @@
     ("closed at once", b"", TARGET_LOST),
     ("cut off in the body", b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc", TARGET_TRUNCATED),
     ("not HTTP", b"nonsense\r\n\r\n", TARGET_PROTOCOL),
+    ("no status", b"HTTP/1.1 700 x\r\ncontent-length: 0\r\n\r\n", TARGET_PROTOCOL),
 ]
 
 
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -315,6 +315,7 @@
     ("not executed", 503, [(_NAMES.not_executed, b"1")], RunResult.NOT_RUN),
     ("503 without the not-executed header", 503, [_SIGNATURE], RunResult.UNKNOWN),
     ("429 without the not-executed header", 429, [], RunResult.UNKNOWN),
+    ("no status", 999, [_SIGNATURE], RunResult.UNKNOWN),
     ("another instance", 421, [], RunResult.NOT_RUN),
 ]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,6 +6,7 @@
 import json
 import unittest
 
+import attrs
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
@@ -126,6 +127,14 @@
     def test_round_trip(self, message: messages.PeerMessage) -> None:
         self.assertEqual(wire.decode(wire.encode(message), "p"), message)
 
+    @given(_ANSWERS, st.integers().filter(lambda status: not 0 <= status <= 599))
+    def test_answer_with_a_status_out_of_range_is_refused(
+        self, answer: messages.Answer, status: int
+    ) -> None:
+        data = wire.encode(attrs.evolve(answer, status=status))
+        with self.assertRaises(GooseberrydockError):
+            wire.decode(data, "p")
+
     @given(st.one_of(st.binary(max_size=60), _CBOR_VALUES.map(cbor2.dumps)))
     def test_arbitrary_bytes_raise_a_coded_error(self, data: bytes) -> None:
         for decode in (
