Neither give up nor break off a booking whose host or caller's node is silent

Cause: a link with answers due was closed after 0.9 s of silence, and all its calls were answered 502, although the other node may only have been paused; and a node that lost a link aborted all runs of its calls at the target, also running bookings. Change: on silence, calls that may be repeated are retried or answered as before, new calls use another link, and the silent one is kept for the answers to the others, until they arrive, their time limit passes or the connection ends. A lost link breaks off only runs that may be repeated or wait. Ruled out: keeping lookups too, since their callers can send them again sooner than the time limit.

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -23,6 +23,7 @@
     NODE_LEAVING,
     NOT_DISPATCHED,
     PEER_LOST,
+    PEER_SILENT,
     PEER_UNREACHABLE,
     QUARANTINED,
     SHED_AT_ENTRY,
@@ -211,7 +212,12 @@
             self._on_unknown(now_ms, exchange, error_code(answer.code))
 
     def on_calls_lost(
-        self, now_ms: Millis, node_id: str, unsent: list[int], sent: list[int]
+        self,
+        now_ms: Millis,
+        node_id: str,
+        unsent: list[int],
+        sent: list[int],
+        code: ErrorCode = PEER_LOST,
     ) -> None:
         """Handle the loss of the link to a node; unsent calls certainly did not run."""
         if unsent or sent:
@@ -226,7 +232,24 @@
             if exchange is not None:
                 exchange.may_have_run = True
                 exchange.target_attempts += 1
-                self._on_unknown(now_ms, exchange, PEER_LOST)
+                self._on_unknown(now_ms, exchange, code)
+
+    def on_calls_silent(self, now_ms: Millis, node_id: str, call_ids: list[int]) -> list[int]:
+        """Handle the silence of a node; return the calls whose answers are still awaited.
+
+        The node may only be paused. Requests that may be repeated are retried, by this node or by
+        their callers; the others may be running, and nobody else may answer them.
+        """
+        calls = [(call_id, self._calls.get(call_id)) for call_id in call_ids]
+        awaited = [
+            call_id
+            for call_id, exchange in calls
+            if exchange is not None and not exchange.route.is_idempotent
+        ]
+        given_up = [call_id for call_id in call_ids if call_id not in awaited]
+        self._host_selector.on_link_lost(now_ms, node_id)
+        self.on_calls_lost(now_ms, node_id, [], given_up, PEER_SILENT)
+        return awaited
 
     def on_caller_disconnected(self, exchange: Exchange) -> None:
         """Cancel a request whose caller disconnected."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -78,6 +78,7 @@
             find_address=lambda node_id: self._fleet.find_peer_address(node_id),
             key=b"",
             on_opened=self._on_link_opened,
+            on_silent=self._on_link_silent,
         )
         self._target_dispatcher = TargetDispatcher(
             owner=self,
@@ -290,6 +291,9 @@
         self._controllers.entry.host_selector.on_link_opened(link.node_id)
         self._fleet.on_link_opened(link)
 
+    def _on_link_silent(self, link: PeerLink, call_ids: list[int]) -> list[int]:
+        return self._controllers.entry.on_calls_silent(self._clock.now_ms(), link.node_id, call_ids)
+
     def _on_link_lost(
         self, link: PeerLink, unsent: list[int], sent: list[int], code: ErrorCode
     ) -> None:
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -133,11 +133,16 @@
             self._start_waiting_calls()
 
     def on_link_lost(self, link_id: str) -> None:
-        """Abandon the calls that arrived on a lost link."""
+        """Abandon the calls that arrived on a lost link, except running ones that end only once.
+
+        A request that must not be repeated is not broken off in the middle, although nobody gets
+        its answer.
+        """
         self._controllers.share_notices.on_link_lost(link_id)
         lost = [run for run in self._runs.values() if run.ticket.link_id == link_id]
         for run in lost:
-            self._abandon_run(run)
+            if not run.ticket.has_started or self._owner.is_idempotent(run.ticket.call.route):
+                self._abandon_run(run)
         if lost:
             self._start_waiting_calls()
 
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -80,6 +80,7 @@
     _probe_sent_at: Millis = 0.0
     _probe_token: int = 0
     _silent_rounds: int = 0
+    _is_retired: bool = False
     _opened_at: Millis = 0.0
 
     @property
@@ -97,6 +98,16 @@
         """Return whether both sides have authenticated."""
         return self._is_ready
 
+    @property
+    def is_retired(self) -> bool:
+        """Return whether the link went silent and is kept only for answers that are due."""
+        return self._is_retired
+
+    def retire(self, awaited_calls: list[int]) -> None:
+        """Keep the link only for the answers to some calls, in case the peer speaks again."""
+        self._is_retired = True
+        self._unanswered_calls = set(awaited_calls)
+
     @property
     def unanswered_call_count(self) -> int:
         """Return the number of calls sent on this link and not yet answered."""
@@ -342,6 +353,11 @@
 
 
 MessageHandler = Callable[[PeerLink, PeerMessage], None]
+SilenceHandler = Callable[[PeerLink, list[int]], list[int]]
+"""Called with a link that went silent and the ids of its unanswered calls.
+
+Returns the calls whose answers are still awaited on it; the others are given up.
+"""
 LinkLossHandler = Callable[[PeerLink, list[int], list[int], ErrorCode], None]
 """Called with a link, the ids of its unsent and of its unanswered calls, and the cause.
 
@@ -362,6 +378,7 @@
     _find_address: Callable[[str], Address | None]
     _key: bytes
     _on_opened: Callable[[PeerLink], None] | None = None
+    _on_silent: SilenceHandler | None = None
     _links_by_node: dict[str, PeerLink] = attrs.field(factory=dict)
     _links_by_id: dict[str, PeerLink] = attrs.field(factory=dict)
     _link_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
@@ -370,7 +387,7 @@
 
     @property
     def open_links(self) -> list[PeerLink]:
-        """Return all links that are ready."""
+        """Return all links that are ready, also retired ones."""
         return [link for link in self._links_by_id.values() if link.is_ready]
 
     def create_proof(self, role: bytes, nonce: bytes, node_id: str) -> bytes:
@@ -431,7 +448,8 @@
         Each call of this method is one round. Both sides must send on each link more often.
         """
         for link in self.open_links:
-            if link.count_silent_round() > max_silent_rounds:
+            is_silent = link.count_silent_round() > max_silent_rounds
+            if is_silent and not link.is_retired:
                 log(LINK_SILENT, peer=link.node_id, calls_due=link.unanswered_call_count)
                 self._close_link(link, PEER_SILENT)
 
@@ -441,9 +459,24 @@
             overdue_calls = link.take_overdue_calls(now_ms)
             if overdue_calls:
                 self._on_lost(link, overdue_calls, [], PEER_UNREACHABLE)
-            if link.check_silence(now_ms):
+            if link.is_retired:
+                if not link.unanswered_call_count:
+                    self._close_link(link, PEER_SILENT)
+            elif link.check_silence(now_ms):
                 log(LINK_SILENT, peer=link.node_id, calls_due=link.unanswered_call_count)
-                self._close_link(link, PEER_SILENT)
+                self._retire_or_close(link)
+
+    def _retire_or_close(self, link: PeerLink) -> None:
+        """Let new calls use another link; keep this one while answers on it are awaited."""
+        if self._on_silent is None:
+            self._close_link(link, PEER_SILENT)
+            return
+        awaited_calls = self._on_silent(link, link.unanswered_calls())
+        link.retire(awaited_calls)
+        if self._links_by_node.get(link.node_id) is link:
+            del self._links_by_node[link.node_id]
+        if not awaited_calls:
+            self._close_link(link, PEER_SILENT)
 
     async def serve(self, stream: Stream) -> None:
         """Serve an accepted connection until it ends."""
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -162,6 +162,30 @@
         self.assertEqual(first.request_target, fixture.effects.calls[2][1].request_target)
         self.assertEqual([PEER_LOST], [code for code, _ in fixture.effects.refusals])
 
+    def test_silent_host_keeps_its_booking_and_loses_its_lookup(self) -> None:
+        fixture = make_entry(_TABLE)
+        _submit(fixture, "/booking/1")
+        _submit(fixture, "/lookup/1")
+        (host, booking), (_, lookup) = fixture.effects.calls
+        awaited = fixture.entry.on_calls_silent(900.0, host, [booking.call_id, lookup.call_id])
+        self.assertEqual([booking.call_id], awaited)
+        # The lookup is retried on another host; the booking neither, nor is it answered.
+        self.assertEqual(["lookup"], [call.route for _, call in fixture.effects.calls[2:]])
+        self.assertEqual(0, fixture.effects.final_answers)
+        fixture.entry.on_answer(950.0, make_answer(booking))
+        self.assertEqual([200], [response.status for response in fixture.effects.answers])
+
+    def test_booking_of_a_host_that_stays_silent_ends_at_its_deadline(self) -> None:
+        fixture = make_entry(_TABLE)
+        _submit(fixture, "/booking/1")
+        host, booking = fixture.effects.calls[0]
+        awaited = fixture.entry.on_calls_silent(900.0, host, [booking.call_id])
+        self.assertEqual([booking.call_id], awaited)
+        fixture.entry.tick(999.0)
+        self.assertEqual(0, fixture.effects.final_answers)
+        fixture.entry.tick(1_001.0)
+        self.assertEqual([DEADLINE_PASSED], [code for code, _ in fixture.effects.refusals])
+
     def test_request_without_any_host_is_refused_as_not_run(self) -> None:
         fixture = make_entry(_TABLE, hosts=0)
         _submit(fixture, "/booking/1")
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -246,6 +246,24 @@
         self.assertEqual({RunResult.NOT_RUN}, {answer.result for answer in answers})
         self.assertEqual(0, dispatcher.in_flight)
 
+    def test_lost_link_breaks_off_only_runs_that_may_be_repeated(self) -> None:
+        node = _make_node()
+        dispatcher = node.target_dispatcher
+        dispatcher.on_announcement(
+            InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 9, 0.0)
+        )
+        pending = [PendingRun(), PendingRun()]
+        with (
+            mock.patch.object(MeshNode, "is_idempotent", lambda self, route: route == "look"),
+            mock.patch.object(TargetPool, "start", mock.Mock(side_effect=pending)),
+        ):
+            for number, route in enumerate(("look", "book"), 1):
+                call = attrs.evolve(make_call(), call_id=number, route=route)
+                dispatcher.on_call("link-1", call)
+            dispatcher.on_link_lost("link-1")
+        self.assertEqual([True, False], [run.is_aborted for run in pending])
+        self.assertEqual(1, dispatcher.in_flight)
+
     def test_unreachable_target_is_withdrawn_until_its_next_announcement(self) -> None:
         node = _make_node()
         announced = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -19,6 +19,8 @@
 }
 _CONFIGURATION_TIMEOUT_S = 2.0
 _DRAIN_TIME_S = 2.0
+_PAUSE_S = 2.0
+"""Longer than the silence after which a node closes a link, shorter than the routes' timeout."""
 
 
 async def _run_ctl_calls(node: FleetNode, *arguments: str) -> str:
@@ -205,6 +207,33 @@
 
         self._run(scenario)
 
+    def test_booking_at_a_paused_node_is_neither_given_up_nor_repeated(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            web = fleet.nodes[2]
+            for node in fleet.nodes[:2]:
+                node.target.response_delay_s = 0.3
+                node.target.runs.clear()
+            statuses: list[int] = []
+
+            async def book() -> None:
+                statuses.append(await fleet.status(web, "/book/1"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(book)
+                with trio.fail_after(2.0):
+                    while not any(node.target.runs for node in fleet.nodes):
+                        await trio.sleep(0.01)
+                for number in (signal.SIGSTOP, signal.SIGCONT):
+                    for node in fleet.nodes[:2]:
+                        assert node.process is not None
+                        node.process.send_signal(number)
+                    await trio.sleep(_PAUSE_S if number == signal.SIGSTOP else 0.0)
+                    self.assertEqual([], statuses)
+            self.assertEqual([200], statuses)
+            self.assertEqual(1, sum(len(node.target.runs) for node in fleet.nodes))
+
+        self._run(scenario)
+
     def test_response_with_another_request_id_is_not_delivered(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             def respond_with_other_request_id(request: HttpRequest) -> HttpResponse:
