Let a starting node read the latest table first

Cause: the cheap first read of a starting node may be some seconds old, so that a route which was withdrawn meanwhile was in use again after a restart, until a link brought the newer table. Change: the first read of the table is an exact one; the records, for which the node beside a target has the last word, keep the cheap one.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -83,12 +83,13 @@
 
     ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
     items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
-    forwarded to others.
+    forwarded to others. ``starts_with_latest`` is set if a start must not use an earlier state.
     """
 
     prefix: str
     fast_ms: Millis
     settled_ms: Millis
+    starts_with_latest: bool = False
     read_revision: int = -1
     revision: int = -1
     forwarded_revision: int = -1
@@ -162,7 +163,8 @@
 
     async def watch_table(self, key: str) -> None:
         """Pass the route table to the sink, at first and after each change."""
-        await self._follow(_WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0))
+        prefix = _WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
+        await self._follow(prefix)
 
     async def watch_records(self) -> None:
         """Pass the node records to the sink, at first and after changes."""
@@ -244,7 +246,7 @@
         is_due = now_ms - prefix.polled_at >= self._plan.poll_interval_ms(now_ms)
         if not (is_due or prefix.must_read or prefix.has_gap):
             return
-        may_be_old = not prefix.has_gap
+        may_be_old = not (prefix.has_gap or (prefix.starts_with_latest and not prefix.revisions))
         if prefix.has_gap:
             # All nodes of the failure domain may have the gap.
             await trio.sleep(self._random.uniform(0.0, _GAP_READ_JITTER_MS) / MS_PER_SECOND)
