--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -144,6 +144,19 @@
                 reader.finish()
             self.assertIs(TARGET_TRUNCATED, caught.exception.code)
 
+    def test_answer_that_breaks_off_at_any_byte_is_not_complete(self) -> None:
+        chunked = _CHUNKED_HEAD + b"5;a=b\r\nhello\r\n3\r\n yo\r\n0\r\nTrailer: x\r\n\r\n"
+        for title, whole in (("length", _VALID_RESPONSE), ("chunks", chunked)):
+            for end in range(len(whole)):
+                for split in (end, end // 2):
+                    with self.subTest(title, end=end, split=split):
+                        reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+                        complete = reader.feed(whole[:split]) if split else []
+                        complete += reader.feed(whole[split:end]) if end > split else []
+                        self.assertEqual([], complete)
+                        with self.assertRaises(GooseberrydockError):
+                            reader.finish()
+
     def test_bytes_after_a_complete_answer_invalidate_only_the_connection(self) -> None:
         for extra in (b"garbage", b"\x00\x01", b"HTTP/1.1 nonsense\r\n\r\n"):
             with self.subTest(extra=extra):
