--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -176,6 +176,7 @@
         request_id: str = "r1",
         timeout_s: float = 5.0,
         deadline_ms: int = 4_000,
+        body: bytes = b"",
     ) -> HttpResponse | None:
         """Send a request to a node as a caller on its host does."""
         headers = [
@@ -184,7 +185,7 @@
             (b"caller-service", b"forged"),
         ]
         # The HTTP client adds the node's address as Host header, which the fleet's routes match.
-        request = HttpRequest("GET", path, headers, b"")
+        request = HttpRequest("POST" if body else "GET", path, headers, body)
         return await fetch_on_new_connection(node.entry, self.nursery, request, timeout_s)
 
     async def status(self, node: FleetNode, path: str, request_id: str = "r1") -> int:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -150,6 +150,13 @@
 
 
 Behaviour = Callable[[HttpRequest], HttpResponse | None]
+LATE_COPY = "late copy"
+"""Misbehaviour of a target: it sends a second copy of an answer some time after the first."""
+ENDLESS = "endless"
+"""Misbehaviour of a target: it sends chunks of a body until its caller closes."""
+_LATE_COPY_DELAY_S = 0.03
+_ENDLESS_S = 5.0
+_CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 
 
 @attrs.define(eq=False)
@@ -171,6 +178,7 @@
     behaviour: Behaviour | None = None
     announced_address: Address | None = None
     on_run: Callable[[HttpRequest], None] | None = None
+    misbehaviour: Callable[[HttpRequest], str] | None = None
 
     @property
     def address(self) -> Address:
@@ -200,7 +208,27 @@
     async def _run(self, connection: HttpConnection, request: HttpRequest) -> None:
         await trio.sleep(self.response_delay_s)
         response = self.behaviour(request) if self.behaviour else None
-        connection.respond(response or self.default_response(request))
+        response = response or self.default_response(request)
+        misbehaviour = self.misbehaviour(request) if self.misbehaviour else ""
+        if misbehaviour == ENDLESS:
+            await self._send_without_end(connection._stream)
+            return
+        connection.respond(response)
+        if misbehaviour == LATE_COPY:
+            await trio.sleep(_LATE_COPY_DELAY_S)
+            head = b"".join(b"%s: %s\r\n" % pair for pair in response.headers)
+            length = b"content-length: %d\r\n\r\n" % len(response.body)
+            connection._stream.send(b"HTTP/1.1 200 OK\r\n" + head + length + response.body)
+
+    async def _send_without_end(self, stream: Stream) -> None:
+        """Send chunks until the caller closes, for some seconds at most."""
+        stream.send(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        with trio.move_on_after(_ENDLESS_S):
+            while not stream.is_closed:
+                if not stream._unsent_bytes:
+                    stream.send(_CHUNK)
+                await trio.sleep(0.0)
+        stream.close()
 
     def default_response(self, request: HttpRequest) -> HttpResponse:
         """Return a complete response with the ``server-seal`` header."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,6 +8,7 @@
 return to an older configuration, and everything is served again once the faults have ended.
 """
 
+import contextlib
 import itertools
 import random
 import signal
@@ -22,7 +23,8 @@
 import click
 import trio
 
-from gooseberrydock.http_messages import HttpRequest, header_value
+from gooseberrydock.http_messages import HttpRequest, HttpResponse, header_value
+from gooseberrydock.http_parsing import ResponseReader
 from tests.fault_proxy import LinkFault
 from tests.planted_faults import FAULTS
 from tests.platform_fleet import (
@@ -31,6 +33,7 @@
     make_route_fields,
     running_platform_fleet,
 )
+from tests.platform_standins import ENDLESS, LATE_COPY
 
 _REQUEST_RATE_PER_S: Final = 30.0
 _RESPONSE_TIMEOUT_S: Final = 3.0
@@ -40,6 +43,9 @@
 """How long a server keeps running, and is checked, after its drain time."""
 _PROBE_INTERVAL_S: Final = 0.1
 _RECOVERY_TIMEOUT_S: Final = 15.0
+_RUN_ONCE_PREFIXES: Final = ("/book/", "/upload/")
+_MAX_HEADER_BYTES: Final = 16_384
+_MAX_ANSWER_BYTES: Final = 1_000_000
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses that state to the caller that the request did not run."""
 _SERVICE_TIME_RANGE_S: Final = (0.01, 0.4)
@@ -53,6 +59,14 @@
 """Offset that the wall clock of a restarted node may have in either direction."""
 
 
+_UPLOAD_SIZE_RANGE: Final = (20_000, 300_000)
+_UPLOAD_SHARE: Final = 0.15
+_PIPELINE_INTERVAL_S: Final = 0.4
+_MAX_PIPELINED: Final = 4
+_MISBEHAVING_SHARE: Final = 0.03
+"""Share of the runs whose server sends a second, late copy of its answer or bytes without end."""
+
+
 @attrs.define
 class SentRequest:
     """State of one request as its caller observes it; status 0 means that no response arrived."""
@@ -60,6 +74,7 @@
     path: str
     sent_at: float
     status: int = 0
+    body_size: int = 0
 
 
 @attrs.define(eq=False)
@@ -68,6 +83,8 @@
 
     _fleet: PlatformFleet
     _random: random.Random
+    _callers_random: random.Random
+    """Decides on uploads, pipelines and misbehaviour apart, so that a seed keeps its faults."""
     _sent_requests: dict[str, SentRequest] = attrs.field(factory=dict)
     _runs: Counter[str] = attrs.field(factory=Counter)
     _violations: list[str] = attrs.field(factory=list)
@@ -104,8 +121,16 @@
                 self._violations.append(f"{request_id} ran on {node.node_id} after its drain time")
             if sent is None or sent.path != request.path:
                 self._violations.append(f"{request_id} ran as {request.path}, which no caller sent")
+            elif sent.body_size != len(request.body):
+                self._violations.append(f"{request_id} ran with {len(request.body)} bytes of body")
 
         server.on_run = record_run
+        server.misbehaviour = self._choose_misbehaviour
+
+    def _choose_misbehaviour(self, request: HttpRequest) -> str:
+        if self._callers_random.random() >= _MISBEHAVING_SHARE:
+            return ""
+        return self._callers_random.choice((LATE_COPY, ENDLESS))
 
     async def send_load(self, until: float) -> None:
         """Send requests at a constant mean rate, each from its own task."""
@@ -119,10 +144,20 @@
         number = next(self._request_numbers)
         request_id = f"q{number}"
         path = f"/{'book' if is_booking else 'look'}/{number}"
-        sent = self._sent_requests[request_id] = SentRequest(path, trio.current_time())
-        response = await self._fleet.send(node, path, request_id, _RESPONSE_TIMEOUT_S)
-        if response is None:
-            return
+        body = b""
+        if is_booking and self._callers_random.random() < _UPLOAD_SHARE:
+            path = f"/upload/{number}"
+            body = b"u" * self._callers_random.randrange(*_UPLOAD_SIZE_RANGE)
+        sent = SentRequest(path, trio.current_time(), body_size=len(body))
+        self._sent_requests[request_id] = sent
+        response = await self._fleet.send(node, path, request_id, _RESPONSE_TIMEOUT_S, body=body)
+        if response is not None:
+            self._check_response(request_id, response)
+
+    def _check_response(self, request_id: str, response: HttpResponse) -> None:
+        """Record a response and check that it is the whole one to its own request."""
+        sent = self._sent_requests[request_id]
+        path = sent.path
         sent.status = response.status
         echoed = header_value(response.headers, b"request-id")
         if echoed != request_id:
@@ -130,6 +165,41 @@
         if response.status == 200 and not response.body.decode().endswith(f" {path}"):
             self._violations.append(f"{request_id} received the body {response.body!r}")
 
+    async def send_pipelines(self, until: float) -> None:
+        """Send several lookups on one connection without waiting for their answers."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                nursery.start_soon(
+                    self._send_pipeline, self._callers_random.choice(self._fleet.nodes)
+                )
+                await trio.sleep(_PIPELINE_INTERVAL_S)
+
+    async def _send_pipeline(self, node: FleetNode) -> None:
+        request_ids = []
+        data = b""
+        for _ in range(self._callers_random.randint(2, _MAX_PIPELINED)):
+            number = next(self._request_numbers)
+            path = f"/look/{number}"
+            self._sent_requests[f"q{number}"] = SentRequest(path, trio.current_time())
+            request_ids.append(f"q{number}")
+            data += (
+                f"GET {path} HTTP/1.1\r\nhost: {node.entry.host}\r\nrequest-id: q{number}\r\n"
+                "deadline-ms: 2500\r\n\r\n"
+            ).encode()
+        reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
+        answered = 0
+        with trio.move_on_after(_RESPONSE_TIMEOUT_S), contextlib.suppress(OSError):
+            stream = await trio.open_tcp_stream(node.entry.host, node.entry.port)
+            async with stream:
+                await stream.send_all(data)
+                while answered < len(request_ids):
+                    received = await stream.receive_some(65_536)
+                    if not received:
+                        return
+                    for response in reader.feed(received):
+                        self._check_response(request_ids[answered], response)
+                        answered += 1
+
     async def inject_faults(self, until: float) -> None:
         """Inject faults, several of them concurrently, until the given time."""
         mean_interval_s = _MEAN_FAULT_INTERVAL_S * _DEFAULT_NODES / len(self._fleet.nodes)
@@ -273,9 +343,13 @@
         """Compare what servers ran with the statuses that callers received."""
         for request_id, sent in self._sent_requests.items():
             runs = self._runs[request_id]
-            if sent.path.startswith("/book/") and runs > 1:
+            if sent.path.startswith(_RUN_ONCE_PREFIXES) and runs > 1:
                 self._violations.append(f"{request_id} ran {runs} times")
-            if sent.path.startswith("/book/") and sent.status in _NOT_RUN_STATUSES and runs:
+            if (
+                sent.path.startswith(_RUN_ONCE_PREFIXES)
+                and sent.status in _NOT_RUN_STATUSES
+                and runs
+            ):
                 self._violations.append(f"{request_id} received status {sent.status} but ran")
 
     async def check_recovery(self) -> None:
@@ -330,6 +404,7 @@
     return {
         "look": make_route_fields("shop", "/look/"),
         "book": make_route_fields("shop", "/book/", kind="non_idempotent"),
+        "upload": make_route_fields("shop", "/upload/", kind="upload"),
         "only": make_route_fields("shop", f"/only{number}/"),
     }
 
@@ -361,12 +436,13 @@
                 await fleet.add(service, f"z{number % 2}", proxied=True)
             fleet.configure(_routes(0), ["shop", "web"])
             await fleet.wait_until_known()
-            soak = Soak(fleet, rng)
+            soak = Soak(fleet, rng, random.Random(options.seed + 1))
             for node in fleet.nodes:
                 soak.watch_server(node)
             until = trio.current_time() + options.seconds
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(soak.send_load, until)
+                nursery.start_soon(soak.send_pipelines, until)
                 nursery.start_soon(soak.inject_faults, until)
                 nursery.start_soon(soak.probe_configurations, until)
             await soak.check_recovery()
