--- a/tests/soak.py
+++ b/tests/soak.py
@@ -44,6 +44,7 @@
 _PROBE_INTERVAL_S: Final = 0.1
 _RECOVERY_TIMEOUT_S: Final = 15.0
 _RUN_ONCE_PREFIXES: Final = ("/book/", "/upload/")
+_CONNECTION_ERRORS: Final = (OSError, trio.BrokenResourceError)
 _MAX_HEADER_BYTES: Final = 16_384
 _MAX_ANSWER_BYTES: Final = 1_000_000
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -188,7 +189,7 @@
             ).encode()
         reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
         answered = 0
-        with trio.move_on_after(_RESPONSE_TIMEOUT_S), contextlib.suppress(OSError):
+        with trio.move_on_after(_RESPONSE_TIMEOUT_S), contextlib.suppress(*_CONNECTION_ERRORS):
             stream = await trio.open_tcp_stream(node.entry.host, node.entry.port)
             async with stream:
                 await stream.send_all(data)
