End a retired link once its last awaited call is cancelled

Cause: the cancel of an awaited call went to the newer link, so that a link which stayed silent was kept until its connection ended; calls made while the silence was handled could still choose it. Found by reading the change. A caller's connection whose last response is never read is closed at the second idle check instead of never. Measured: tests.test_peer_links, a link that stalls with three calls, one answered late, one cancelled.

--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -155,9 +155,10 @@
         if self._reader.is_in_head and idle_ms > limits.header_timeout_ms:
             self._reject(GooseberrydockError(SLOW_REQUEST, Step.ENTRY, self._stream.peer_host))
         elif idle_ms > limits.idle_timeout_ms:
-            if self.is_idle:
+            if self.is_idle and not self._stream.is_finishing:
                 self.close_if_idle()
             else:
+                # The request never ends, or the caller does not read its last response.
                 self._stream.close()
 
     def close_if_idle(self) -> None:
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -103,6 +103,10 @@
         """Return whether the link went silent and is kept only for answers that are due."""
         return self._is_retired
 
+    def awaits(self, call_id: int) -> bool:
+        """Return whether a call was sent on this link and not yet answered."""
+        return call_id in self._unanswered_calls
+
     def retire(self, awaited_calls: list[int]) -> None:
         """Keep the link only for the answers to some calls, in case the peer speaks again."""
         self._is_retired = True
@@ -381,6 +385,7 @@
     _on_silent: SilenceHandler | None = None
     _links_by_node: dict[str, PeerLink] = attrs.field(factory=dict)
     _links_by_id: dict[str, PeerLink] = attrs.field(factory=dict)
+    _retired_links: list[PeerLink] = attrs.field(factory=list)
     _link_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     bytes_sent: int = 0
     bytes_received: int = 0
@@ -399,13 +404,22 @@
 
     def send(self, node_id: str, message: PeerMessage) -> None:
         """Send a message to a node and open a link if there is none."""
-        link = self._links_by_node.get(node_id)
-        if link is None:
-            if isinstance(message, Cancel):
-                return
-            link = self._open(node_id)
+        if isinstance(message, Cancel):
+            self._send_cancel(node_id, message)
+            return
+        link = self._links_by_node.get(node_id) or self._open(node_id)
         link.send(message)
 
+    def _send_cancel(self, node_id: str, cancel: Cancel) -> None:
+        """Cancel a call on the link on which it was sent, which may be a retired one."""
+        for link in self._retired_links:
+            if link.awaits(cancel.call_id):
+                link.send(cancel)
+                return
+        current_link = self._links_by_node.get(node_id)
+        if current_link is not None:
+            current_link.send(cancel)
+
     def send_answer(self, link_id: str, answer: Answer | RoutedAnswer | ShareNotice) -> None:
         """Send an answer on the link on which the calls arrived, if it is still open."""
         link = self._links_by_id.get(link_id)
@@ -468,15 +482,15 @@
 
     def _retire_or_close(self, link: PeerLink) -> None:
         """Let new calls use another link; keep this one while answers on it are awaited."""
-        if self._on_silent is None:
-            self._close_link(link, PEER_SILENT)
-            return
-        awaited_calls = self._on_silent(link, link.unanswered_calls())
-        link.retire(awaited_calls)
         if self._links_by_node.get(link.node_id) is link:
             del self._links_by_node[link.node_id]
-        if not awaited_calls:
-            self._close_link(link, PEER_SILENT)
+        if self._on_silent is not None:
+            awaited_calls = self._on_silent(link, link.unanswered_calls())
+            link.retire(awaited_calls)
+            self._retired_links.append(link)
+            if awaited_calls:
+                return
+        self._close_link(link, PEER_SILENT)
 
     async def serve(self, stream: Stream) -> None:
         """Serve an accepted connection until it ends."""
@@ -510,6 +524,8 @@
         if self._links_by_id.pop(link.link_id, None) is None:
             return
         link.close()
+        if link.is_retired:
+            self._retired_links.remove(link)
         if self._links_by_node.get(link.node_id) is link:
             del self._links_by_node[link.node_id]
         self._on_lost(link, link.unsent_calls(), link.unanswered_calls(), code)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -130,6 +130,45 @@
 
         trio.run(main)
 
+    def test_a_silent_link_is_kept_while_answers_are_awaited_on_it(self) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                a, b = _NodeFixture(nursery, "a", _KEY), _NodeFixture(nursery, "b", _KEY)
+                silent: list[list[int]] = []
+
+                def on_silent(link: PeerLink, call_ids: list[int]) -> list[int]:
+                    silent.append(call_ids)
+                    return [3, 4]
+
+                a.links._on_silent = on_silent
+                b.answers_calls = False
+                listener, relay = listen(_ANY_PORT), listen(_ANY_PORT)
+                stalled_connections: set[Stream] = set()
+                nursery.start_soon(listener.serve, b.links.serve)
+                nursery.start_soon(
+                    relay.serve, _relay(nursery, listener.address, stalled_connections)
+                )
+                a.address = relay.address
+                for call_id in (2, 3, 4):
+                    a.links.send("b", _call(call_id))
+                await b.wait_for(b.messages)  # type: ignore[arg-type]
+                stalled_connections.update(_RELAYED_CONNECTIONS)
+                await a.wait_for(silent)  # type: ignore[arg-type]
+                self.assertEqual([[2, 3, 4]], silent)
+                # A new call takes another link, the silent one stays for the awaited answers.
+                self.assertFalse(a.links.has_link("b"))
+                stalled_connections.clear()
+                link = b.links.open_links[0]
+                link.send(Answer(3, Outcome.DONE, 0, 200, [], b"", 0, LoadReport(0, 0, 1), ()))
+                await a.wait_for(a.messages)  # type: ignore[arg-type]
+                self.assertEqual(1, len(a.links.open_links))
+                a.links.send("b", Cancel(4))
+                a.links.tick(a.links.clock.now_ms())
+                self.assertEqual(([], []), (a.links.open_links, a.links._retired_links))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_a_link_from_the_peer_replaces_one_that_does_not_open(self) -> None:
         """The peer does not respond to this node's connection, and then opens a link itself.
 
