--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -41,7 +41,7 @@
 _MAINTENANCE_TICK_MS: Final[Millis] = 500.0
 _LOAD_LOG_INTERVAL_TICKS: Final = 4
 """Maintenance ticks between two log lines of the load."""
-_LOAD_NOTICE_INTERVAL_TICKS: Final = 2
+_LOAD_NOTICE_INTERVAL_TICKS: Final = 4
 """Maintenance ticks between two notices of the load to the nodes of the failure domain."""
 _GC_INTERVAL_MS: Final[Millis] = 1_000.0
 _FULL_GC_INTERVAL_CYCLES: Final = 30
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -25,7 +25,7 @@
 _CHECKING_CALLERS: Final = 66
 _LIMIT: Final = 84
 _SPEEDS: Final = (0.7, 0.7, 1.7)
-_NOTICE_INTERVAL_MS: Final = 1_000.0
+_NOTICE_INTERVAL_MS: Final = 2_000.0
 _RUN_TIME_WEIGHT: Final = 0.05
 _OVERHEAD_MS: Final = 15.0
 """Time that a run needs on any host."""
