Read the store exactly once at a start, then cheaply until the table is there

Cause: while the operator's configuration was not written yet, a starting node read the table exactly at each poll: four reads a node in a fleet that starts two seconds before it. Change: only the first read is exact; later ones cannot return an older table than none. A node that found nothing goes on polling at the pace of the start, so that it does not wait 12 s for the table.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -100,6 +100,11 @@
     polled_at: Millis = -math.inf
     woken: trio.Event = attrs.field(factory=trio.Event)
 
+    @property
+    def has_items(self) -> bool:
+        """Return whether the node's last read found any item."""
+        return bool(self.revisions)
+
     def add(self, changes: StoreChanges) -> None:
         """Record the changes after the last read."""
         for item in changes.items:
@@ -243,10 +248,13 @@
         """Read all items if that is due."""
         prefix.is_watched = False
         now_ms = self._clock.now_ms()
-        is_due = now_ms - prefix.polled_at >= self._plan.poll_interval_ms(now_ms)
+        interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
+        is_due = now_ms - prefix.polled_at >= interval_ms
         if not (is_due or prefix.must_read or prefix.has_gap):
             return
-        may_be_old = not (prefix.has_gap or (prefix.starts_with_latest and not prefix.revisions))
+        may_be_old = not (
+            prefix.has_gap or (prefix.starts_with_latest and prefix.read_revision < 0)
+        )
         if prefix.has_gap:
             # All nodes of the failure domain may have the gap.
             await trio.sleep(self._random.uniform(0.0, _GAP_READ_JITTER_MS) / MS_PER_SECOND)
@@ -259,7 +267,8 @@
     async def _wait_for_poll(self, prefix: "_WatchedPrefix") -> None:
         """Wait until a poll may be due, or until the changes forwarded to this node have a gap."""
         now_ms = self._clock.now_ms()
-        due_ms = prefix.polled_at + self._plan.poll_interval_ms(now_ms) - now_ms
+        interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
+        due_ms = prefix.polled_at + interval_ms - now_ms
         wait_ms = min(due_ms * self._random.uniform(0.9, 1.1), self._plan.check_interval_ms(now_ms))
         with trio.move_on_after(max(0.0, wait_ms) / MS_PER_SECOND):
             await prefix.woken.wait()
--- a/gooseberrydock/mesh/watch_plan.py
+++ b/gooseberrydock/mesh/watch_plan.py
@@ -44,9 +44,9 @@
             return False
         return is_watcher(self._own_record(), self._others(), _WATCHERS_PER_DOMAIN)
 
-    def poll_interval_ms(self, now_ms: Millis) -> Millis:
-        """Return the time between two polls of a node that does not watch."""
-        if self._is_starting(now_ms):
+    def poll_interval_ms(self, now_ms: Millis, has_found: bool) -> Millis:
+        """Return the time between two polls; ``has_found`` if an earlier one found an item."""
+        if self._is_starting(now_ms) or not has_found:
             return _START_POLL_INTERVAL_MS
         return _POLL_INTERVAL_MS * max(1.0, self._node_count() / _POLL_INTERVAL_NODES)
 
--- a/tests/test_watch_plan.py
+++ b/tests/test_watch_plan.py
@@ -286,6 +286,24 @@
 
         self._run(scenario)
 
+    def test_table_that_is_written_after_the_start_costs_few_exact_reads(self) -> None:
+        async def scenario(fleet: _Fleet) -> None:
+            store = _SharedStore()
+            late = _Fleet(store)
+            async with trio.open_nursery() as nursery:
+                for number in range(40):
+                    node = late.add(make_member(f"n{number}", domain=f"d{number % 2}"))
+                    nursery.start_soon(late.run_node, node)
+                await trio.sleep(2.0)
+                store.put("table", b"1")
+                await trio.sleep(5.0)
+                self.assertEqual([b"1"] * 40, [node.values.get("table") for node in late.nodes])
+                # One read of the table by each node, and one of the records after a gap.
+                self.assertLessEqual(store.reads, 2 * 40)
+                nursery.cancel_scope.cancel()
+
+        self._run(scenario)
+
     def test_node_that_missed_changes_reads_them_at_the_next_ones(self) -> None:
         async def scenario(fleet: _Fleet) -> None:
             deaf = next(node for node in fleet.live if node not in fleet.watching)
