Move the reading of request headers out of the entry

The entry has one job, to decide what happens to a request; what its headers say and which of them are forwarded is a module of its own (request_headers.py). No other change. Measured: tests.test_mesh_entry, test_mesh_node, test_emulator and test_mesh_overload pass.

--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -33,12 +33,7 @@
     ErrorCode,
     error_code,
 )
-from gooseberrydock.http_messages import (
-    CONNECTION_HEADERS,
-    Headers,
-    HttpRequest,
-    HttpResponse,
-)
+from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
 from gooseberrydock.mesh.exchange import Caller, EntryEffects, Exchange
@@ -46,6 +41,11 @@
 from gooseberrydock.mesh.model import EMPTY_ROUTE, EMPTY_TABLE, AcceptedWork, RouteTable
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.request_headers import (
+    RequestHeaders,
+    create_request_headers,
+    parse_timeout,
+)
 from gooseberrydock.mesh.retry_budget import RetryBudget
 from gooseberrydock.mesh.route_flags import RouteFlags
 from gooseberrydock.mesh.shares import AdmittedShares
@@ -53,9 +53,6 @@
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
 
 _SERVER_ERROR: Final = 500
-_MAX_CALLER_TIMEOUT_MS: Final[Millis] = 600_000.0
-"""Longest timeout accepted from a caller. A longer one is certainly a mistake and is replaced by
-the route's timeout."""
 _MIN_RETRY_TIME_MS: Final[Millis] = 30.0
 """Minimum time before the deadline for another attempt to be useful."""
 _MAX_RESPONSE_TIMEOUT_SHARE: Final = 0.6
@@ -105,13 +102,11 @@
     _response_timeouts: list[tuple[Millis, int]] = attrs.field(factory=list)
     _routes_with_calls: RouteFlags = attrs.field(factory=RouteFlags)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
-    _stripped: frozenset[bytes] = attrs.field(init=False)
+    _request_headers: RequestHeaders = attrs.field(init=False)
 
-    @_stripped.default
-    def _stripped_headers(self) -> frozenset[bytes]:
-        names = self._header_names
-        names_set_by_nodes = (names.deadline_ms, names.expected_instance, names.caller_service)
-        return CONNECTION_HEADERS | frozenset(names_set_by_nodes)
+    @_request_headers.default
+    def _create_request_headers(self) -> RequestHeaders:
+        return create_request_headers(self._header_names)
 
     @property
     def accepted_work(self) -> AcceptedWork:
@@ -149,7 +144,7 @@
             return None
         if exchange.is_nested:
             self._call_graph.on_call(now_ms, exchange.route.name)
-        exchange.headers = self._forwarded_headers(request.headers)
+        exchange.headers = self._request_headers.forwarded(request.headers)
         self._exchanges[exchange.exchange_id] = exchange
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
         self._budget.on_request(exchange.service, self._makes_calls(exchange))
@@ -158,19 +153,20 @@
 
     def may_repeat(self, request: HttpRequest) -> bool:
         """Return whether a request may run more than once; one without a route may not."""
-        host, _, _ = self._read_headers(request.headers)
-        route = self._table.find(host, request.path)
+        fields = self._request_headers.read(request.headers)
+        route = self._table.find(fields.host, request.path)
         return route is not None and route.is_idempotent
 
     def _admit(self, now_ms: Millis, exchange: Exchange) -> ErrorCode | None:
         """Set the route, service and deadline of a request; return an error if it is refused."""
-        host, exchange.request_id, timeout_text = self._read_headers(exchange.request.headers)
+        fields = self._request_headers.read(exchange.request.headers)
+        exchange.request_id = fields.request_id
         if self._table.version == 0:
             return NO_CONFIGURATION
-        route = self._table.find(host, exchange.request.path)
+        route = self._table.find(fields.host, exchange.request.path)
         if route is None:
             return NO_ROUTE
-        requested_ms = _parse_timeout(timeout_text, route.timeout_ms)
+        requested_ms = parse_timeout(fields.timeout_text, route.timeout_ms)
         if requested_ms is None:
             return MALFORMED_REQUEST
         exchange.route = route
@@ -286,31 +282,6 @@
             headers=[],
         )
 
-    def _read_headers(self, headers: Headers) -> tuple[str, str, str]:
-        """Return the host name in lower case without port, the request ID and the timeout."""
-        host = request_id = deadline = b""
-        names = self._header_names
-        for name, value in headers:
-            if name == b"host":
-                host = value
-            elif name == names.request_id:
-                request_id = value
-            elif name == names.deadline_ms:
-                deadline = value
-        host_name = host.decode("latin-1").lower()
-        if ":" in host_name and not host_name.endswith("]"):
-            host_name = host_name.rpartition(":")[0]
-        return host_name, request_id.decode("latin-1"), deadline.decode("latin-1").strip()
-
-    def _forwarded_headers(self, headers: Headers) -> Headers:
-        """Return the headers that are forwarded to the target."""
-        stripped = self._stripped
-        for name, value in headers:
-            if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
-                listed = {token.strip().lower() for token in value.split(b",")}
-                stripped = stripped | listed
-        return [header for header in headers if header[0] not in stripped]
-
     def _send(self, now_ms: Millis, exchange: Exchange) -> None:
         """Send the call to the best untried host; defer or refuse the request if there is none."""
         hosts = self._directory.hosts_of(exchange.service)
@@ -530,14 +501,3 @@
     """Return the time until which a request waits for a reachable host."""
     route = exchange.route
     return exchange.received_at + _DEFER_SHARE * min(route.target_latency_ms, route.timeout_ms)
-
-
-def _parse_timeout(text: str, default_ms: Millis) -> Millis | None:
-    """Return the caller's timeout, the default if absent or out of range, None if malformed."""
-    if not text:
-        return default_ms
-    try:
-        requested_ms = float(text)
-    except ValueError:
-        return None
-    return requested_ms if 0 <= requested_ms <= _MAX_CALLER_TIMEOUT_MS else default_ms
