Try unknown hosts of other failure domains in a small service again

Cause: since load notices, only unknown hosts of the own domain were taken to be fast. Change: they are tried where all hosts of the service are compared.

--- a/gooseberrydock/mesh/host_selection.py
+++ b/gooseberrydock/mesh/host_selection.py
@@ -58,9 +58,8 @@
 _MAX_UTILIZATION_WITH_CAPACITY: Final = 0.9
 """Utilization of a host from which a call may have to wait for a slot there."""
 _NEW_HOST_FACTOR: Final = 0.5
-"""Assumed run time of a host of the failure domain without reports, relative to the route's mean.
-It is below one so that the host receives calls and its speed becomes known. Hosts elsewhere are not
-tried for this, since a call there costs more."""
+"""Assumed run time of a host without reports relative to the route's mean. It is below one so that
+the host receives calls and its speed becomes known."""
 _MAX_EJECTION_DOUBLINGS: Final = 4
 """Bound of the number of doublings, at which the ejection time has reached its upper bound."""
 _OWN_DOMAIN_SAMPLE: Final = 8
@@ -114,6 +113,7 @@
         """Return the untried host with the lowest expected cost, or None if there is none."""
         best: Member | None = None
         best_cost = float("inf")
+        is_small_service = len(hosts) <= _OWN_DOMAIN_SAMPLE + _OTHER_DOMAINS_SAMPLE
         ejected: list[Member] = []
         for host in self._sample(hosts):
             if host.node_id in tried:
@@ -121,7 +121,7 @@
             if self._stats_of(host.node_id).ejected_until > now_ms:
                 ejected.append(host)
                 continue
-            cost = self.cost(route, host)
+            cost = self.cost(route, host, is_small_service)
             if cost < best_cost:
                 best, best_cost = host, cost
         if best is None:
@@ -132,15 +132,18 @@
         """Return whether any of the hosts is not ejected now."""
         return any(self._stats_of(host.node_id).ejected_until <= now_ms for host in hosts)
 
-    def cost(self, route: Route, host: Member) -> Millis:
-        """Return the expected cost of a call at a host."""
+    def cost(self, route: Route, host: Member, is_small_service: bool = True) -> Millis:
+        """Return the expected cost of a call at a host.
+
+        Unknown hosts of other failure domains are tried for their speed in a small service only.
+        """
         stats = self._stats_of(host.node_id)
         run_ms = stats.run_ms_by_route.get(route.name)
         if run_ms is None:
             run_ms = self._mean_run_ms_by_route.get(route.name, 0.0)
             if host.is_cold:
                 run_ms *= _COLD_HOST_FACTOR
-            elif host.failure_domain == self._failure_domain:
+            elif is_small_service or host.failure_domain == self._failure_domain:
                 run_ms *= _NEW_HOST_FACTOR
         cost = run_ms
         scale_ms = min(route.target_latency_ms, route.timeout_ms)
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -140,3 +140,21 @@
         self.assertLess(failed, 0.5 * sum(item.failed for item in without))
         for simulation in with_notices:
             self.assertLess(simulation.outside_domain, 0.05 * simulation.bookings)
+
+
+class SmallServiceCases(unittest.TestCase):
+    """What callers of a service with one host in each failure domain get."""
+
+    def test_faster_host_of_another_domain_is_found(self) -> None:
+        hosts = [make_member(f"h{number}", domain=f"d{number}") for number in range(3)]
+        run_ms = {"h0": 2_400.0, "h1": 300.0, "h2": 300.0}
+        caller = create_host_selector("d0", 1)
+        chosen = []
+        for _ in range(20):
+            host = caller.choose(0.0, _BOOKING, hosts, set())
+            assert host is not None
+            caller.on_sent(host.node_id)
+            report = TargetReport(0, _LIMIT, run_ms[host.node_id], 1.0)
+            caller.on_answer(host.node_id, _BOOKING.name, report, has_failed=False)
+            chosen.append(host.node_id)
+        self.assertNotIn("h0", chosen[4:])
