Log and count the request rate that a target names, and the requests it gets

Event 1505 showed the calls at once at a target but not their rate, and no line showed whether a node had seen a limit, so that the three hypotheses of the incident could not be told apart. Answers' statements are now read: event 1107 gives the limit when it changes with the requests sent so far, 1108 the first statement that the target is leaving, 1109 a statement that is no number (code 408). Event 1505 and the metrics give the requests sent and the limit in force. Nothing is decided by them yet.

--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -181,6 +181,9 @@
 TARGET_FAILED: Final = _register(
     407, "target-failed", 502, _UNKNOWN, "The target answered with a failure of its own"
 )
+STATEMENT_INVALID: Final = _register(
+    408, "statement-invalid", 502, _UNKNOWN, "The target's answer names an invalid request rate"
+)
 
 STORE_UNAVAILABLE: Final = _register(
     500, "store-unavailable", 503, _UNKNOWN, "The key-value service did not answer"
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -80,6 +80,18 @@
 ANNOUNCEMENT_REFUSED: Final = _register(
     1106, "announcement-refused", _WARNING, "An announcement is malformed or names another target"
 )
+TARGET_RATE_LIMIT_CHANGED: Final = _register(
+    1107,
+    "target-rate-limit-changed",
+    _INFO,
+    "The local target's answers name another request rate that it takes, or none any more",
+)
+TARGET_STATES_LEAVING: Final = _register(
+    1108, "target-states-leaving", _INFO, "The local target's answers state that it is leaving"
+)
+STATEMENT_REFUSED: Final = _register(
+    1109, "statement-refused", _WARNING, "An answer's statement is invalid and is ignored"
+)
 MEMBER_CHANGED: Final = _register(
     1200, "member-changed", _INFO, "The record of a member changed or was removed"
 )
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -33,6 +33,7 @@
         "repeats_denied": (node.controllers.budget.denied, "Repeats that the budget did not allow"),
         "link_bytes_sent": (node.links.bytes_sent, "Bytes sent on links to other nodes"),
         "link_bytes_received": (node.links.bytes_received, "Bytes received on these links"),
+        "target_requests": (node.target_dispatcher.sent, "Requests sent to the target"),
         "target_connections_opened": (
             node.target_dispatcher.pool.opened,
             "Connections opened to the target",
@@ -57,7 +58,7 @@
 
 def _add_gauges(registry: Registry, node: MeshNode) -> None:
     admission_queue = node.admission_queue
-    values = {
+    values: dict[str, tuple[float, str]] = {
         "table_version": (node.table.version, "Version of the route table in force"),
         "unknown_kinds": (
             len(node.table.unknown_kinds),
@@ -77,5 +78,8 @@
             "Open connections to the target",
         ),
     }
+    rate_limit = node.controllers.registration.rate_limit
+    if rate_limit is not None:
+        values["target_rate_limit"] = (rate_limit, "Requests per second that the target takes")
     for name, (value, text) in values.items():
         Gauge(_PREFIX + name, text, registry=registry).set({}, value)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -347,6 +347,8 @@
             LOAD_STATE,
             service=self._controllers.registration.service,
             **describe_load(self._controllers.admission_queue),
+            rate_limit=self._controllers.registration.rate_limit,
+            sent=self._target_dispatcher.sent,
             routes={route: round(share, 2) for route, share in shares.items() if share < 1.0},
             needs=describe_needs(self._controllers.call_graph.needs),
             nodes=self._controllers.directory.node_count,
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -14,7 +14,8 @@
     """Names of the headers between nodes, callers and targets, in lower case.
 
     ``response_signature`` is a header in every complete answer of a target; if it is empty,
-    targets do not mark their answers.
+    targets do not mark their answers. In ``rate_limit`` an answer names the requests per
+    second that its target takes, in ``leaving`` it states that the target is leaving.
     """
 
     request_id: bytes = b"gooseberrydock-request-id"
@@ -23,6 +24,8 @@
     not_executed: bytes = b"gooseberrydock-not-executed"
     caller_service: bytes = b"gooseberrydock-caller-service"
     response_signature: bytes = b""
+    rate_limit: bytes = b"gooseberrydock-rate-limit"
+    leaving: bytes = b"gooseberrydock-leaving"
 
 
 @attrs.frozen
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -18,13 +18,17 @@
     TARGET_TIMEOUT,
     ErrorCode,
 )
+from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
     ANNOUNCEMENT_REFUSED,
     REQUEST_QUARANTINED,
+    STATEMENT_REFUSED,
     TARGET_CHANGED,
     TARGET_LEAVING,
+    TARGET_RATE_LIMIT_CHANGED,
+    TARGET_STATES_LEAVING,
 )
-from gooseberrydock.http_messages import header_value
+from gooseberrydock.http_messages import Headers, header_value
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.admission_queue import Ticket
 from gooseberrydock.mesh.controllers import NodeControllers
@@ -34,6 +38,7 @@
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement
 from gooseberrydock.mesh.target_run import Run, request_bytes
+from gooseberrydock.mesh.target_statements import read_statement
 from gooseberrydock.messages import (
     Cancel,
     CrashNotice,
@@ -82,6 +87,8 @@
     _runs: dict[int, Run] = attrs.field(factory=dict)
     _run_ids_by_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
+    _sent: int = 0
+    _has_seen_leaving: bool = False
 
     @property
     def is_closed(self) -> bool:
@@ -93,6 +100,11 @@
         """Return the number of calls that run or wait."""
         return len(self._runs)
 
+    @property
+    def sent(self) -> int:
+        """Return the number of calls sent to the target so far."""
+        return self._sent
+
     @property
     def pool(self) -> TargetPool:
         """Return the connections to the target."""
@@ -178,6 +190,8 @@
             self._refuse(run.ticket.link_id, call, NODE_LEAVING)
             return
         remaining_ms = run.ticket.deadline_at - now_ms
+        run.start_id = registration.start_id
+        self._sent += 1
         data = request_bytes(call, self._header_names, registration.instance_id, remaining_ms)
         run.pending = self._pool.start(data, run, self._owner.is_idempotent(call.route))
 
@@ -271,6 +285,29 @@
         """Log an announcement that is invalid or names no target of this node."""
         log(ANNOUNCEMENT_REFUSED, detail=detail)
 
+    def on_answer_headers(self, run: Run, headers: Headers, is_intact: bool) -> None:
+        """Process what the target states of itself; an answer that is not intact may omit it."""
+        try:
+            statement = read_statement(headers, self._header_names)
+        except GooseberrydockError as error:
+            log(STATEMENT_REFUSED, code=error.code.number, detail=error.detail)
+            return
+        if is_intact or statement.rate_limit is not None:
+            self._set_rate_limit(run.start_id, statement.rate_limit)
+        if statement.is_leaving and not self._has_seen_leaving:
+            self._has_seen_leaving = True
+            log(TARGET_STATES_LEAVING, instance=self._controllers.registration.instance_id)
+
+    def _set_rate_limit(self, start_id: str, rate_limit: float | None) -> None:
+        registration = self._controllers.registration
+        if registration.on_rate_limit(start_id, rate_limit):
+            log(
+                TARGET_RATE_LIMIT_CHANGED,
+                instance=registration.instance_id,
+                rate_limit=rate_limit,
+                sent=self._sent,
+            )
+
     def on_other_instance(self) -> None:
         """Record that the announced instance is not at the target's address."""
         registration = self._controllers.registration
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -53,6 +53,7 @@
     _leaving_since: Millis = 0.0
     _cold_until: Millis = 0.0
     _mismatched_id: str = ""
+    _rate_limit: float | None = None
 
     @property
     def current(self) -> InstanceAnnouncement | None:
@@ -76,6 +77,17 @@
         """Return the ID of the current instance, or an empty string."""
         return self._current.instance_id if self._current is not None else ""
 
+    @property
+    def start_id(self) -> str:
+        """Return what identifies the current start of the target, or an empty string."""
+        current = self._current
+        return f"{current.instance_id}@{current.started_wall_ms}" if current is not None else ""
+
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the requests per second that the target takes, None if it named no limit."""
+        return self._rate_limit
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the current instance is leaving, with or without an announcement."""
@@ -143,6 +155,13 @@
         self._mismatched_id = instance_id
         return True
 
+    def on_rate_limit(self, start_id: str, rate_limit: float | None) -> bool:
+        """Record the limit that a start of the target named; return whether this is a change."""
+        if not start_id or start_id != self.start_id or rate_limit == self._rate_limit:
+            return False
+        self._rate_limit = rate_limit
+        return True
+
     def _is_other_start(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
         if new.started_wall_ms != current.started_wall_ms:
             return True
@@ -158,6 +177,7 @@
         self._cold_until = now_ms + new.cold_left_ms
         self._is_leaving = False
         self._mismatched_id = ""
+        self._rate_limit = None
         if new.state is TargetState.LEAVING:
             self._set_leaving(now_ms)
         return True
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -6,7 +6,12 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import TARGET_LOST, TARGET_UNREACHABLE, ErrorCode
-from gooseberrydock.http_messages import CONNECTION_HEADERS, HttpResponse, header_value
+from gooseberrydock.http_messages import (
+    CONNECTION_HEADERS,
+    Headers,
+    HttpResponse,
+    header_value,
+)
 from gooseberrydock.mesh.admission_queue import Ticket
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.target_answers import classify_answer
@@ -24,6 +29,9 @@
     def finish_run(self, run: "Run", answer: RoutedAnswer) -> None:
         """Answer a run's call."""
 
+    def on_answer_headers(self, run: "Run", headers: Headers, is_intact: bool) -> None:
+        """Process what the target states of itself; an answer that is not intact may omit it."""
+
     def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
         """Record that the target gave no usable answer."""
 
@@ -39,12 +47,16 @@
 
 @attrs.define(eq=False)
 class Run:
-    """State of one call from the admission queue to its answer."""
+    """State of one call from the admission queue to its answer.
+
+    ``start_id`` is the start of the target to which the call was sent.
+    """
 
     ticket: Ticket
     _owner: RunOwner
     _header_names: HeaderNames
     pending: PendingRun | None = None
+    start_id: str = ""
 
     def accepts(self, response: HttpResponse) -> bool:
         """Return whether a response belongs to this call, by the request ID that targets echo."""
@@ -59,6 +71,9 @@
         classification = classify_answer(response, self._header_names)
         if classification.is_other_instance:
             self._owner.on_other_instance()
+        else:
+            is_intact = classification.result is RunResult.ANSWERED
+            self._owner.on_answer_headers(self, response.headers, is_intact)
         if classification.result is RunResult.ANSWERED:
             headers = [item for item in response.headers if item[0] not in CONNECTION_HEADERS]
             self._finish(classification.result, 0, response.status, headers, response.body)
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -22,6 +22,8 @@
     caller_service=b"caller-service",
     # Every complete response of a target carries this header.
     response_signature=b"server-seal",
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 
