--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -179,6 +179,9 @@
     announced_address: Address | None = None
     on_run: Callable[[HttpRequest], None] | None = None
     misbehaviour: Callable[[HttpRequest], str] | None = None
+    rate_limit: float | None = None
+    states_leaving: bool = False
+    run_times_s: list[float] = attrs.field(factory=list)
 
     @property
     def address(self) -> Address:
@@ -201,6 +204,7 @@
             connection.respond(HttpResponse(421, [(b"instance-id", b"other")], b""))
             return
         self.runs.append(request)
+        self.run_times_s.append(trio.current_time())
         if self.on_run is not None:
             self.on_run(request)
         self.nursery.start_soon(self._run, connection, request)
@@ -234,6 +238,10 @@
         """Return a complete response with the ``server-seal`` header."""
         request_id = header_value(request.headers, b"request-id").encode()
         headers = [(b"request-id", request_id), (b"server-seal", self.instance_id.encode())]
+        if self.rate_limit is not None:
+            headers.append((b"server-limit", str(self.rate_limit).encode()))
+        if self.states_leaving:
+            headers.append((b"server-leaving", b"1"))
         return HttpResponse(200, headers, f"{self.service} {request.path}".encode())
 
     async def announce(self) -> int:
