Keep a target within the request rate that it names in its answers

Callers saw nothing: the targets served the excess. The operators saw targets in need that named 36.2 and 31.5 requests a second and got 81 and 61. Cause: the admission queue bounds the calls at once, so a target that is fast for its slots was sent all that its slots can take; no part of a node knew a rate.

The node beside the target sends it everything, whichever host it began on, so one token bucket there holds the fleet's total without a message or a guessed split. Callers' nodes receive the used share of its burst with each report and prefer other hosts before it is used up; a call with another host to try waits 50 ms at most and is then refused unsent. While only a part of a service is limited, nothing is shed at the entries: calls that found another host are no overload. If all hosts are limited, entries shed the rest.

--- a/gooseberrydock/emulated_product_node.py
+++ b/gooseberrydock/emulated_product_node.py
@@ -157,7 +157,7 @@
             [],
             b"",
             result is RunResult.ANSWERED,
-            self._controllers.admission_queue.report(call.route),
+            self._controllers.admission_queue.report(self._world.timeline.now_ms, call.route),
         )
         origin = self._world.product_node(ticket.link_id)
         delay_ms = self._world.delay_ms(self.node_id, ticket.link_id)
--- a/gooseberrydock/mesh/admission_queue.py
+++ b/gooseberrydock/mesh/admission_queue.py
@@ -1,9 +1,9 @@
 """Admission control at a target's own node: which calls run now, wait or are refused.
 
 Limits the load of one target. The concurrency limit leaves some of the target's slots free, because
-targets slow down when nearly all slots are in use. Waiting calls are ordered by rank, then by
-arrival. A call that can no longer finish in time is removed from the queue as not run, before any
-work is spent on it. Performs no I/O.
+targets slow down when nearly all slots are in use. A target that names a request rate gets no more
+than that. Waiting calls are ordered by rank, then by arrival. A call that can no longer finish in
+time is removed from the queue as not run, before any work is spent on it. Performs no I/O.
 """
 
 import heapq
@@ -18,6 +18,7 @@
 from gooseberrydock.mesh.downstream import UNLIMITED, DownstreamCapacity
 from gooseberrydock.mesh.nested_routes import NestedRoutes
 from gooseberrydock.mesh.overload_controller import OverloadController
+from gooseberrydock.mesh.rate_limiter import RateLimiter
 from gooseberrydock.messages import LoadNotice, RoutedCall, TargetReport
 
 _USABLE_SLOT_SHARE: Final = 0.94
@@ -29,6 +30,14 @@
 _NESTED_WAIT_SHARE: Final = 0.7
 """The same for a call made while an admitted request runs. It is higher because work has already
 been spent on that request."""
+_MAX_RATE_WAIT_MS: Final[Millis] = 250.0
+"""Longest expected wait of a caller's request for the target's rate limit, if its node knows no
+other host to try."""
+_MAX_RATE_WAIT_WITH_ALTERNATIVE_MS: Final[Millis] = 50.0
+"""The same if there is another host: a refusal costs one message."""
+_RATE_BOUND_LOAD: Final = 0.9
+"""Offered load of a target whose rate limit is used up by calls that had other hosts to choose; it
+is less than what asks callers' nodes to admit less."""
 _MIN_RUN_SHARE: Final = 0.5
 """Time that must be left to the deadline when a waiting call starts, as a share of the mean run
 time of its route."""
@@ -82,6 +91,7 @@
     _downstream_capacities: Mapping[str, DownstreamCapacity] = attrs.field(factory=dict)
     _nested_routes: NestedRoutes = attrs.field(factory=NestedRoutes)
     _has_finished: bool = False
+    _rate_limiter: RateLimiter = attrs.field(factory=RateLimiter)
 
     @property
     def running(self) -> dict[int, Ticket]:
@@ -98,6 +108,11 @@
         """Return the concurrency limit, 0 if the target has announced no slots."""
         return max(1, int(self._slots * _USABLE_SLOT_SHARE)) if self._slots else 0
 
+    @property
+    def capacity(self) -> float:
+        """Return how many calls run at once when the target is full or at its rate limit."""
+        return self._rate_limiter.capacity(self.limit, self._mean_run_ms)
+
     @property
     def in_flight(self) -> int:
         """Return the number of calls that run or wait."""
@@ -113,6 +128,10 @@
         self._service = service
         self._slots = slots
 
+    def set_rate_limit(self, now_ms: Millis, per_second: float | None) -> None:
+        """Set the requests per second that the target takes, or None if it names no limit."""
+        self._rate_limiter.set_rate(now_ms, per_second)
+
     def reset_run_times(self) -> None:
         """Discard the run times after the target was replaced by another instance."""
         self._run_ms_by_route.clear()
@@ -123,10 +142,7 @@
     ) -> Ticket:
         """Record the arrival of a call and return its ticket, with rank and deadline."""
         self._nested_routes.on_call(call.route, call.caller_service)
-        self._overload_controller.on_arrival(
-            self._run_ms_by_route.get(call.route, self._mean_run_ms)
-        )
-        self._overload_controller.tick(now_ms, self.limit, self._waiting, self._mean_run_ms)
+        self._tick_overload_controller(now_ms)
         is_nested = self._nested_routes.classify(call.route, call.service)
         rank = NESTED_RANK if is_nested else call.priority
         deadline_at = now_ms + call.remaining_ms
@@ -134,11 +150,15 @@
 
     def submit(self, now_ms: Millis, ticket: Ticket) -> ErrorCode | None:
         """Start or enqueue a call, or return the error code with which it is refused."""
-        if self._waiting == 0 and len(self._running) < self.limit:
+        if not self._is_rate_bound:
+            self._record_arrival(ticket)
+        has_slot = self._waiting == 0 and len(self._running) < self.limit
+        if has_slot and self._rate_limiter.try_take(now_ms):
             self._start(now_ms, ticket)
             return None
-        max_wait_share = _NESTED_WAIT_SHARE if ticket.is_nested else _MAX_WAIT_SHARE
-        if self.expected_wait(ticket.rank) > max_wait_share * ticket.call.remaining_ms:
+        if self.expected_wait(ticket.rank) > self._max_wait(ticket):
+            if self._is_rate_bound and not ticket.call.has_alternative:
+                self._record_arrival(ticket)
             return TARGET_BUSY
         heapq.heappush(self._queue, (ticket.rank, next(self._serials), ticket))
         self._waiting += 1
@@ -147,7 +167,19 @@
     def expected_wait(self, rank: int) -> Millis:
         """Return how long a new call of a rank is expected to wait for the calls ahead of it."""
         calls_ahead = sum(1 for item in self._queue if item[0] <= rank and not item[2].is_withdrawn)
-        return (calls_ahead + 1) * self._mean_run_ms / max(1, self.limit)
+        ms_per_call = max(self._mean_run_ms / max(1, self.limit), self._rate_limiter.ms_per_call)
+        return (calls_ahead + 1) * ms_per_call
+
+    def _max_wait(self, ticket: Ticket) -> Millis:
+        """Return the longest expected wait with which a call is queued."""
+        if ticket.is_nested:
+            return _NESTED_WAIT_SHARE * ticket.call.remaining_ms
+        max_wait_ms = _MAX_WAIT_SHARE * ticket.call.remaining_ms
+        if not self._rate_limiter.per_second:
+            return max_wait_ms
+        has_alternative = ticket.call.has_alternative
+        rate_wait_ms = _MAX_RATE_WAIT_WITH_ALTERNATIVE_MS if has_alternative else _MAX_RATE_WAIT_MS
+        return min(max_wait_ms, rate_wait_ms)
 
     def finish(self, now_ms: Millis, ticket: Ticket, has_completed: bool) -> None:
         """Remove a call; record its run time if it has completed with an answer of the target."""
@@ -165,14 +197,18 @@
         started: list[Ticket] = []
         late: list[Ticket] = []
         while self._queue and len(self._running) < self.limit:
-            ticket = heapq.heappop(self._queue)[2]
-            if ticket.is_withdrawn:
-                continue
-            self._waiting -= 1
-            if self._is_late(now_ms, ticket):
+            ticket = self._queue[0][2]
+            is_late = not ticket.is_withdrawn and self._is_late(now_ms, ticket)
+            is_startable = not ticket.is_withdrawn and not is_late
+            if is_startable and not self._rate_limiter.try_take(now_ms):
+                break
+            heapq.heappop(self._queue)
+            if is_late:
+                self._waiting -= 1
                 ticket.is_withdrawn = True
                 late.append(ticket)
-            else:
+            elif is_startable:
+                self._waiting -= 1
                 self._start(now_ms, ticket)
                 started.append(ticket)
         return started, late
@@ -190,7 +226,7 @@
         if late:
             self._queue = [item for item in self._queue if not item[2].is_withdrawn]
             heapq.heapify(self._queue)
-        self._overload_controller.tick(now_ms, self.limit, self._waiting, self._mean_run_ms)
+        self._tick_overload_controller(now_ms)
         return late
 
     def set_downstream_capacities(self, capacities: Mapping[str, DownstreamCapacity]) -> None:
@@ -204,7 +240,7 @@
         """Return the share of a route that this target and its downstream services can take."""
         return min(self._own_share(route), self._downstream_capacity(route).share)
 
-    def report(self, route: str) -> TargetReport:
+    def report(self, now_ms: Millis, route: str) -> TargetReport:
         """Return the report on this target that is sent to callers' nodes, for one route."""
         return TargetReport(
             in_flight=self.in_flight,
@@ -213,17 +249,46 @@
             admitted_share=self.admitted_share(route),
             is_nested=self._nested_routes.classify(route, self._service),
             makes_calls=self._downstream_capacity(route).makes_calls,
+            rate_limit=self._rate_limiter.per_second,
+            rate_used=self._rate_limiter.used_share(now_ms, self._waiting),
         )
 
     def _downstream_capacity(self, route: str) -> DownstreamCapacity:
         return self._downstream_capacities.get(route, UNLIMITED)
 
-    def take_load_notice(self) -> LoadNotice | None:
+    def take_load_notice(self, now_ms: Millis) -> LoadNotice | None:
         """Return a notice of the load and the run times, or None if no call has ended since."""
         if not self._has_finished:
             return None
         self._has_finished = False
-        return LoadNotice(self.in_flight, self.limit, dict(self._run_ms_by_route))
+        return LoadNotice(
+            in_flight=self.in_flight,
+            limit=self.limit,
+            run_ms_by_route=dict(self._run_ms_by_route),
+            rate_limit=self._rate_limiter.per_second,
+            rate_used=self._rate_limiter.used_share(now_ms, self._waiting),
+        )
+
+    @property
+    def _is_rate_bound(self) -> bool:
+        """Return whether the rate limit is reached before the slots are full."""
+        return self.capacity < self.limit
+
+    def _record_arrival(self, ticket: Ticket) -> None:
+        run_ms = self._run_ms_by_route.get(ticket.call.route, self._mean_run_ms)
+        self._overload_controller.on_arrival(run_ms)
+
+    def _tick_overload_controller(self, now_ms: Millis) -> None:
+        """Update the overload controller.
+
+        Callers use up a rate limit while other hosts have room, so at the limit only calls that
+        found no other host, or that wait longer than such calls may, are more than it can take.
+        """
+        capacity, waiting, base_load = self.capacity, self._waiting, 0.0
+        if self._is_rate_bound:
+            waiting = max(0, waiting - int(_MAX_RATE_WAIT_MS / self._rate_limiter.ms_per_call))
+            base_load = _RATE_BOUND_LOAD * min(1.0, self._rate_limiter.used_share(now_ms, 0))
+        self._overload_controller.tick(now_ms, capacity, waiting, self._mean_run_ms, base_load)
 
     def _own_share(self, route: str) -> float:
         """Return this target's own admitted share of a route, lower for routes with long runs."""
--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -66,10 +66,9 @@
     def take_due_notices(self, now_ms: Millis) -> dict[str, ShareNotice]:
         """Return, by link ID, the notices of changed shares that are due now."""
         share_of = self.admission_queue.admitted_share
+        capacity = max(1, round(self.admission_queue.capacity))
         return {
-            link_id: ShareNotice(
-                {route: share_of(route) for route in routes}, self.admission_queue.limit
-            )
+            link_id: ShareNotice({route: share_of(route) for route in routes}, capacity)
             for link_id, routes in self.share_notices.take_due(now_ms, share_of).items()
         }
 
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -34,6 +34,7 @@
     error_code,
 )
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.members import Member
 from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
 from gooseberrydock.mesh.exchange import Caller, EntryEffects, Exchange
@@ -192,7 +193,7 @@
         if answer.code in _TARGET_UNAVAILABLE_CODES:
             self._host_selector.on_unavailable(now_ms, node_id)
         else:
-            self._host_selector.on_answer(node_id, route.name, answer.report, has_failed)
+            self._host_selector.on_answer(now_ms, node_id, route.name, answer.report, has_failed)
         self._record_report(now_ms, exchange, answer.report)
         exchange.call_id = 0
         if answer.was_sent_to_target:
@@ -312,9 +313,15 @@
                 body=request.body,
                 remaining_ms=max(0.0, exchange.deadline_at - now_ms),
                 priority=route.priority,
+                has_alternative=self._has_alternative(exchange, hosts),
             ),
         )
 
+    def _has_alternative(self, exchange: Exchange, hosts: list[Member]) -> bool:
+        """Return whether the request is sent to another host if this one refuses it unsent."""
+        has_untried = any(host.node_id not in exchange.tried for host in hosts)
+        return has_untried and exchange.refusals < _MAX_REFUSALS
+
     def _on_target_answer(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         """Forward a target's response, unless it is a failure that is retried on another host."""
         # If runs of the route make calls, a failure is mostly that of such a call, and a retry
@@ -362,7 +369,7 @@
     def _may_be_queued(self, now_ms: Millis, exchange: Exchange) -> bool:
         """Return whether the call may still be waiting for a slot at its target."""
         is_overloaded = self._shares.share_of(now_ms, exchange.route.name) < 1.0
-        return is_overloaded or not self._host_selector.has_capacity(exchange.node_id)
+        return is_overloaded or not self._host_selector.has_capacity(now_ms, exchange.node_id)
 
     def _on_not_run(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         code = error_code(answer.code)
@@ -411,7 +418,7 @@
     def _record_report(self, now_ms: Millis, exchange: Exchange, report: TargetReport) -> None:
         """Record the report that a target's node sends with an answer."""
         route, node_id = exchange.route.name, exchange.node_id
-        self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.limit)
+        self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.capacity)
         self._nested_routes.on_report(route, report.is_nested)
         self._routes_with_calls.on_report(route, report.makes_calls)
 
--- a/gooseberrydock/mesh/host_selection.py
+++ b/gooseberrydock/mesh/host_selection.py
@@ -1,10 +1,11 @@
 """Load balancing: selects the host with the lowest expected cost for a call.
 
-Handles services whose hosts differ in speed and utilization. The cost of a host is its mean run
-time for the route, plus surcharges for high utilization, for run times near the timeout, for
-leaving the failure domain and for failures. Where a surcharge is a share of the target latency, the
-timeout is used instead if it is shorter. Hosts with the same cost share the load according to their
-speed, because the utilization of faster ones rises later. Performs no I/O.
+Handles services whose hosts differ in speed and utilization, or name a request rate that they take.
+The cost of a host is its mean run time for the route, plus surcharges for high utilization, for run
+times near the timeout, for leaving the failure domain and for failures. Where a surcharge is a
+share of the target latency, the timeout is used instead if it is shorter. Hosts with the same cost
+share the load according to their speed, because the utilization of faster ones rises later.
+Performs no I/O.
 """
 
 import random
@@ -15,6 +16,7 @@
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Member
 from gooseberrydock.mesh.model import Route
+from gooseberrydock.mesh.rate_limiter import burst_of
 from gooseberrydock.messages import LoadNotice, TargetReport
 
 _RUN_TIME_WEIGHT: Final = 0.3
@@ -55,6 +57,9 @@
 _MIN_RESPONSE_TIMEOUT_MS: Final[Millis] = 60.0
 """Lower bound of the response timeout; it exceeds the time that the network and a pause of a node
 add to a short run."""
+_RATE_REPORT_RECOVERY_MS: Final[Millis] = 2_000.0
+"""Time in which the reported use of a host's rate limit falls from 1 to 0 without a new report, so
+that a host which is avoided is tried again."""
 _MAX_UTILIZATION_WITH_CAPACITY: Final = 0.9
 """Utilization of a host from which a call may have to wait for a slot there."""
 _NEW_HOST_FACTOR: Final = 0.5
@@ -79,18 +84,39 @@
     sent_since_report: int = 0
     reported_calls: int = 0
     limit: int = 0
+    rate_limit: float = 0.0
+    rate_used: float = 0.0
+    rate_reported_at: Millis = 0.0
     failure_share: float = 0.0
     ejected_until: Millis = 0.0
     consecutive_refusals: int = 0
     run_ms_by_route: dict[str, Millis] = attrs.field(factory=dict)
 
-    @property
-    def utilization(self) -> float:
-        """Return the share of the concurrency limit in use after one more call is sent."""
+    def utilization(self, now_ms: Millis) -> float:
+        """Return the used share of the tighter of two limits after one more call is sent.
+
+        They are the concurrency limit, and the burst of the rate that the target takes.
+        """
         if not self.limit:
             return 0.0
         in_flight = max(self.own_calls, self.reported_calls + self.sent_since_report)
-        return (in_flight + 1) / self.limit
+        return max((in_flight + 1) / self.limit, self._rate_utilization(now_ms))
+
+    def on_load(self, now_ms: Millis, load: TargetReport | LoadNotice) -> None:
+        """Record the load that the host reports."""
+        self.sent_since_report = 0
+        self.reported_calls = load.in_flight
+        self.limit = load.limit
+        self.rate_limit = load.rate_limit
+        self.rate_used = load.rate_used
+        self.rate_reported_at = now_ms
+
+    def _rate_utilization(self, now_ms: Millis) -> float:
+        if not self.rate_limit:
+            return 0.0
+        unused = (now_ms - self.rate_reported_at) / _RATE_REPORT_RECOVERY_MS
+        used = max(0.0, self.rate_used - unused)
+        return used + (self.sent_since_report + 1) / burst_of(self.rate_limit)
 
 
 @attrs.define
@@ -121,7 +147,7 @@
             if self._stats_of(host.node_id).ejected_until > now_ms:
                 ejected.append(host)
                 continue
-            cost = self.cost(route, host, is_small_service)
+            cost = self.cost(now_ms, route, host, is_small_service)
             if cost < best_cost:
                 best, best_cost = host, cost
         if best is None:
@@ -132,7 +158,9 @@
         """Return whether any of the hosts is not ejected now."""
         return any(self._stats_of(host.node_id).ejected_until <= now_ms for host in hosts)
 
-    def cost(self, route: Route, host: Member, is_small_service: bool = True) -> Millis:
+    def cost(
+        self, now_ms: Millis, route: Route, host: Member, is_small_service: bool = True
+    ) -> Millis:
         """Return the expected cost of a call at a host.
 
         Unknown hosts of other failure domains are tried for their speed in a small service only.
@@ -147,7 +175,7 @@
                 run_ms *= _NEW_HOST_FACTOR
         cost = run_ms
         scale_ms = min(route.target_latency_ms, route.timeout_ms)
-        utilization = stats.utilization
+        utilization = stats.utilization(now_ms)
         if utilization > _UTILIZATION_THRESHOLD:
             cost += scale_ms * (utilization - _UTILIZATION_THRESHOLD) * _UTILIZATION_SLOPE
         if utilization > _HIGH_UTILIZATION_THRESHOLD:
@@ -164,13 +192,13 @@
         stats.own_calls += 1
         stats.sent_since_report += 1
 
-    def on_answer(self, node_id: str, route: str, report: TargetReport, has_failed: bool) -> None:
+    def on_answer(
+        self, now_ms: Millis, node_id: str, route: str, report: TargetReport, has_failed: bool
+    ) -> None:
         """Record an answer of a host and the report sent with it."""
         stats = self._stats_of(node_id)
         stats.own_calls = max(0, stats.own_calls - 1)
-        stats.sent_since_report = 0
-        stats.reported_calls = report.in_flight
-        stats.limit = report.limit
+        stats.on_load(now_ms, report)
         stats.consecutive_refusals = 0
         stats.failure_share += (has_failed - stats.failure_share) * _FAILURE_WEIGHT
         if report.mean_run_ms > 0:
@@ -179,15 +207,13 @@
             mean_ms += (report.mean_run_ms - mean_ms) * _RUN_TIME_WEIGHT
             self._mean_run_ms_by_route[route] = mean_ms
 
-    def on_load_notice(self, node_id: str, notice: LoadNotice) -> None:
+    def on_load_notice(self, now_ms: Millis, node_id: str, notice: LoadNotice) -> None:
         """Record the load of a host and its run times, also of routes that were not called there.
 
         In a large service, a node sends too few calls to learn them from its own answers.
         """
         stats = self._stats_of(node_id)
-        stats.sent_since_report = 0
-        stats.reported_calls = notice.in_flight
-        stats.limit = notice.limit
+        stats.on_load(now_ms, notice)
         stats.run_ms_by_route.update(notice.run_ms_by_route)
 
     def on_unavailable(self, now_ms: Millis, node_id: str) -> None:
@@ -212,9 +238,9 @@
             max(_MIN_RESPONSE_TIMEOUT_MS, mean_ms * _RESPONSE_TIMEOUT_FACTOR) if mean_ms else None
         )
 
-    def has_capacity(self, node_id: str) -> bool:
+    def has_capacity(self, now_ms: Millis, node_id: str) -> bool:
         """Return whether a host has free slots, so that calls run as soon as they arrive."""
-        return self._stats_of(node_id).utilization < _MAX_UTILIZATION_WITH_CAPACITY
+        return self._stats_of(node_id).utilization(now_ms) < _MAX_UTILIZATION_WITH_CAPACITY
 
     def on_response_timeout(self, node_id: str) -> None:
         """Record that a call to a host exceeded its response timeout."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -329,13 +329,14 @@
 
     def send_load_notice(self) -> None:
         """Send the load of the local target to the nodes of the failure domain if it has any."""
-        notice = self._controllers.admission_queue.take_load_notice()
+        notice = self._controllers.admission_queue.take_load_notice(self._clock.now_ms())
         if notice is not None:
             self._fleet.send_to_domain(notice)
 
     def on_load_notice(self, node_id: str, notice: LoadNotice) -> None:
         """Record the load of a target on another host."""
-        self._controllers.entry.host_selector.on_load_notice(node_id, notice)
+        now_ms = self._clock.now_ms()
+        self._controllers.entry.host_selector.on_load_notice(now_ms, node_id, notice)
 
     def log_load(self, now_ms: Millis) -> None:
         """Log the estimated load of the local target and of downstream services."""
--- a/gooseberrydock/mesh/overload_controller.py
+++ b/gooseberrydock/mesh/overload_controller.py
@@ -68,16 +68,28 @@
         """Record that the target finished a call."""
         self._finished += 1
 
-    def tick(self, now_ms: Millis, limit: int, waiting: int, mean_run_ms: Millis) -> None:
-        """Update the share if the window is over; waiting calls are load offered earlier."""
+    def tick(
+        self,
+        now_ms: Millis,
+        capacity: float,
+        waiting: int,
+        mean_run_ms: Millis,
+        base_load: float = 0.0,
+    ) -> None:
+        """Update the share if the window is over; waiting calls are load offered earlier.
+
+        ``capacity`` is how many calls run at once when the target is full or at its rate limit.
+        ``base_load`` is offered load that is not recorded by arrivals.
+        """
         elapsed_ms = now_ms - self._window_started
-        if elapsed_ms < _WINDOW_MS or limit <= 0:
+        if elapsed_ms < _WINDOW_MS or capacity <= 0:
             return
-        offered = self._arrived_work_ms / (elapsed_ms * limit) + _BACKLOG_WEIGHT * waiting / limit
+        offered = base_load + self._arrived_work_ms / (elapsed_ms * capacity)
+        offered += _BACKLOG_WEIGHT * waiting / max(1.0, capacity)
         if (
             waiting
             and not self._finished
-            and limit * elapsed_ms >= _MIN_STALL_COMPLETIONS * mean_run_ms
+            and capacity * elapsed_ms >= _MIN_STALL_COMPLETIONS * mean_run_ms
         ):
             offered = max(offered, _STALLED_OFFERED_LOAD)
         self._finished = 0
--- a/gooseberrydock/mesh/shares.py
+++ b/gooseberrydock/mesh/shares.py
@@ -50,7 +50,7 @@
     """Report of one host on the share of a route that it can take."""
 
     share: float
-    limit: int
+    capacity: float
     received_at: Millis
 
 
@@ -67,12 +67,14 @@
         """Return the routes with reports of hosts."""
         return list(self._reports)
 
-    def on_report(self, now_ms: Millis, route: str, node_id: str, share: float, limit: int) -> None:
+    def on_report(
+        self, now_ms: Millis, route: str, node_id: str, share: float, capacity: float
+    ) -> None:
         """Record the report of a host on a route."""
         reports = self._reports.get(route)
         if reports is None:
             reports = self._reports[route] = {}
-        reports[node_id] = ShareReport(share, limit, now_ms)
+        reports[node_id] = ShareReport(share, capacity, now_ms)
 
     def forget(self, node_id: str) -> None:
         """Discard the reports of a host that restarted or left."""
@@ -106,17 +108,17 @@
         return inputs
 
     def share_of(self, now_ms: Millis, route: str) -> float:
-        """Return the share of a route to admit: the hosts' mean, weighted by concurrency limit."""
+        """Return the share of a route to admit: the hosts' mean, weighted by capacity."""
         reports = self._reports.get(route)
         if not reports:
             return 1.0
         newest = max(report.received_at for report in reports.values())
-        weight = 0
+        weight = 0.0
         total = 0.0
         for report in reports.values():
             if report.received_at >= newest - _MAX_REPORT_AGE_DIFFERENCE_MS:
-                weight += report.limit
-                total += report.share * report.limit
+                weight += report.capacity
+                total += report.share * report.capacity
         if not weight:
             return 1.0
         recovered_share = max(0.0, now_ms - newest - _REPORT_VALIDITY_MS) / _RECOVERY_MS
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -169,7 +169,7 @@
 
     def _refuse(self, link_id: str, call: RoutedCall, code: ErrorCode) -> None:
         """Answer a call that has not been sent to the target."""
-        report = self._controllers.admission_queue.report(call.route)
+        report = self._controllers.admission_queue.report(self._clock.now_ms(), call.route)
         answer = RoutedAnswer(
             call.call_id, RunResult.NOT_RUN, code.number, code.status, [], b"", False, report
         )
@@ -198,7 +198,8 @@
     def finish_run(self, run: Run, answer: RoutedAnswer) -> None:
         """Answer a run's call and start waiting calls."""
         self._remove_run(run, has_completed=answer.result is RunResult.ANSWERED)
-        answer.report = self._controllers.admission_queue.report(run.ticket.call.route)
+        route = run.ticket.call.route
+        answer.report = self._controllers.admission_queue.report(self._clock.now_ms(), route)
         self._owner.answer_call(run.ticket.link_id, answer)
         self._start_waiting_calls()
 
@@ -263,6 +264,9 @@
             if registration.instance_id != previous_id:
                 self._pool.close_idle()
                 self._controllers.admission_queue.reset_run_times()
+            self._controllers.admission_queue.set_rate_limit(
+                self._clock.now_ms(), registration.rate_limit
+            )
             self._controllers.admission_queue.set_target(announcement.service, registration.slots)
             log(
                 TARGET_CHANGED,
@@ -301,6 +305,7 @@
     def _set_rate_limit(self, start_id: str, rate_limit: float | None) -> None:
         registration = self._controllers.registration
         if registration.on_rate_limit(start_id, rate_limit):
+            self._controllers.admission_queue.set_rate_limit(self._clock.now_ms(), rate_limit)
             log(
                 TARGET_RATE_LIMIT_CHANGED,
                 instance=registration.instance_id,
@@ -337,8 +342,9 @@
     # Timers.
 
     def tick(self, now_ms: Millis) -> None:
-        """Refuse calls that wait too long, and abort runs that exceed their deadline."""
+        """Start or refuse waiting calls that are due, and abort runs that exceed their deadline."""
         self._refuse_late(now_ms, self._controllers.admission_queue.drop_late(now_ms))
+        self._start_waiting_calls()
         expired = [
             run for run in self._runs.values() if run.ticket.deadline_at + _RUN_GRACE_MS < now_ms
         ]
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from gooseberrydock.clock import Millis
+from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.http_messages import Headers
 from gooseberrydock.outcomes import Outcome
 
@@ -195,7 +195,10 @@
 
 @attrs.define
 class RoutedCall:
-    """Request to a target's node to run one request of a route."""
+    """Request to a target's node to run one request of a route.
+
+    ``has_alternative`` is true if the caller's node sends it to another host if this one is busy.
+    """
 
     call_id: int
     route: str
@@ -207,6 +210,7 @@
     body: bytes
     remaining_ms: Millis
     priority: int
+    has_alternative: bool = False
 
 
 class RunResult(enum.IntEnum):
@@ -224,7 +228,8 @@
     ``mean_run_ms`` is the recent mean run time of the route on this target, 0 where none is known.
     ``admitted_share`` covers the calls below the route too; 1 means no limit. ``is_nested`` is
     true where the route's requests are calls made by other targets, ``makes_calls`` where its runs
-    make calls themselves.
+    make calls themselves. ``rate_limit`` is the requests per second that the target takes, 0 if it
+    named no limit, and ``rate_used`` the used share of the burst; from 1 on calls wait.
     """
 
     in_flight: int
@@ -233,6 +238,15 @@
     admitted_share: float
     is_nested: bool = False
     makes_calls: bool = False
+    rate_limit: float = 0.0
+    rate_used: float = 0.0
+
+    @property
+    def capacity(self) -> float:
+        """Return how many calls run at once when the target is full or at its rate limit."""
+        if not self.rate_limit or not self.mean_run_ms:
+            return float(self.limit)
+        return min(self.limit, self.rate_limit * self.mean_run_ms / MS_PER_SECOND)
 
 
 @attrs.define
@@ -263,11 +277,16 @@
 
 @attrs.frozen
 class LoadNotice:
-    """Load of a target and its mean run times, sent regularly within the failure domain."""
+    """Load of a target and its mean run times, sent regularly within the failure domain.
+
+    ``rate_limit`` and ``rate_used`` are those of ``TargetReport``.
+    """
 
     in_flight: int
     limit: int
     run_ms_by_route: dict[str, float]
+    rate_limit: float = 0.0
+    rate_used: float = 0.0
 
 
 @attrs.frozen
--- a/gooseberrydock/token_bucket.py
+++ b/gooseberrydock/token_bucket.py
@@ -12,12 +12,16 @@
     tokens: float
     filled_at: Millis = 0.0
 
-    def take(self, now_ms: Millis, per_second: float, burst: float) -> bool:
-        """Add the tokens accrued since the last call, up to ``burst``, and use one if available."""
+    def fill(self, now_ms: Millis, per_second: float, burst: float) -> float:
+        """Add the tokens accrued since the last call, up to ``burst``; return their number."""
         accrued = (now_ms - self.filled_at) / MS_PER_SECOND * per_second
         self.tokens = min(burst, self.tokens + accrued)
         self.filled_at = now_ms
-        if self.tokens < 1.0:
+        return self.tokens
+
+    def take(self, now_ms: Millis, per_second: float, burst: float) -> bool:
+        """Add the tokens accrued since the last call, up to ``burst``, and use one if available."""
+        if self.fill(now_ms, per_second, burst) < 1.0:
             return False
         self.tokens -= 1.0
         return True
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -185,7 +185,14 @@
 
 @_to_array.register
 def _load_notice_to_array(message: messages.LoadNotice) -> list[Any]:
-    return [TAG_LOAD_NOTICE, message.in_flight, message.limit, message.run_ms_by_route]
+    return [
+        TAG_LOAD_NOTICE,
+        message.in_flight,
+        message.limit,
+        message.run_ms_by_route,
+        message.rate_limit,
+        message.rate_used,
+    ]
 
 
 @_to_array.register
@@ -219,6 +226,7 @@
         message.body,
         message.remaining_ms,
         message.priority,
+        message.has_alternative,
     ]
 
 
@@ -240,6 +248,8 @@
         report.admitted_share,
         report.is_nested,
         report.makes_calls,
+        report.rate_limit,
+        report.rate_used,
     ]
 
 
@@ -401,8 +411,8 @@
 
 
 def _to_load_notice(array: list[Any]) -> messages.LoadNotice:
-    _check_field_types(array, (int, int, dict))
-    _check_finite_not_negative(array[1], array[2])
+    _check_field_types(array, (int, int, dict, float, float))
+    _check_finite_not_negative(array[1], array[2], array[4], array[5])
     _check_route_values(array[3])
     return messages.LoadNotice(*array[1:])
 
@@ -436,7 +446,7 @@
     return messages.OwnerRegister(*array[1:])
 
 
-_ROUTED_CALL_FIELD_TYPES: Final = (int, str, str, str, str, str, list, bytes, float, int)
+_ROUTED_CALL_FIELD_TYPES: Final = (int, str, str, str, str, str, list, bytes, float, int, bool)
 
 
 def _to_routed_call(array: list[Any]) -> messages.RoutedCall:
@@ -461,19 +471,21 @@
     float,
     bool,
     bool,
+    float,
+    float,
 )
 
 
 def _to_routed_answer(array: list[Any]) -> messages.RoutedAnswer:
     _check_field_types(array, _ROUTED_ANSWER_FIELD_TYPES)
-    # The call id, requests in flight, limit, mean run time and admitted share.
-    _check_finite_not_negative(array[1], array[8], array[9], array[10], array[11])
+    # The call id, requests in flight, limit, mean run time, admitted share and rate limit.
+    _check_finite_not_negative(array[1], *array[8:12], *array[14:16])
     try:
         result = messages.RunResult(array[2])
     except ValueError as error:
         raise _FieldError("field 2 is not a valid run result") from error
     _check_status(array[4])
-    report = messages.TargetReport(*array[8:14])
+    report = messages.TargetReport(*array[8:16])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
         array[1], result, array[3], array[4], headers, array[6], array[7], report
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -248,7 +248,7 @@
         """Submit a request to an entry whose hosts have reported run times of 20 ms."""
         fixture = make_entry(_TABLE)
         for number in range(3):
-            fixture.entry.host_selector.on_answer(f"n{number}", path, report, False)
+            fixture.entry.host_selector.on_answer(0.0, f"n{number}", path, report, False)
         _submit(fixture, f"/{path}/1")
         return fixture
 
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -90,10 +90,10 @@
         hosts = [make_member("near", domain="d1"), make_member("far", domain="d2")]
         for host in hosts:
             host_selector.on_sent(host.node_id)
-            host_selector.on_answer(host.node_id, _ROUTE.name, _report(), False)
+            host_selector.on_answer(0.0, host.node_id, _ROUTE.name, _report(), False)
         near = host_selector.choose(0.0, _ROUTE, hosts, set())
         self.assertEqual("near", near.node_id if near else "")
-        host_selector.on_answer("near", _ROUTE.name, _report(in_flight=14), False)
+        host_selector.on_answer(0.0, "near", _ROUTE.name, _report(in_flight=14), False)
         far = host_selector.choose(0.0, _ROUTE, hosts, set())
         self.assertEqual("far", far.node_id if far else "")
 
@@ -111,7 +111,7 @@
             for _, name in ended:
                 load = sum(1 for _, other in running if other == name)
                 report = _report(load, 10, run_times_ms[name])
-                host_selector.on_answer(name, _ROUTE.name, report, False)
+                host_selector.on_answer(0.0, name, _ROUTE.name, report, False)
             host = host_selector.choose(now_ms, _ROUTE, hosts, set())
             assert host is not None
             host_selector.on_sent(host.node_id)
@@ -127,7 +127,7 @@
         hosts = [make_member("near", domain="d1"), make_member("far", domain="d2")]
         for name, in_flight in (("near", 31), ("far", 8)):
             host_selector.on_sent(name)
-            host_selector.on_answer(name, route.name, _report(in_flight, 40, 22.0), False)
+            host_selector.on_answer(0.0, name, route.name, _report(in_flight, 40, 22.0), False)
         chosen = host_selector.choose(0.0, route, hosts, set())
         self.assertEqual("far", chosen.node_id if chosen else "")
 
@@ -138,7 +138,7 @@
         hosts = [make_member("slow", domain="d1"), make_member("fast", domain="d2")]
         for name, run_ms in (("slow", 260.0), ("fast", 215.0)):
             host_selector.on_sent(name)
-            host_selector.on_answer(name, route.name, _report(10, 100, run_ms), False)
+            host_selector.on_answer(0.0, name, route.name, _report(10, 100, run_ms), False)
         chosen = host_selector.choose(0.0, route, hosts, set())
         self.assertEqual("fast", chosen.node_id if chosen else "")
 
@@ -148,7 +148,7 @@
         hosts = [make_member("slow"), make_member("fast")]
         for name, run_ms, in_flight in (("slow", 500.0, 20), ("fast", 220.0, 40)):
             host_selector.on_sent(name)
-            host_selector.on_answer(name, route.name, _report(in_flight, 40, run_ms), False)
+            host_selector.on_answer(0.0, name, route.name, _report(in_flight, 40, run_ms), False)
         chosen = host_selector.choose(0.0, route, hosts, set())
         self.assertEqual("slow", chosen.node_id if chosen else "")
 
@@ -159,7 +159,7 @@
             for host in hosts:
                 host_selector.on_sent(host.node_id)
                 failed = host.node_id == "grey"
-                host_selector.on_answer(host.node_id, _ROUTE.name, _report(), failed)
+                host_selector.on_answer(0.0, host.node_id, _ROUTE.name, _report(), failed)
         chosen = host_selector.choose(0.0, _ROUTE, hosts, set())
         self.assertEqual("good", chosen.node_id if chosen else "")
 
@@ -183,7 +183,7 @@
     def test_new_host_gets_calls_immediately(self) -> None:
         host_selector = create_host_selector("d1", 1)
         host_selector.on_sent("old")
-        host_selector.on_answer("old", _ROUTE.name, _report(), False)
+        host_selector.on_answer(0.0, "old", _ROUTE.name, _report(), False)
         hosts = [make_member("old"), make_member("new")]
         chosen = host_selector.choose(0.0, _ROUTE, hosts, set())
         self.assertEqual("new", chosen.node_id if chosen else "")
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -103,8 +103,8 @@
         self._report(now_ms)
 
     def _report(self, now_ms: float) -> None:
-        report = self._admission_queue.report("look")
-        self._shares.on_report(now_ms, "look", "host", report.admitted_share, report.limit)
+        report = self._admission_queue.report(now_ms, "look")
+        self._shares.on_report(now_ms, "look", "host", report.admitted_share, report.capacity)
 
 
 def _simulate(load: float, seed: int, important: float = 0.3) -> OverloadSimulation:
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -99,7 +99,7 @@
         has_failed = run_ms > route.timeout_ms
         self.failed += has_failed and route is _BOOKING
         report = TargetReport(self._running[node_id], _LIMIT, run_times[route.name], 1.0)
-        caller.on_answer(node_id, route.name, report, has_failed)
+        caller.on_answer(now_ms, node_id, route.name, report, has_failed)
 
     def _on_notice(self, now_ms: float, host: Member) -> None:
         run_times = self._run_ms.get(host.node_id)
@@ -107,7 +107,7 @@
             notice = LoadNotice(self._running[host.node_id], _LIMIT, dict(run_times))
             for number, caller in enumerate(self._callers):
                 if _domain(number) == host.failure_domain:
-                    caller.on_load_notice(host.node_id, notice)
+                    caller.on_load_notice(now_ms, host.node_id, notice)
 
 
 def _domain(number: int) -> str:
@@ -155,6 +155,6 @@
             assert host is not None
             caller.on_sent(host.node_id)
             report = TargetReport(0, _LIMIT, run_ms[host.node_id], 1.0)
-            caller.on_answer(host.node_id, _BOOKING.name, report, has_failed=False)
+            caller.on_answer(0.0, host.node_id, _BOOKING.name, report, has_failed=False)
             chosen.append(host.node_id)
         self.assertNotIn("h0", chosen[4:])
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -188,7 +188,7 @@
             )
         for step in range(40):
             admission_queue.drop_late(step * 50.0)
-        low = admission_queue.report("a").admitted_share
+        low = admission_queue.report(0.0, "a").admitted_share
         self.assertLess(low, 0.3)
         for ticket in list(admission_queue.running.values()):
             admission_queue.finish(2_100.0, ticket, has_completed=True)
@@ -198,7 +198,7 @@
                 admission_queue.finish(2_200.0, ticket, has_completed=True)
                 admission_queue.start_next(2_200.0)
             admission_queue.drop_late(2_200.0 + step * 50.0)
-        self.assertEqual(1.0, admission_queue.report("a").admitted_share)
+        self.assertEqual(1.0, admission_queue.report(0.0, "a").admitted_share)
 
     @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2)), max_size=60))
     def test_in_flight_count_and_limit_hold(self, steps: list[tuple[int, int]]) -> None:
@@ -233,11 +233,11 @@
     def test_share_of_a_route_without_runs_does_not_stay_in_force(self) -> None:
         admission_queue = _create_admission_queue(slots=10)
         admission_queue.set_downstream_capacities({"a": DownstreamCapacity(True, 0.1)})
-        self.assertEqual(0.1, admission_queue.report("a").admitted_share)
-        self.assertTrue(admission_queue.report("a").makes_calls)
+        self.assertEqual(0.1, admission_queue.report(0.0, "a").admitted_share)
+        self.assertTrue(admission_queue.report(0.0, "a").makes_calls)
         admission_queue.set_downstream_capacities({})
-        self.assertEqual(1.0, admission_queue.report("a").admitted_share)
-        self.assertFalse(admission_queue.report("a").makes_calls)
+        self.assertEqual(1.0, admission_queue.report(0.0, "a").admitted_share)
+        self.assertFalse(admission_queue.report(0.0, "a").makes_calls)
 
 
 class LongRunCases(unittest.TestCase):
@@ -259,7 +259,7 @@
             )
         for step in range(8):
             admission_queue.drop_late(1_000.0 + step * 50.0)
-        short, long = admission_queue.report("short"), admission_queue.report("long")
+        short, long = admission_queue.report(0.0, "short"), admission_queue.report(0.0, "long")
         self.assertLess(long.admitted_share, 0.8 * short.admitted_share)
 
 
