Take a target out of use once its answers state that it is leaving

The statement now counts as the announcement of leaving: from then on, for that start of the target, whatever later announcements or the store say, and the record of the node says so to the others.

--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -88,7 +88,6 @@
     _run_ids_by_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
     _sent: int = 0
-    _has_seen_leaving: bool = False
 
     @property
     def is_closed(self) -> bool:
@@ -298,9 +297,8 @@
             return
         if is_intact or statement.rate_limit is not None:
             self._set_rate_limit(run.start_id, statement.rate_limit)
-        if statement.is_leaving and not self._has_seen_leaving:
-            self._has_seen_leaving = True
-            log(TARGET_STATES_LEAVING, instance=self._controllers.registration.instance_id)
+        if statement.is_leaving:
+            self._set_leaving(run.start_id)
 
     def _set_rate_limit(self, start_id: str, rate_limit: float | None) -> None:
         registration = self._controllers.registration
@@ -313,6 +311,12 @@
                 sent=self._sent,
             )
 
+    def _set_leaving(self, start_id: str) -> None:
+        registration = self._controllers.registration
+        if registration.on_stated_leaving(self._clock.now_ms(), start_id):
+            log(TARGET_STATES_LEAVING, instance=registration.instance_id)
+            self._owner.publish()
+
     def on_other_instance(self) -> None:
         """Record that the announced instance is not at the target's address."""
         registration = self._controllers.registration
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -145,6 +145,13 @@
         self._set_leaving(now_ms)
         return True
 
+    def on_stated_leaving(self, now_ms: Millis, start_id: str) -> bool:
+        """Record that a start of the target leaves by its answers; return whether this is new."""
+        if not start_id or start_id != self.start_id or self._is_leaving:
+            return False
+        self._set_leaving(now_ms)
+        return True
+
     def on_mismatch(self, instance_id: str) -> bool:
         """Record that the instance is not at its address until it announces itself again.
 
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -66,6 +66,20 @@
         registration.on_announcement(30.0, _create_announcement(sequence=6))
         self.assertTrue(registration.is_leaving)
 
+    def test_leaving_stated_in_answers_persists_when_announcements_say_ready(self) -> None:
+        registration = _create_registration()
+        self.assertTrue(registration.on_stated_leaving(100.0, registration.start_id))
+        registration.on_announcement(200.0, _create_announcement(sequence=2))
+        self.assertEqual("", registration.service)
+        self.assertFalse(registration.accepts(100.0 + _DRAIN_MS, "shop"))
+
+    def test_leaving_stated_by_an_earlier_start_does_not_end_the_next(self) -> None:
+        registration = _create_registration()
+        earlier = registration.start_id
+        registration.on_announcement(10.0, _create_announcement(started_wall_ms=2_000))
+        self.assertFalse(registration.on_stated_leaving(20.0, earlier))
+        self.assertEqual("shop", registration.service)
+
     def test_leaving_without_notice_ends_work_by_the_drain_time(self) -> None:
         registration = _create_registration()
         self.assertTrue(registration.on_leave(0.0, "i-1", None))
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -14,6 +14,7 @@
 
 _WINDOW_S: Final = 4.0
 _STABLE_WINDOW_S: Final = 3.0
+_DRAIN_TIME_S: Final = 2.0
 _RATE_LIMIT: Final = 20.0
 _ALLOWED_IN_WINDOW: Final = 1.5 * _WINDOW_S * _RATE_LIMIT + 5.0
 """Requests that a target may get in a window according to the users' rule on limits."""
@@ -79,3 +80,16 @@
             self.assertEqual({200: sum(load.statuses.values())}, dict(load.statuses))
 
         self._run(scenario)
+
+    def test_target_that_states_its_leaving_gets_no_request_after_the_drain_time(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            leaving = fleet.nodes[0].target
+            leaving.states_leaving = True
+            load = SteadyLoad(fleet, per_s=50.0)
+            await load.run(fleet.nodes, seconds=_DRAIN_TIME_S)
+            received = len(leaving.runs)
+            await load.run(fleet.nodes, seconds=2.0)
+            self.assertEqual(received, len(leaving.runs))
+            self.assertEqual({200: sum(load.statuses.values())}, dict(load.statuses))
+
+        self._run(scenario)
