--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -162,7 +162,8 @@
 
     def test_connection_of_a_caller_that_never_closes_ends(self) -> None:
         async def scenario(server: _Server, client: socket.socket) -> None:
-            await trio.sleep(_TRANSMISSION_S)
+            while not server.connections:
+                await trio.sleep(_TRANSMISSION_S)
             server.connections[0].close_if_idle()
             await trio.sleep(1.2)
             with self.assertRaises(OSError):
