Let callers' nodes remind a restarted node of its target's limit and leaving

A node that restarts forgets what its target stated in answers, and sends as before until the first answers return. Seen in two new tests with real processes: a target that names 10 a second and answers after 0.8 s got 120 requests in 4 s after a kill of its node, 65 allowed; a target that had stated its leaving got a request again, long after the drain time.

Nodes that passed such answers on still know them. Each report now names the start of the target that stated something; callers' nodes keep it for a minute and send it as the first message on each new link to that node, before any call. The node applies it to that start only; a limit counts until the target itself answers, the drain time counts from the statement. No store write and no message while nothing restarts.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -89,6 +89,12 @@
 TARGET_STATES_LEAVING: Final = _register(
     1108, "target-states-leaving", _INFO, "The local target's answers state that it is leaving"
 )
+TARGET_STATE_RECOVERED: Final = _register(
+    1110,
+    "target-state-recovered",
+    _INFO,
+    "Another node reported what the local target had stated before this node's start",
+)
 STATEMENT_REFUSED: Final = _register(
     1109, "statement-refused", _WARNING, "An answer's statement is invalid and is ignored"
 )
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -50,8 +50,9 @@
 from gooseberrydock.mesh.retry_budget import RetryBudget
 from gooseberrydock.mesh.route_flags import RouteFlags
 from gooseberrydock.mesh.shares import AdmittedShares
+from gooseberrydock.mesh.statement_memory import StatementMemory
 from gooseberrydock.mesh.traffic_split import TrafficSplitter
-from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult, TargetReport
+from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
 
 _SERVER_ERROR: Final = 500
 _MIN_RETRY_TIME_MS: Final[Millis] = 30.0
@@ -101,6 +102,7 @@
     _accepted_work: AcceptedWork = AcceptedWork.ALL
     _deferred: list[Exchange] = attrs.field(factory=list)
     _response_timeouts: list[tuple[Millis, int]] = attrs.field(factory=list)
+    _statement_memory: StatementMemory = attrs.field(factory=StatementMemory)
     _routes_with_calls: RouteFlags = attrs.field(factory=RouteFlags)
     _ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _request_headers: RequestHeaders = attrs.field(init=False)
@@ -119,6 +121,11 @@
         """Return the number of requests that are not answered yet."""
         return len(self._exchanges)
 
+    @property
+    def statement_memory(self) -> StatementMemory:
+        """Return what targets on other hosts stated."""
+        return self._statement_memory
+
     @property
     def host_selector(self) -> HostSelector:
         """Return the controller that selects hosts."""
@@ -194,7 +201,7 @@
             self._host_selector.on_unavailable(now_ms, node_id)
         else:
             self._host_selector.on_answer(now_ms, node_id, route.name, answer.report, has_failed)
-        self._record_report(now_ms, exchange, answer.report)
+        self._record_report(now_ms, exchange, answer)
         exchange.call_id = 0
         if answer.was_sent_to_target:
             is_success = answer.result is RunResult.ANSWERED and not has_failed
@@ -415,9 +422,11 @@
     def _makes_calls(self, exchange: Exchange) -> bool:
         return self._routes_with_calls.is_set(exchange.route.name)
 
-    def _record_report(self, now_ms: Millis, exchange: Exchange, report: TargetReport) -> None:
+    def _record_report(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         """Record the report that a target's node sends with an answer."""
-        route, node_id = exchange.route.name, exchange.node_id
+        route, node_id, report = exchange.route.name, exchange.node_id, answer.report
+        is_answer = answer.result is RunResult.ANSWERED
+        self._statement_memory.on_report(now_ms, node_id, report, is_answer)
         self._shares.on_report(now_ms, route, node_id, report.admitted_share, report.capacity)
         self._nested_routes.on_report(route, report.is_nested)
         self._routes_with_calls.on_report(route, report.makes_calls)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -43,6 +43,7 @@
     RoutedAnswer,
     RoutedCall,
     ShareNotice,
+    TargetNotice,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 from gooseberrydock.stream import Stream
@@ -288,6 +289,10 @@
         handle_message(message, self, link)
 
     def _on_link_opened(self, link: PeerLink) -> None:
+        memory = self._controllers.entry.statement_memory
+        notice = memory.notice_for(self._clock.now_ms(), link.node_id)
+        if notice is not None:
+            link.send(notice)
         self._controllers.entry.host_selector.on_link_opened(link.node_id)
         self._fleet.on_link_opened(link)
 
@@ -416,6 +421,11 @@
     node.target_dispatcher.on_crash_notice(message)
 
 
+@handle_message.register
+def _(message: TargetNotice, node: MeshNode, link: PeerLink) -> None:
+    node.target_dispatcher.on_target_notice(message)
+
+
 @handle_message.register
 def _(message: MemberSync, node: MeshNode, link: PeerLink) -> None:
     node.fleet.on_member_sync(message, link)
--- /dev/null
+++ b/gooseberrydock/mesh/statement_memory.py
@@ -0,0 +1,68 @@
+"""What targets on other hosts stated in their answers, kept for their nodes.
+
+The node beside a target forgets what the target stated when it restarts, and the target's answers
+state it again only after requests. The nodes that passed such answers on still know it, and send it
+as the first message on each new link to that node. Performs no I/O.
+"""
+
+from typing import Final
+
+import attrs
+
+from gooseberrydock.clock import Millis
+from gooseberrydock.messages import TargetNotice, TargetReport
+
+_MEMORY_MS: Final[Millis] = 60_000.0
+"""Time after the last answer for which a statement is kept; a leaving target ends long before."""
+_NOT_LEAVING_MS: Final[Millis] = -1.0
+
+
+@attrs.define
+class RememberedStatement:
+    """Latest statement of one start of a target; ``leaving_since`` is negative if it stays."""
+
+    start_id: str
+    rate_limit: float
+    leaving_since: Millis
+    heard_at: Millis
+
+
+@attrs.define
+class StatementMemory:
+    """Remember by node what its target stated in answers to this node's requests."""
+
+    _by_node: dict[str, RememberedStatement] = attrs.field(factory=dict)
+
+    def on_report(
+        self, now_ms: Millis, node_id: str, report: TargetReport, is_answer: bool
+    ) -> None:
+        """Record the report of a node; one without an answer may come from a restarted node."""
+        if not report.start_id:
+            if is_answer:
+                self._on_nothing_stated(node_id)
+            return
+        known = self._by_node.get(node_id)
+        if known is None or known.start_id != report.start_id:
+            known = RememberedStatement(report.start_id, 0.0, _NOT_LEAVING_MS, now_ms)
+            self._by_node[node_id] = known
+        known.heard_at = now_ms
+        known.rate_limit = report.rate_limit
+        if report.is_leaving and known.leaving_since < 0:
+            known.leaving_since = now_ms
+
+    def notice_for(self, now_ms: Millis, node_id: str) -> TargetNotice | None:
+        """Return what a node's target stated lately, or None."""
+        known = self._by_node.get(node_id)
+        if known is None:
+            return None
+        if now_ms - known.heard_at > _MEMORY_MS:
+            del self._by_node[node_id]
+            return None
+        is_leaving = known.leaving_since >= 0
+        leaving_for_ms = now_ms - known.leaving_since if is_leaving else 0.0
+        return TargetNotice(known.start_id, known.rate_limit, is_leaving, leaving_for_ms)
+
+    def _on_nothing_stated(self, node_id: str) -> None:
+        known = self._by_node.get(node_id)
+        if known is not None and known.leaving_since < 0:
+            del self._by_node[node_id]
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -26,6 +26,7 @@
     TARGET_CHANGED,
     TARGET_LEAVING,
     TARGET_RATE_LIMIT_CHANGED,
+    TARGET_STATE_RECOVERED,
     TARGET_STATES_LEAVING,
 )
 from gooseberrydock.http_messages import Headers, header_value
@@ -46,6 +47,8 @@
     RoutedCall,
     RunResult,
     ShareNotice,
+    TargetNotice,
+    TargetReport,
 )
 
 _RUN_GRACE_MS: Final[Millis] = 150.0
@@ -168,9 +171,15 @@
 
     def _refuse(self, link_id: str, call: RoutedCall, code: ErrorCode) -> None:
         """Answer a call that has not been sent to the target."""
-        report = self._controllers.admission_queue.report(self._clock.now_ms(), call.route)
         answer = RoutedAnswer(
-            call.call_id, RunResult.NOT_RUN, code.number, code.status, [], b"", False, report
+            call.call_id,
+            RunResult.NOT_RUN,
+            code.number,
+            code.status,
+            [],
+            b"",
+            False,
+            self._report(call.route),
         )
         self._owner.answer_call(link_id, answer)
 
@@ -197,8 +206,7 @@
     def finish_run(self, run: Run, answer: RoutedAnswer) -> None:
         """Answer a run's call and start waiting calls."""
         self._remove_run(run, has_completed=answer.result is RunResult.ANSWERED)
-        route = run.ticket.call.route
-        answer.report = self._controllers.admission_queue.report(self._clock.now_ms(), route)
+        answer.report = self._report(run.ticket.call.route)
         self._owner.answer_call(run.ticket.link_id, answer)
         self._start_waiting_calls()
 
@@ -317,6 +325,29 @@
             log(TARGET_STATES_LEAVING, instance=registration.instance_id)
             self._owner.publish()
 
+    def on_target_notice(self, notice: TargetNotice) -> None:
+        """Record what another node knows of the target from before this node's start."""
+        registration = self._controllers.registration
+        now_ms = self._clock.now_ms()
+        if registration.on_notice(now_ms, notice):
+            self._controllers.admission_queue.set_rate_limit(now_ms, registration.rate_limit)
+            log(
+                TARGET_STATE_RECOVERED,
+                instance=registration.instance_id,
+                rate_limit=registration.rate_limit,
+                is_leaving=registration.is_leaving,
+            )
+            self._owner.publish()
+
+    def _report(self, route: str) -> TargetReport:
+        """Return the report that is sent with an answer."""
+        registration = self._controllers.registration
+        report = self._controllers.admission_queue.report(self._clock.now_ms(), route)
+        report.is_leaving = registration.is_leaving
+        if registration.is_leaving or registration.rate_limit is not None:
+            report.start_id = registration.start_id
+        return report
+
     def on_other_instance(self) -> None:
         """Record that the announced instance is not at the target's address."""
         registration = self._controllers.registration
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -12,6 +12,7 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Address
+from gooseberrydock.messages import TargetNotice
 
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
@@ -42,6 +43,15 @@
     cold_left_ms: Millis
 
 
+@attrs.frozen
+class _ReceivedNotice:
+    """Notice of another node, with the time of the statement by this node's clock."""
+
+    rate_limit: float
+    is_leaving: bool
+    leaving_since: Millis
+
+
 @attrs.define
 class TargetRegistration:
     """State of the target on this node's host, according to its announcements."""
@@ -54,6 +64,8 @@
     _cold_until: Millis = 0.0
     _mismatched_id: str = ""
     _rate_limit: float | None = None
+    _has_answered: bool = False
+    _notices: dict[str, list[_ReceivedNotice]] = attrs.field(factory=dict)
 
     @property
     def current(self) -> InstanceAnnouncement | None:
@@ -152,6 +164,29 @@
         self._set_leaving(now_ms)
         return True
 
+    def on_notice(self, now_ms: Millis, notice: TargetNotice) -> bool:
+        """Record what another node knows of a start; return whether this target's state changed."""
+        received = _ReceivedNotice(
+            notice.rate_limit, notice.is_leaving, now_ms - notice.leaving_for_ms
+        )
+        if notice.start_id == self.start_id:
+            return self._apply_notice(received)
+        if self._current is None:
+            self._notices.setdefault(notice.start_id, []).append(received)
+        return False
+
+    def _apply_notice(self, notice: "_ReceivedNotice") -> bool:
+        """Apply a notice, whose limit counts only until the target answers itself."""
+        has_changed = False
+        if notice.is_leaving and not self._is_leaving:
+            self._set_leaving(notice.leaving_since)
+            has_changed = True
+        if notice.rate_limit and not self._has_answered:
+            rate_limit = min(notice.rate_limit, self._rate_limit or notice.rate_limit)
+            has_changed = has_changed or rate_limit != self._rate_limit
+            self._rate_limit = rate_limit
+        return has_changed
+
     def on_mismatch(self, instance_id: str) -> bool:
         """Record that the instance is not at its address until it announces itself again.
 
@@ -164,7 +199,10 @@
 
     def on_rate_limit(self, start_id: str, rate_limit: float | None) -> bool:
         """Record the limit that a start of the target named; return whether this is a change."""
-        if not start_id or start_id != self.start_id or rate_limit == self._rate_limit:
+        if not start_id or start_id != self.start_id:
+            return False
+        self._has_answered = True
+        if rate_limit == self._rate_limit:
             return False
         self._rate_limit = rate_limit
         return True
@@ -185,7 +223,11 @@
         self._is_leaving = False
         self._mismatched_id = ""
         self._rate_limit = None
-        if new.state is TargetState.LEAVING:
+        self._has_answered = False
+        for notice in self._notices.pop(self.start_id, ()):
+            self._apply_notice(notice)
+        self._notices.clear()
+        if new.state is TargetState.LEAVING and not self._is_leaving:
             self._set_leaving(now_ms)
         return True
 
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -230,6 +230,8 @@
     true where the route's requests are calls made by other targets, ``makes_calls`` where its runs
     make calls themselves. ``rate_limit`` is the requests per second that the target takes, 0 if it
     named no limit, and ``rate_used`` the used share of the burst; from 1 on calls wait.
+    ``is_leaving`` is true if the target leaves. ``start_id`` identifies the start of the target
+    that stated a limit or its leaving; it is empty if nothing was stated.
     """
 
     in_flight: int
@@ -240,6 +242,8 @@
     makes_calls: bool = False
     rate_limit: float = 0.0
     rate_used: float = 0.0
+    is_leaving: bool = False
+    start_id: str = ""
 
     @property
     def capacity(self) -> float:
@@ -275,6 +279,19 @@
     limit: int
 
 
+@attrs.frozen
+class TargetNotice:
+    """What a start of a target stated in its answers, sent to the node beside it after a restart.
+
+    ``rate_limit`` is 0 if none is named, ``leaving_for_ms`` the time since it stated its leaving.
+    """
+
+    start_id: str
+    rate_limit: float
+    is_leaving: bool
+    leaving_for_ms: Millis
+
+
 @attrs.frozen
 class LoadNotice:
     """Load of a target and its mean run times, sent regularly within the failure domain.
@@ -325,5 +342,6 @@
     | RoutedAnswer
     | ShareNotice
     | RecordChanges
+    | TargetNotice
     | LoadNotice
 )
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -434,13 +434,14 @@
     def on_ready(self, link: PeerLink) -> None:
         """Use an accepted link for this node's own calls too, if no other to the peer is ready."""
         current_link = self._links_by_node.get(link.node_id)
+        if self._on_opened is not None:
+            # What it sends precedes the calls that wait for a link.
+            self._on_opened(link)
         if current_link is None or not current_link.is_ready:
             self._links_by_node[link.node_id] = link
             if current_link is not None:
                 for message in current_link.take_unsent_messages():
                     link.send(message)
-        if self._on_opened is not None:
-            self._on_opened(link)
 
     def has_link(self, node_id: str) -> bool:
         """Return whether there is a link to a node, open or being opened."""
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -37,6 +37,7 @@
 TAG_SHARE_NOTICE: Final = 16
 TAG_RECORD_CHANGES: Final = 17
 TAG_LOAD_NOTICE: Final = 18
+TAG_TARGET_NOTICE: Final = 19
 
 
 _MAX_STATUS: Final = 599
@@ -195,6 +196,17 @@
     ]
 
 
+@_to_array.register
+def _target_notice_to_array(message: messages.TargetNotice) -> list[Any]:
+    return [
+        TAG_TARGET_NOTICE,
+        message.start_id,
+        message.rate_limit,
+        message.is_leaving,
+        message.leaving_for_ms,
+    ]
+
+
 @_to_array.register
 def _owner_heartbeat_to_array(message: messages.OwnerHeartbeat) -> list[Any]:
     return [
@@ -250,6 +262,8 @@
         report.makes_calls,
         report.rate_limit,
         report.rate_used,
+        report.is_leaving,
+        report.start_id,
     ]
 
 
@@ -417,6 +431,12 @@
     return messages.LoadNotice(*array[1:])
 
 
+def _to_target_notice(array: list[Any]) -> messages.TargetNotice:
+    _check_field_types(array, (str, float, bool, float))
+    _check_finite_not_negative(array[2], array[4])
+    return messages.TargetNotice(*array[1:])
+
+
 def _check_route_values(values: dict[Any, Any]) -> None:
     if any(type(route) is not str or type(value) is not float for route, value in values.items()):
         raise _FieldError("the values do not map route names to floats")
@@ -473,6 +493,8 @@
     bool,
     float,
     float,
+    bool,
+    str,
 )
 
 
@@ -485,7 +507,7 @@
     except ValueError as error:
         raise _FieldError("field 2 is not a valid run result") from error
     _check_status(array[4])
-    report = messages.TargetReport(*array[8:16])
+    report = messages.TargetReport(*array[8:18])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
         array[1], result, array[3], array[4], headers, array[6], array[7], report
@@ -522,4 +544,5 @@
     TAG_SHARE_NOTICE: _to_share_notice,
     TAG_RECORD_CHANGES: _to_record_changes,
     TAG_LOAD_NOTICE: _to_load_notice,
+    TAG_TARGET_NOTICE: _to_target_notice,
 }
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -16,6 +16,7 @@
 _STABLE_WINDOW_S: Final = 3.0
 _DRAIN_TIME_S: Final = 2.0
 _RATE_LIMIT: Final = 20.0
+_LOW_RATE_LIMIT: Final = 10.0
 _ALLOWED_IN_WINDOW: Final = 1.5 * _WINDOW_S * _RATE_LIMIT + 5.0
 """Requests that a target may get in a window according to the users' rule on limits."""
 
@@ -93,3 +94,41 @@
             self.assertEqual({200: sum(load.statuses.values())}, dict(load.statuses))
 
         self._run(scenario)
+
+    def test_limit_named_before_a_restart_of_the_node_beside_the_target_holds_after_it(
+        self,
+    ) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            limited_node, other, web = fleet.nodes
+            limited = limited_node.target
+            limited.slots, limited.response_delay_s = 200, 0.8
+            limited.rate_limit = _LOW_RATE_LIMIT
+            load = SteadyLoad(fleet, per_s=100.0)
+            await load.run([other, web], seconds=2.0)
+            limited_node.kill()
+            other.kill()
+            await load.run([web], seconds=0.2)
+            restarted_s = trio.current_time()
+            limited_node.start(fleet.log)
+            await load.run([web], seconds=_WINDOW_S)
+            received = [at_s for at_s in limited.run_times_s if at_s > restarted_s]
+            self.assertTrue(received)
+            self.assertLessEqual(
+                _most_in_a_window(received), 1.5 * _WINDOW_S * _LOW_RATE_LIMIT + 5.0
+            )
+
+        self._run(scenario)
+
+    def test_target_that_stated_its_leaving_stays_out_after_a_restart_of_its_node(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            leaving_node, other, web = fleet.nodes
+            leaving_node.target.states_leaving = True
+            load = SteadyLoad(fleet, per_s=50.0)
+            await load.run([other, web], seconds=_DRAIN_TIME_S + 0.5)
+            received = len(leaving_node.target.runs)
+            leaving_node.kill()
+            leaving_node.start(fleet.log)
+            await load.run([other, web], seconds=3.0)
+            self.assertEqual(received, len(leaving_node.target.runs))
+
+        self._run(scenario)
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -4,10 +4,29 @@
 
 from gooseberrydock.errorcodes import STATEMENT_INVALID
 from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.members import Address
 from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.statement_memory import StatementMemory
+from gooseberrydock.mesh.target_registration import (
+    InstanceAnnouncement,
+    TargetRegistration,
+    TargetState,
+    create_target_registration,
+)
 from gooseberrydock.mesh.target_statements import TargetStatement, read_statement
+from gooseberrydock.messages import TargetNotice, TargetReport
 
 _NAMES = HeaderNames()
+_ADDRESS = Address("10.0.0.1", 80)
+_DRAIN_MS = 2_000.0
+_ANNOUNCEMENT = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1_000, 1, TargetState.READY, 10, 0.0)
+_START_ID = "i-1@1000"
+
+
+def _report(start_id: str, rate_limit: float = 0.0, is_leaving: bool = False) -> TargetReport:
+    return TargetReport(
+        1, 10, 20.0, 1.0, rate_limit=rate_limit, is_leaving=is_leaving, start_id=start_id
+    )
 
 
 class ReadStatementCases(unittest.TestCase):
@@ -30,3 +49,76 @@
             with self.subTest(value=value), self.assertRaises(GooseberrydockError) as raised:
                 read_statement([(_NAMES.rate_limit, value)], _NAMES)
             self.assertIs(STATEMENT_INVALID, raised.exception.code)
+
+
+class StatementMemoryCases(unittest.TestCase):
+    """What a node keeps for the node beside a target on another host."""
+
+    def test_latest_statement_is_kept_with_its_age(self) -> None:
+        memory = StatementMemory()
+        memory.on_report(0.0, "n1", _report(_START_ID, 20.0), is_answer=True)
+        memory.on_report(100.0, "n1", _report(_START_ID, 30.0, is_leaving=True), is_answer=True)
+        memory.on_report(200.0, "n1", _report(_START_ID, 30.0, is_leaving=True), is_answer=True)
+        expected = TargetNotice(_START_ID, 30.0, True, 900.0)
+        self.assertEqual(expected, memory.notice_for(1_000.0, "n1"))
+        self.assertIsNone(memory.notice_for(1_000.0, "n2"))
+
+    def test_limit_is_kept_until_an_answer_names_none(self) -> None:
+        memory = StatementMemory()
+        memory.on_report(0.0, "n1", _report(_START_ID, 20.0), is_answer=True)
+        memory.on_report(100.0, "n1", _report(""), is_answer=False)
+        self.assertIsNotNone(memory.notice_for(200.0, "n1"))
+        memory.on_report(300.0, "n1", _report(""), is_answer=True)
+        self.assertIsNone(memory.notice_for(400.0, "n1"))
+
+    def test_leaving_is_kept_when_the_restarted_node_knows_nothing_of_it(self) -> None:
+        memory = StatementMemory()
+        memory.on_report(0.0, "n1", _report(_START_ID, is_leaving=True), is_answer=True)
+        memory.on_report(100.0, "n1", _report(""), is_answer=True)
+        notice = memory.notice_for(200.0, "n1")
+        assert notice is not None
+        self.assertTrue(notice.is_leaving)
+
+    def test_old_statements_are_dropped(self) -> None:
+        memory = StatementMemory()
+        memory.on_report(0.0, "n1", _report(_START_ID, 20.0), is_answer=True)
+        self.assertIsNone(memory.notice_for(120_000.0, "n1"))
+
+
+class RecoveredStateCases(unittest.TestCase):
+    """What a restarted node makes of the notices of others, before and after an announcement."""
+
+    def _register(self, *notices: TargetNotice, is_announced: bool) -> TargetRegistration:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        if is_announced:
+            registration.on_announcement(0.0, _ANNOUNCEMENT)
+        for notice in notices:
+            registration.on_notice(0.0, notice)
+        if not is_announced:
+            registration.on_announcement(0.0, _ANNOUNCEMENT)
+        return registration
+
+    def test_lowest_limit_holds_until_the_target_answers(self) -> None:
+        notices = [TargetNotice(_START_ID, limit, False, 0.0) for limit in (30.0, 20.0, 25.0)]
+        for is_announced in (False, True):
+            with self.subTest(is_announced=is_announced):
+                registration = self._register(*notices, is_announced=is_announced)
+                self.assertEqual(20.0, registration.rate_limit)
+                registration.on_rate_limit(_START_ID, None)
+                registration.on_notice(100.0, notices[0])
+                self.assertIsNone(registration.rate_limit)
+
+    def test_drain_time_counts_from_the_statement(self) -> None:
+        for is_announced in (False, True):
+            with self.subTest(is_announced=is_announced):
+                notice = TargetNotice(_START_ID, 0.0, True, _DRAIN_MS)
+                registration = self._register(notice, is_announced=is_announced)
+                self.assertFalse(registration.accepts(1.0, "shop"))
+
+    def test_notice_of_another_start_changes_nothing(self) -> None:
+        for is_announced in (False, True):
+            with self.subTest(is_announced=is_announced):
+                notice = TargetNotice("i-1@500", 5.0, True, _DRAIN_MS)
+                registration = self._register(notice, is_announced=is_announced)
+                self.assertIsNone(registration.rate_limit)
+                self.assertTrue(registration.accepts(1.0, "shop"))
