Log restores and lost history of the store, and count its calls

Event 1403 now gives each refused watch with its revision, 1404 the first answer of a new era; event 1505 and the metrics count the store calls. Nothing is decided by them yet.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -147,6 +147,15 @@
     _WARNING,
     "The lease of this node's record ended; the record is written again under a new lease",
 )
+STORE_HISTORY_LOST: Final = _register(
+    1403,
+    "store-history-lost",
+    _INFO,
+    "The key-value service has no changes after this node's revision; all items are read again",
+)
+STORE_RESTORED: Final = _register(
+    1404, "store-restored", _WARNING, "The key-value service came back from an older copy"
+)
 REQUEST_REFUSED: Final = _register(
     1500,
     "request-refused",
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -111,6 +111,11 @@
         """Return whether other nodes are known but none is reachable."""
         return bool(self._directory.others) and not self._links.open_links
 
+    @property
+    def store_calls(self) -> int:
+        """Return the number of calls to the store so far."""
+        return self._sync.store_calls if self._sync is not None else 0
+
     def find_peer_address(self, node_id: str) -> Address | None:
         """Return the address for links to a node, or None for an unknown node."""
         member = self._directory.find(node_id)
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -33,6 +33,7 @@
         "repeats_denied": (node.controllers.budget.denied, "Repeats that the budget did not allow"),
         "link_bytes_sent": (node.links.bytes_sent, "Bytes sent on links to other nodes"),
         "link_bytes_received": (node.links.bytes_received, "Bytes received on these links"),
+        "store_calls": (node.fleet.store_calls, "Calls to the key-value service"),
         "target_requests": (node.target_dispatcher.sent, "Requests sent to the target"),
         "target_connections_opened": (
             node.target_dispatcher.pool.opened,
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -359,6 +359,7 @@
             needs=describe_needs(self._controllers.call_graph.needs),
             nodes=self._controllers.directory.node_count,
             in_flight=self._controllers.entry.in_flight,
+            store_calls=self._fleet.store_calls,
         )
 
     def set_options(self, options: MeshOptions) -> None:
--- a/gooseberrydock/mesh/store.py
+++ b/gooseberrydock/mesh/store.py
@@ -39,6 +39,14 @@
 class Store(Protocol):
     """Read, watch and change the store."""
 
+    @property
+    def era(self) -> int:
+        """Return the era that the store last named, which rises with each restore from a copy."""
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls so far."""
+
     async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         """Return all items with a key prefix, using as many calls as needed.
 
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -26,7 +26,13 @@
     ErrorCode,
 )
 from gooseberrydock.errors import GooseberrydockError
-from gooseberrydock.events import LEASE_LOST, STORE_BACK, STORE_LOST
+from gooseberrydock.events import (
+    LEASE_LOST,
+    STORE_BACK,
+    STORE_HISTORY_LOST,
+    STORE_LOST,
+    STORE_RESTORED,
+)
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, encode_member
 from gooseberrydock.mesh.read_pacing import ReadPacer
@@ -156,11 +162,17 @@
     _work_available: trio.Event = attrs.field(factory=trio.Event)
     _watch_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _available_again: trio.Event = attrs.field(factory=trio.Event)
+    _era: int = 0
 
     @_records.default
     def _create_records(self) -> "_WatchedPrefix":
         return _WatchedPrefix(self._node_prefix, _FAST_RECORDS_PAUSE_MS, _SETTLED_RECORDS_PAUSE_MS)
 
+    @property
+    def store_calls(self) -> int:
+        """Return the number of calls to the store so far."""
+        return self._store.calls
+
     def set_record(self, member: Member) -> None:
         """Schedule a write of this node's record."""
         self._record = member
@@ -212,6 +224,8 @@
             except GooseberrydockError as error:
                 # Read all items again: a new watch might miss changes from before the failure.
                 prefix.must_read = True
+                if error.code is STORE_HISTORY_GONE:
+                    log(STORE_HISTORY_LOST, prefix=prefix.prefix, revision=prefix.read_revision)
                 self._note_failure(error)
                 await self._wait_to_retry(backoff)
 
@@ -415,7 +429,14 @@
         self._lease = None
         self._work_available.set()
 
+    def _check_era(self) -> None:
+        """Log a restore of the store."""
+        if self._era and self._store.era > self._era:
+            log(STORE_RESTORED, era=self._store.era, calls=self._store.calls)
+        self._era = self._store.era
+
     def _note_failure(self, error: GooseberrydockError) -> None:
+        self._check_era()
         if error.code in _AVAILABLE_STORE_ERRORS:
             return
         if self._is_available:
@@ -427,6 +448,7 @@
             self._sink.on_store_availability(is_available=False)
 
     def _note_success(self) -> None:
+        self._check_era()
         now_ms = self._clock.now_ms()
         if not self._is_available:
             self._is_available = True
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -22,7 +22,7 @@
 )
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_client import ClientPool, fetch
-from gooseberrydock.http_messages import JSON_HEADER, HttpRequest, HttpResponse
+from gooseberrydock.http_messages import JSON_HEADER, HttpRequest, HttpResponse, header_value
 from gooseberrydock.members import Address
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
 from gooseberrydock.platform.decoding import MALFORMED_INPUT, describe_error
@@ -30,6 +30,7 @@
 _Decoded = TypeVar("_Decoded")
 
 NODES_PREFIX: Final = "gooseberrydock/nodes/"
+_ERA_HEADER: Final = b"store-era"
 _CALL_TIMEOUT_MS: Final[Millis] = 1_500.0
 """Timeout of a call, without the wait of a watch; a healthy store responds in milliseconds."""
 _MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
@@ -49,6 +50,7 @@
     _nursery: trio.Nursery
     _pool: ClientPool = attrs.field(init=False)
     _calls: int = 0
+    _era: int = 0
 
     @_pool.default
     def _create_pool(self) -> ClientPool:
@@ -59,6 +61,11 @@
         """Return the number of calls so far."""
         return self._calls
 
+    @property
+    def era(self) -> int:
+        """Return the era that the store last named, which rises with each restore from a copy."""
+        return self._era
+
     async def read(self, key: str) -> StoreItem | None:
         """Return the item of a key, or None if the key is absent."""
         try:
@@ -138,6 +145,7 @@
         response = await fetch(self._pool, request, timeout_s)
         if response is None:
             raise self._store_error(STORE_UNAVAILABLE, f"{request.path}: no response")
+        self._era = max(self._era, _decode_era(response))
         if response.status != 200:
             raise self._status_error(request, response)
         return self._decode_or_raise(lambda: json.loads(response.body or b"{}"))
@@ -156,6 +164,12 @@
         return GooseberrydockError(code, Step.STORE, str(self._address), detail)
 
 
+def _decode_era(response: HttpResponse) -> int:
+    """Return the era in a response; a store that names none was never restored."""
+    text = header_value(response.headers, _ERA_HEADER).strip()
+    return int(text) if text.isdecimal() else 0
+
+
 def _decode_page(fields: Any) -> StoreChanges:
     items = tuple(_decode_item(item) for item in fields["items"])
     return StoreChanges(items, _decode_whole_number(fields["storeRevision"]))
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -38,6 +38,8 @@
     watched_at_s: list[float] = attrs.field(factory=list)
     is_removed: bool = False
     started_at_s: float = 0.0
+    era: int = 0
+    calls: int = 0
 
     @property
     def now_s(self) -> float:
--- a/tests/test_watch_plan.py
+++ b/tests/test_watch_plan.py
@@ -41,6 +41,8 @@
     old_reads: int = 0
     watches: int = 0
     writes: int = 0
+    era: int = 0
+    calls: int = 0
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     @property
@@ -142,6 +144,7 @@
     """Reject every call, as a store does that turns a host away."""
 
     calls: int = 0
+    era: int = 0
 
     def __getattr__(self, name: str) -> Callable[..., Awaitable[None]]:
         async def reject(*arguments: object, **options: object) -> None:
