Forget revisions and leases when the store comes back from an older copy

Cause, of one class: numbers were compared that belong to different histories. The readers kept the highest revision ever seen and asked for what came after it, and took an equal or higher number as proof that nothing was missed.

A node now keeps the era with its revisions. When an answer names a later one, whichever call got it, the node forgets all revisions and its lease, reads both prefixes anew (not from the cheap, older state) and writes its record again under a new lease. An answer counts only if no restore was noticed during its call. Forwarded changes carry the era, so that nodes that poll are woken by those that watch. A lower latest revision shows the same for a store that names no era.

--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -199,6 +199,13 @@
     503, "store-history-gone", 410, _NOT_RUN, "The key-value service dropped the asked history"
 )
 LEASE_ENDED: Final = _register(504, "lease-ended", 404, _NOT_RUN, "The lease has ended")
+STORE_HISTORY_REPLACED: Final = _register(
+    505,
+    "store-history-replaced",
+    503,
+    _UNKNOWN,
+    "The key-value service came back from an older copy during the call",
+)
 
 CONFIGURATION_CONFLICT: Final = _register(
     601, "configuration-conflict", 409, _NOT_RUN, "Another operator changed the configuration"
--- a/gooseberrydock/mesh/store.py
+++ b/gooseberrydock/mesh/store.py
@@ -1,7 +1,9 @@
 """The interface of the store: keys with revisions, leases, and watches on a key prefix.
 
-Every call may fail with a coded error. A change whose answer is lost may have been applied or may
-be applied later, so each write names the revision that it replaces.
+Revisions and lease numbers belong to one era. The next one begins when the store comes back from an
+older copy, and may give out the same numbers for other changes and leases. Every call may fail with
+a coded error. A change whose answer is lost may have been applied or may be applied later, so each
+write names the revision that it replaces.
 """
 
 from typing import Protocol
@@ -40,8 +42,8 @@
     """Read, watch and change the store."""
 
     @property
-    def era(self) -> int:
-        """Return the era that the store last named, which rises with each restore from a copy."""
+    def era(self) -> int | None:
+        """Return the era of the latest answer, None before the first one."""
 
     @property
     def calls(self) -> int:
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -4,6 +4,9 @@
 forwards their changes to the nodes of its failure domain, each time with the revisions between
 which these are all changes. A node that misses some of them notices the gap and reads all records.
 
+Revisions and lease numbers are forgotten when the store comes back from an older copy, which gives
+them out again. A call during which that happens counts as failed, whatever its answer.
+
 Lease renewals are cheap and writes are not, so the record is written only when it changes or when
 its lease was lost. All delays after failures have jitter, so that not all nodes send requests at
 once to a store that has recovered.
@@ -12,7 +15,7 @@
 import math
 import random
 from collections.abc import Awaitable
-from typing import Final, Protocol
+from typing import Final, Protocol, TypeVar
 
 import attrs
 import trio
@@ -23,9 +26,10 @@
     CONFIGURATION_CONFLICT,
     LEASE_ENDED,
     STORE_HISTORY_GONE,
+    STORE_HISTORY_REPLACED,
     ErrorCode,
 )
-from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.events import (
     LEASE_LOST,
     STORE_BACK,
@@ -40,6 +44,8 @@
 from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.messages import RecordChange, RecordChanges
 
+_Answer = TypeVar("_Answer")
+
 _WATCH_WAIT_MS: Final[Millis] = 25_000.0
 """Wait time of one watch. Lease renewals detect an unresponsive store sooner, but not a single
 unresponsive connection; until the wait is over, other nodes forward the changes that this watch
@@ -89,7 +95,8 @@
 
     ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
     items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
-    forwarded to others. ``starts_with_latest`` is set if a start must not use an earlier state.
+    forwarded to others. ``starts_with_latest`` is set if a start must not use an earlier state,
+    ``needs_latest`` if the next read must not either.
     """
 
     prefix: str
@@ -101,6 +108,7 @@
     forwarded_revision: int = -1
     revisions: dict[str, int] = attrs.field(factory=dict)
     must_read: bool = True
+    needs_latest: bool = False
     is_watched: bool = False
     has_gap: bool = False
     polled_at: Millis = -math.inf
@@ -130,9 +138,18 @@
         self.revisions = {item.key: item.revision for item in changes.items}
         self._advance(changes.revision)
         self.must_read = False
+        self.needs_latest = False
         self.has_gap = False
         return (*changed, *removed)
 
+    def forget_revisions(self) -> None:
+        """Read all items anew: the store's revisions have begun again from an earlier one."""
+        self.read_revision = self.revision = self.forwarded_revision = -1
+        self.revisions.clear()
+        self.must_read = True
+        self.needs_latest = True
+        self.woken.set()
+
     def _advance(self, revision: int) -> None:
         self.read_revision = max(self.read_revision, revision)
         self.revision = max(self.revision, revision)
@@ -162,7 +179,8 @@
     _work_available: trio.Event = attrs.field(factory=trio.Event)
     _watch_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _available_again: trio.Event = attrs.field(factory=trio.Event)
-    _era: int = 0
+    _era: int | None = None
+    _table: "_WatchedPrefix | None" = None
 
     @_records.default
     def _create_records(self) -> "_WatchedPrefix":
@@ -180,8 +198,8 @@
 
     async def watch_table(self, key: str) -> None:
         """Pass the route table to the sink, at first and after each change."""
-        prefix = _WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
-        await self._follow(prefix)
+        self._table = _WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
+        await self._follow(self._table)
 
     async def watch_records(self) -> None:
         """Pass the node records to the sink, at first and after changes."""
@@ -190,9 +208,13 @@
     def on_forwarded_changes(self, changes: RecordChanges) -> None:
         """Apply changes of records that a watching node forwarded, or read all after a gap."""
         records = self._records
-        if changes.upto <= records.revision:
+        if self._era is None:
+            self._era = changes.era
+        if changes.era < self._era:
             return
-        if changes.after > records.revision:
+        if changes.era == self._era and changes.upto <= records.revision:
+            return
+        if changes.era > self._era or changes.after > records.revision:
             records.has_gap = True
             records.woken.set()
             return
@@ -246,15 +268,20 @@
             prefix.forwarded_revision = prefix.read_revision
         if prefix.must_read:
             changes = await self._await_changes(self._store.read_prefix(prefix.prefix))
+            self._check_revision(prefix, changes)
+            is_first_read = prefix.read_revision < 0
             items = prefix.replace_all(changes)
             self._apply_all(prefix, changes)
         else:
-            changes = await self._watch_once(prefix.prefix, prefix.read_revision)
-            items = changes.items
+            is_first_read = False
+            watched = await self._watch_once(prefix.prefix, prefix.read_revision)
+            if watched is None:
+                return
+            changes, items = watched, watched.items
             prefix.add(changes)
             if items:
                 self._apply(items, is_snapshot=False)
-        if prefix is self._records and items:
+        if prefix is self._records and (items or is_first_read):
             self._forward(prefix.forwarded_revision, changes.revision, items)
             prefix.forwarded_revision = changes.revision
 
@@ -267,13 +294,17 @@
         if not (is_due or prefix.must_read or prefix.has_gap):
             return
         may_be_old = not (
-            prefix.has_gap or (prefix.starts_with_latest and prefix.read_revision < 0)
+            prefix.has_gap
+            or prefix.needs_latest
+            or (prefix.starts_with_latest and prefix.read_revision < 0)
         )
         if prefix.has_gap:
             # All nodes of the failure domain may have the gap.
             await trio.sleep(self._random.uniform(0.0, _GAP_READ_JITTER_MS) / MS_PER_SECOND)
         changes = await self._await_changes(self._store.read_prefix(prefix.prefix, may_be_old))
         prefix.polled_at = now_ms
+        if not may_be_old:
+            self._check_revision(prefix, changes)
         if changes.revision >= prefix.revision:
             prefix.replace_all(changes)
             self._apply_all(prefix, changes)
@@ -306,7 +337,7 @@
             RecordChange(item.key.removeprefix(self._node_prefix), item.value or b"", item.revision)
             for item in items
         )
-        self._sink.forward_record_changes(RecordChanges(after, upto, changes))
+        self._sink.forward_record_changes(RecordChanges(self._era or 0, after, upto, changes))
 
     def _check_own_record(self, changes: StoreChanges) -> None:
         """Write this node's record again if the store has removed it."""
@@ -316,8 +347,8 @@
         if all(item.key != own_key for item in changes.items):
             self.on_own_record_removed(changes.revision)
 
-    async def _watch_once(self, prefix: str, revision: int) -> StoreChanges:
-        """Wait for changes; return none if the store recovers during the wait."""
+    async def _watch_once(self, prefix: str, revision: int) -> StoreChanges | None:
+        """Wait for changes; return None if the store recovers during the wait."""
         with trio.CancelScope() as scope:
             self._watch_scopes.add(scope)
             try:
@@ -326,13 +357,24 @@
                 )
             finally:
                 self._watch_scopes.discard(scope)
-        return StoreChanges((), revision)
+        return None
 
     async def _await_changes(self, call: Awaitable[StoreChanges]) -> StoreChanges:
-        changes = await call
+        changes = await self._call(call)
         self._note_success()
         return changes
 
+    async def _call(self, call: Awaitable[_Answer]) -> _Answer:
+        """Return the answer of the store, unless it or the question is from an earlier era."""
+        era = self._era
+        try:
+            answer = await call
+        finally:
+            self._check_era()
+        if era is not None and self._era != era:
+            raise GooseberrydockError(STORE_HISTORY_REPLACED, Step.STORE)
+        return answer
+
     async def maintain_record(self) -> None:
         """Keep the record written and its lease renewed."""
         backoff = Backoff(self._random, RETRY_POLICY)
@@ -356,7 +398,7 @@
             return
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
             try:
-                await self._store.end_lease(lease.lease_id)
+                await self._call(self._store.end_lease(lease.lease_id))
             except GooseberrydockError as error:
                 # The record is still removed when its lease expires, only later.
                 self._note_failure(error)
@@ -369,7 +411,8 @@
         if self._record is None or self._is_removing:
             return
         if self._lease is None:
-            self._lease = await self._store.grant_lease(max(_LEASE_TTL_MS, self._lease_min_ms))
+            ttl_ms = max(_LEASE_TTL_MS, self._lease_min_ms)
+            self._lease = await self._call(self._store.grant_lease(ttl_ms))
             self._renewed_at = self._clock.now_ms()
             self._written_record = None
         if self._written_record is not self._record and not self._is_removing:
@@ -377,7 +420,7 @@
 
     async def _renew(self, lease: Lease) -> None:
         try:
-            await self._store.renew_lease(lease.lease_id)
+            await self._call(self._store.renew_lease(lease.lease_id))
             self._renewed_at = self._clock.now_ms()
             self._note_success()
         except GooseberrydockError as error:
@@ -389,8 +432,8 @@
     async def _write(self, record: Member, lease: Lease) -> None:
         key = self._node_prefix + record.node_id
         try:
-            self._revision = await self._store.write(
-                key, encode_member(record), lease.lease_id, self._revision
+            self._revision = await self._call(
+                self._store.write(key, encode_member(record), lease.lease_id, self._revision)
             )
             self._written_record = record
             self._note_success()
@@ -403,7 +446,7 @@
 
     async def _read_own_revision(self, key: str) -> None:
         """Read the revision of this node's record, after a lost answer or a restart."""
-        item = await self._store.read(key)
+        item = await self._call(self._store.read(key))
         self._revision = item.revision if item is not None else 0
 
     async def _wait_for_work(self) -> None:
@@ -424,19 +467,42 @@
         """Schedule a new write if the store removed this node's record after its last write."""
         if revision < self._revision:
             return
+        self._forget_own_record()
+
+    def _check_era(self) -> None:
+        """Notice that the store has come back from an older copy since the last answer."""
+        era = self._store.era
+        if era == self._era:
+            return
+        is_first_answer = self._era is None
+        self._era = era
+        if not is_first_answer:
+            self._on_restored()
+
+    def _check_revision(self, prefix: "_WatchedPrefix", changes: StoreChanges) -> None:
+        """Notice the same by a latest revision that is lower than before, if no era is named."""
+        if changes.revision < prefix.read_revision:
+            self._on_restored()
+
+    def _on_restored(self) -> None:
+        """Forget all revisions and the lease, whose numbers the store may give out again."""
+        log(STORE_RESTORED, era=self._era, calls=self._store.calls)
+        for prefix in (self._records, self._table):
+            if prefix is not None:
+                prefix.forget_revisions()
+        self._forget_own_record()
+        self._pacer.read_fast(self._clock.now_ms())
+        for scope in self._watch_scopes:
+            scope.cancel()
+
+    def _forget_own_record(self) -> None:
+        """Schedule a new write of this node's record under a new lease."""
         self._written_record = None
         self._revision = 0
         self._lease = None
         self._work_available.set()
 
-    def _check_era(self) -> None:
-        """Log a restore of the store."""
-        if self._era and self._store.era > self._era:
-            log(STORE_RESTORED, era=self._store.era, calls=self._store.calls)
-        self._era = self._store.era
-
     def _note_failure(self, error: GooseberrydockError) -> None:
-        self._check_era()
         if error.code in _AVAILABLE_STORE_ERRORS:
             return
         if self._is_available:
@@ -448,7 +514,6 @@
             self._sink.on_store_availability(is_available=False)
 
     def _note_success(self) -> None:
-        self._check_era()
         now_ms = self._clock.now_ms()
         if not self._is_available:
             self._is_available = True
@@ -463,6 +528,6 @@
 
 
 _AVAILABLE_STORE_ERRORS: Final[frozenset[ErrorCode]] = frozenset(
-    (STORE_HISTORY_GONE, CONFIGURATION_CONFLICT, LEASE_ENDED)
+    (STORE_HISTORY_GONE, STORE_HISTORY_REPLACED, CONFIGURATION_CONFLICT, LEASE_ENDED)
 )
 """Errors that show that the store is available."""
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -317,8 +317,9 @@
 
 @attrs.frozen
 class RecordChanges:
-    """Changes of node records in the store after one revision and up to another."""
+    """Changes of node records in one era of the store, after one revision and up to another."""
 
+    era: int
     after: int
     upto: int
     changes: tuple[RecordChange, ...]
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -50,7 +50,7 @@
     _nursery: trio.Nursery
     _pool: ClientPool = attrs.field(init=False)
     _calls: int = 0
-    _era: int = 0
+    _era: int | None = None
 
     @_pool.default
     def _create_pool(self) -> ClientPool:
@@ -62,8 +62,8 @@
         return self._calls
 
     @property
-    def era(self) -> int:
-        """Return the era that the store last named, which rises with each restore from a copy."""
+    def era(self) -> int | None:
+        """Return the era of the latest answer, None before the first one."""
         return self._era
 
     async def read(self, key: str) -> StoreItem | None:
@@ -145,7 +145,8 @@
         response = await fetch(self._pool, request, timeout_s)
         if response is None:
             raise self._store_error(STORE_UNAVAILABLE, f"{request.path}: no response")
-        self._era = max(self._era, _decode_era(response))
+        era = _decode_era(response)
+        self._era = era if self._era is None else max(self._era, era)
         if response.status != 200:
             raise self._status_error(request, response)
         return self._decode_or_raise(lambda: json.loads(response.body or b"{}"))
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -181,7 +181,7 @@
 @_to_array.register
 def _record_changes_to_array(message: messages.RecordChanges) -> list[Any]:
     changes = [[item.node_id, item.value, item.revision] for item in message.changes]
-    return [TAG_RECORD_CHANGES, message.after, message.upto, changes]
+    return [TAG_RECORD_CHANGES, message.era, message.after, message.upto, changes]
 
 
 @_to_array.register
@@ -444,9 +444,9 @@
 
 
 def _to_record_changes(array: list[Any]) -> messages.RecordChanges:
-    _check_field_types(array, (int, int, list))
+    _check_field_types(array, (int, int, int, list))
     return messages.RecordChanges(
-        array[1], array[2], tuple(_to_record_change(item) for item in array[3])
+        array[1], array[2], array[3], tuple(_to_record_change(item) for item in array[4])
     )
 
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -109,6 +109,17 @@
 
         run_store_fleet(scenario)
 
+    def test_lower_revision_shows_the_restore_of_a_store_that_names_no_era(self) -> None:
+        async def scenario(fleet: StoreFleet) -> None:
+            await _let_revisions_rise(fleet, 60)
+            fleet.store.restore(age_s=5.0)
+            fleet.store.era = 0
+            fleet.store.put("table", b"2")
+            await trio.sleep(_POLL_S)
+            self.assertEqual({b"2"}, {node.values["table"] for node in fleet.watching})
+
+        run_store_fleet(scenario)
+
     def test_second_restore_is_noticed_like_the_first(self) -> None:
         async def scenario(fleet: StoreFleet) -> None:
             for number in (2, 3):
