Remove the own record at a stop instead of ending the lease

A node that stopped after the store had come back from an older copy, and before it had noticed, ended its lease by a number that the store may have granted again to another node, and so removed that node's record. The number alone can't tell; the record's key and revision can. The node now removes its record under the condition that it is at the revision that it wrote, reads it once more if it isn't, and leaves the lease to expire. One call as before.

--- a/gooseberrydock/mesh/store.py
+++ b/gooseberrydock/mesh/store.py
@@ -67,14 +67,17 @@
     async def renew_lease(self, lease_id: int) -> None:
         """Renew a lease; raises ``LEASE_ENDED`` if it has ended."""
 
-    async def end_lease(self, lease_id: int) -> None:
-        """Revoke a lease, which removes its keys."""
-
     async def write(self, key: str, value: bytes, lease_id: int, expected_revision: int) -> int:
         """Write a key if it is at the expected revision (0: absent); return its new revision.
 
         Raises ``CONFIGURATION_CONFLICT`` if the key is at another revision.
         """
 
+    async def remove(self, key: str, expected_revision: int) -> None:
+        """Remove a key.
+
+        Raises ``CONFIGURATION_CONFLICT`` if the key is at another revision.
+        """
+
     async def read(self, key: str) -> StoreItem | None:
         """Return the item of a key, or None if the key is absent."""
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -388,21 +388,31 @@
                 await trio.sleep(backoff.next_delay_ms() / MS_PER_SECOND)
 
     async def remove_record(self, timeout_ms: Millis) -> None:
-        """Revoke the lease, and the record with it, if the store answers before the timeout.
+        """Remove the record if the store answers before the timeout; it is not written again.
 
-        The record is not written again, whatever the store answers to calls in progress.
+        Its lease is left to expire: after a restore of the store, another node may hold the number.
         """
         self._is_removing = True
-        lease = self._lease
-        if lease is None:
+        if self._lease is None or self._record is None:
             return
+        key = self._node_prefix + self._record.node_id
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
             try:
-                await self._call(self._store.end_lease(lease.lease_id))
+                await self._remove_key(key)
             except GooseberrydockError as error:
                 # The record is still removed when its lease expires, only later.
                 self._note_failure(error)
 
+    async def _remove_key(self, key: str) -> None:
+        try:
+            await self._call(self._store.remove(key, self._revision))
+        except GooseberrydockError as error:
+            if error.code not in (CONFIGURATION_CONFLICT, STORE_HISTORY_REPLACED):
+                raise
+            await self._read_own_revision(key)
+            if self._revision:
+                await self._call(self._store.remove(key, self._revision))
+
     async def _maintenance_step(self) -> None:
         """Perform the steps that are due: renew the lease, grant one, write the record."""
         lease = self._lease
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -113,23 +113,25 @@
         """Renew a lease, raising ``LEASE_ENDED`` if it has ended."""
         await self._post(f"/-/kv-keep/{lease_id}", None)
 
-    async def end_lease(self, lease_id: int) -> None:
-        """End a lease, which removes its keys."""
-        await self._call(HttpRequest("DELETE", f"/-/kv-lease-end/{lease_id}", [], b""))
-
     async def write(self, key: str, value: bytes, lease_id: int, expected_revision: int) -> int:
         """Write a key if it is at the expected revision (0: absent) and return its new revision."""
         text = base64.b64encode(value).decode("ascii")
-        fields = await self._post(
-            "/-/kv-txn",
-            {
-                "expected": [{"key": key, "revision": expected_revision}],
-                "puts": [{"key": key, "value": text, "lease": lease_id}],
-                "deletes": [],
-            },
-        )
+        put = {"key": key, "value": text, "lease": lease_id}
+        fields = await self._change(key, expected_revision, puts=[put], deletes=[])
         return self._decode_or_raise(lambda: _decode_whole_number(fields["revision"]))
 
+    async def remove(self, key: str, expected_revision: int) -> None:
+        """Remove a key if it is at the expected revision."""
+        await self._change(key, expected_revision, puts=[], deletes=[key])
+
+    async def _change(
+        self, key: str, expected_revision: int, puts: list[dict[str, Any]], deletes: list[str]
+    ) -> Any:
+        expected = [{"key": key, "revision": expected_revision}]
+        return await self._post(
+            "/-/kv-txn", {"expected": expected, "puts": puts, "deletes": deletes}
+        )
+
     async def _get(self, path: str, query: dict[str, str], wait_ms: Millis = 0.0) -> Any:
         request_target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
         return await self._call(HttpRequest("GET", request_target, [], b""), wait_ms)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -60,8 +60,11 @@
         """End a lease and remove its keys."""
         self.leases.discard(lease)
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
-            self.revision += 1
-            del self.items[key]
+            self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        self.revision += 1
+        if self.items.pop(key, None) is not None:
             self._record_event({"key": key, "revision": self.revision, "tombstone": True})
 
     def compact(self) -> None:
@@ -124,6 +127,8 @@
                 return 404, {}
             self.writes += 1
             self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        for key in fields["deletes"]:
+            self._remove(key)
         return 200, {"revision": self.revision}
 
     def _matches_query(self, key: str, query: dict[str, str]) -> bool:
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -145,11 +145,6 @@
         if lease_id not in self.leases:
             raise GooseberrydockError(LEASE_ENDED, Step.STORE)
 
-    async def end_lease(self, lease_id: int) -> None:
-        await self._answer()
-        for key in self.leases.pop(lease_id, set()):
-            self.put(key, None)
-
     async def write(self, key: str, value: bytes, lease_id: int, expected_revision: int) -> int:
         await self._answer()
         if lease_id not in self.leases:
@@ -161,6 +156,13 @@
         self.leases[lease_id].add(key)
         return self.put(key, value)
 
+    async def remove(self, key: str, expected_revision: int) -> None:
+        await self._answer()
+        item = self.current(key)
+        if expected_revision != (item.revision if item is not None else 0):
+            raise GooseberrydockError(CONFIGURATION_CONFLICT, Step.STORE)
+        self.put(key, None)
+
     async def read(self, key: str) -> StoreItem | None:
         await self._answer()
         return self.current(key)
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -63,8 +63,8 @@
     async def renew_lease(self, lease_id: int) -> None:
         """Accept the renewal."""
 
-    async def end_lease(self, lease_id: int) -> None:
-        """Accept the end of the lease."""
+    async def remove(self, key: str, expected_revision: int) -> None:
+        """Accept the removal."""
 
     async def write(self, key: str, value: bytes, lease_id: int, expected_revision: int) -> int:
         return expected_revision + 1
