Keep a node that left out of use when an older record of it comes back

A store that comes back from an older copy has the record of a node that has left since, as alive and with its service. Nodes that had forgotten it took it for a host again: in the new test a host that had left was chosen; its calls would have waited for a link to nobody. The directory now remembers the last record of each node that left and takes only a newer one, which the node writes when it starts again. A node that was removed without leaving may still come back with the record that it had. The test failed before and passes now.

--- a/gooseberrydock/mesh/directory.py
+++ b/gooseberrydock/mesh/directory.py
@@ -2,7 +2,8 @@
 
 Records come from the store, where each node keeps its own record under a lease, and from links to
 other nodes. The removal of a record from the store takes effect only after a delay, and not as
-long as the node still sends messages itself. Performs no I/O.
+long as the node still sends messages itself. The last record of a node that left is remembered,
+since a store that comes back from an older copy has earlier ones. Performs no I/O.
 """
 
 from typing import Final
@@ -18,6 +19,8 @@
 """Time that a record that is not in the store is kept after the last message of its node, or after
 the last copy of it from a link."""
 
+_MAX_DEPARTED_NODES: Final = 4_096
+
 
 @attrs.define
 class _TrackedRecord:
@@ -37,6 +40,7 @@
     _by_service: dict[str, list[Member]] = attrs.field(factory=dict)
     _leaving_by_service: dict[str, list[Member]] = attrs.field(factory=dict)
     _own_record: Member | None = None
+    _departed: dict[str, Member] = attrs.field(factory=dict)
 
     @property
     def node_count(self) -> int:
@@ -108,6 +112,8 @@
             elif tracked.expires_at <= now_ms:
                 expired.append(tracked.member)
                 del self._tracked_records[tracked.member.node_id]
+                if tracked.member.state is MemberState.LEAVING:
+                    self._remember_departed(tracked.member)
         if expired:
             self._rebuild_index()
         return expired
@@ -115,6 +121,9 @@
     def _apply(self, member: Member, in_store: bool, expires_at: Millis) -> bool:
         tracked = self._tracked_records.get(member.node_id)
         if tracked is None:
+            departed = self._departed.get(member.node_id)
+            if departed is not None and member.order <= departed.order:
+                return False
             if member.state is MemberState.DEAD:
                 return False
             self._tracked_records[member.node_id] = _TrackedRecord(member, in_store, expires_at)
@@ -128,9 +137,15 @@
         tracked.member = member
         if member.state is MemberState.DEAD:
             del self._tracked_records[member.node_id]
+            self._remember_departed(member)
         self._rebuild_index()
         return True
 
+    def _remember_departed(self, member: Member) -> None:
+        self._departed[member.node_id] = member
+        if len(self._departed) > _MAX_DEPARTED_NODES:
+            del self._departed[next(iter(self._departed))]
+
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[Member]] = {}
         leaving: dict[str, list[Member]] = {}
--- a/tests/test_mesh_hosts.py
+++ b/tests/test_mesh_hosts.py
@@ -60,6 +60,28 @@
         self.assertEqual([], directory.tick(20_000.0, is_store_unavailable=False))
         self.assertEqual(1, len(directory.tick(21_500.0, is_store_unavailable=False)))
 
+    def test_node_that_left_is_not_in_use_again_when_an_older_record_of_it_comes_back(self) -> None:
+        earlier = make_member("a", version=1)
+        leaving = attrs.evolve(make_member("a", version=2), state=MemberState.LEAVING)
+        directory = create_directory("me")
+        directory.on_store_record(leaving)
+        directory.on_store_record_removed(0.0, "a")
+        directory.tick(2_500.0, is_store_unavailable=False)
+        directory.on_snapshot(3_000.0, [earlier])
+        directory.on_peer_record(3_000.0, earlier)
+        self.assertEqual([], directory.hosts_of("shop"))
+        restarted = attrs.evolve(earlier, incarnation=2)
+        directory.on_peer_record(4_000.0, restarted)
+        self.assertEqual([restarted], directory.hosts_of("shop"))
+
+    def test_node_removed_without_leaving_may_come_back_with_the_same_record(self) -> None:
+        directory = create_directory("me")
+        directory.on_store_record(make_member("a"))
+        directory.on_store_record_removed(0.0, "a")
+        directory.tick(2_500.0, is_store_unavailable=False)
+        directory.on_store_record(make_member("a"))
+        self.assertEqual(["a"], [item.node_id for item in directory.hosts_of("shop")])
+
     def test_leaving_node_gets_no_new_calls(self) -> None:
         directory = create_directory("me")
         directory.on_store_record(make_member("a"))
