Let the store stand-in name its era and come back from an older copy

The stand-ins knew neither the header nor a restore, so no test with real processes could show one. The stand-in of the store now names its era in every answer, refuses a watch from a revision that it doesn't have, and can be set back to an earlier copy of its contents. New tests: the client knows the era of every answer, also of refusals, and removes a key only at the expected revision; three nodes keep a confirmed route through a restore, have the next one in force within two seconds, and their records are written again within four.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -22,6 +22,16 @@
 _ANY_LOCAL_PORT = Address("127.0.0.1", 0)
 
 
+@attrs.frozen
+class StoreCopy:
+    """Contents of the store at one moment."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+    leases: set[int]
+
+
 @attrs.define(eq=False)
 class StoreStandin:
     """Store of keys, revisions and leases; ``mode`` is ok, down (503) or silent (no response)."""
@@ -36,6 +46,7 @@
     mode: str = "ok"
     calls: int = 0
     writes: int = 0
+    era: int = 1
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     async def serve(self) -> None:
@@ -72,6 +83,21 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(dict(self.items), list(self.history), self.revision, set(self.leases))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy: later changes, revisions and leases are gone."""
+        self.items, self.history = dict(copy.items), list(copy.history)
+        self.revision, self.leases = copy.revision, set(copy.leases)
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+
+    def _respond(self, connection: HttpConnection, status: int, fields: dict[str, Any]) -> None:
+        headers = [(b"store-era", b"%d" % self.era)]
+        connection.respond(HttpResponse(status, headers, json.dumps(fields).encode()))
+
     def _record_event(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._changed.set()
@@ -82,7 +108,7 @@
         if self.mode == "silent":
             return
         if self.mode == "down":
-            connection.respond(HttpResponse(503, [], b""))
+            self._respond(connection, 503, {})
             return
         path, _, query_text = request.path.partition("?")
         query = dict(urllib.parse.parse_qsl(query_text))
@@ -90,7 +116,7 @@
             self.nursery.start_soon(self._watch, connection, query)
             return
         status, fields = self._handle_call(request, path, query)
-        connection.respond(HttpResponse(status, [], json.dumps(fields).encode()))
+        self._respond(connection, status, fields)
 
     def _handle_call(
         self, request: HttpRequest, path: str, query: dict[str, str]
@@ -136,8 +162,8 @@
 
     async def _watch(self, connection: HttpConnection, query: dict[str, str]) -> None:
         after = int(query["after"])
-        if after < self.compacted_revision:
-            connection.respond(HttpResponse(410, [], b"{}"))
+        if not self.compacted_revision <= after <= self.revision:
+            self._respond(connection, 410, {})
             return
         events: list[dict[str, Any]] = []
         with trio.move_on_after(int(query["waitMs"]) / 1_000):
@@ -150,8 +176,7 @@
                 ]
                 if not events:
                     await changed.wait()
-        body = json.dumps({"events": events, "storeRevision": self.revision}).encode()
-        connection.respond(HttpResponse(200, [], body))
+        self._respond(connection, 200, {"events": events, "storeRevision": self.revision})
 
 
 Behaviour = Callable[[HttpRequest], HttpResponse | None]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -198,6 +198,23 @@
 
         self._run(scenario)
 
+    def test_era_of_every_answer_is_known_and_a_removal_is_conditional(self) -> None:
+        async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
+            self.assertIsNone(store.era)
+            self.assertIsNone(await store.read("a/1"))
+            self.assertEqual(1, store.era)
+            copy = standin.copy()
+            revision = await store.write("a/1", b"x", 0, 0)
+            standin.restore(copy)
+            await self._assert_raises_code(STORE_HISTORY_GONE, store.watch("a/", revision, 20.0))
+            self.assertEqual(2, store.era)
+            revision = await store.write("a/1", b"x", 0, 0)
+            await self._assert_raises_code(CONFIGURATION_CONFLICT, store.remove("a/1", 1))
+            await store.remove("a/1", revision)
+            self.assertIsNone(await store.read("a/1"))
+
+        self._run(scenario)
+
     def test_outages_raise_coded_errors(self) -> None:
         async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
             standin.mode = "down"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,5 +1,6 @@
 """Tests of the whole routed call path, with real node processes and the platform's stand-ins."""
 
+import base64
 import signal
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 }
 _CONFIGURATION_TIMEOUT_S = 2.0
 _DRAIN_TIME_S = 2.0
+_RECORDS_TIMEOUT_S = 4.0
 _PAUSE_S = 2.0
 """Longer than the silence after which a node closes a link, shorter than the routes' timeout."""
 
@@ -99,6 +101,36 @@
 
         self._run(scenario)
 
+    def test_confirmed_configuration_stays_and_the_next_is_in_force_after_a_restore(self) -> None:
+        async def scenario(fleet: PlatformFleet) -> None:
+            store = fleet.store
+            copy = store.copy()
+            confirmed = {**_ROUTES, "new": make_route_fields("web", "/new/")}
+            fleet.configure(confirmed, ["shop", "web"])
+            written = base64.b64decode(store.items["op/config"]["value"])
+            for node in fleet.nodes:
+                await fleet.wait_until_served(node, "/new/1")
+            store.mode = "down"
+            await trio.sleep(0.5)
+            store.restore(copy)
+            store.mode = "ok"
+            for _ in range(20):
+                statuses = [await fleet.status(node, "/new/1") for node in fleet.nodes]
+                self.assertEqual([200, 200, 200], statuses)
+                await trio.sleep(0.05)
+            store.put("op/config", written)
+            fleet.configure(
+                {**confirmed, "next": make_route_fields("shop", "/next/")}, ["shop", "web"]
+            )
+            with trio.fail_after(_CONFIGURATION_TIMEOUT_S):
+                for node in fleet.nodes:
+                    while await fleet.status(node, "/next/1") != 200:
+                        await trio.sleep(0.02)
+            with trio.fail_after(_RECORDS_TIMEOUT_S):
+                await fleet.wait_until_known()
+
+        self._run(scenario)
+
     def test_leaving_target_receives_no_request_after_the_drain_time(self) -> None:
         async def scenario(fleet: PlatformFleet) -> None:
             leaving = fleet.nodes[0]
