The soak lets servers state limits and their leaving, and restores the store

Servers name limits of 0.5 to 2 requests a second for 6 to 10 s, or state their leaving while they are still announced as ready; the store comes back from copies up to 6 s old, one after the other and beside all other faults. Checked: no request beyond the users' rule on limits, and none after the drain time, of nodes that passed the statement on; the checks excuse only a restart of that node. They draw from a generator of their own.

--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -15,6 +15,7 @@
 from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.model import Route
+from gooseberrydock.mesh.rate_limiter import RateLimiter
 from gooseberrydock.mesh.target_registration import TargetRegistration
 from gooseberrydock.messages import ConfigurationPush, ConfigurationRequest
 from gooseberrydock.peer_links import PeerLink
@@ -68,11 +69,25 @@
     FleetView.on_configuration_push = on_push  # type: ignore[method-assign]
 
 
+def _ignore_limits() -> None:
+    """Send a target any rate of requests."""
+    RateLimiter.try_take = lambda self, now_ms: True  # type: ignore[method-assign]
+
+
+def _ignore_stated_leaving() -> None:
+    """Take a target for ready whatever it states in its answers."""
+    TargetRegistration.on_stated_leaving = (  # type: ignore[method-assign]
+        lambda self, now_ms, start_id: False
+    )
+
+
 FAULTS: Final[dict[str, Callable[[], None]]] = {
     "repeat-unsafe": _retry_non_idempotent,
     "refuse-untruly": _report_false_not_run,
     "ignore-drain": _ignore_drain,
     "take-old-tables": _accept_older_route_tables,
+    "ignore-limits": _ignore_limits,
+    "ignore-stated-leaving": _ignore_stated_leaving,
 }
 
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -108,6 +108,7 @@
     store: StoreStandin
     nodes: list[FleetNode] = attrs.field(factory=list)
     version: int = 0
+    configuration: bytes = b""
     program: tuple[str, ...] = ("gooseberrydock.platform",)
 
     def _start_proxy(self, address: Address) -> FaultProxy:
@@ -167,7 +168,12 @@
                 "idleTimeoutMs": 5_000,
             },
         }
-        self.store.put("op/config", json.dumps(fields).encode())
+        self.configuration = json.dumps(fields).encode()
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the latest configuration, which the operator repeats after a restore."""
+        self.store.put("op/config", self.configuration)
 
     async def send(
         self,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,7 @@
     running_platform_fleet,
 )
 from tests.platform_standins import ENDLESS, LATE_COPY
+from tests.soak_statements import Origin, StatementSoak
 
 _REQUEST_RATE_PER_S: Final = 30.0
 _RESPONSE_TIMEOUT_S: Final = 3.0
@@ -74,6 +75,7 @@
 
     path: str
     sent_at: float
+    origin: Origin
     status: int = 0
     body_size: int = 0
 
@@ -86,6 +88,8 @@
     _random: random.Random
     _callers_random: random.Random
     """Decides on uploads, pipelines and misbehaviour apart, so that a seed keeps its faults."""
+    _statements_random: random.Random
+    """Decides on what servers state, and on restores of the store."""
     _sent_requests: dict[str, SentRequest] = attrs.field(factory=dict)
     _runs: Counter[str] = attrs.field(factory=Counter)
     _violations: list[str] = attrs.field(factory=list)
@@ -97,6 +101,17 @@
     """Newest configuration that each node process has served, by node id and process id."""
     _timeline: list[str] = attrs.field(factory=list)
     _started_at: float = attrs.field(factory=trio.current_time)
+    _statements: StatementSoak = attrs.field(init=False)
+
+    @_statements.default
+    def _create_statements(self) -> StatementSoak:
+        return StatementSoak(
+            self._fleet, self._statements_random, self._record_event, self._violations.append
+        )
+
+    async def inject_statements(self, until: float) -> None:
+        """Let servers state limits and their leaving, and restore the store."""
+        await self._statements.inject(until)
 
     @property
     def violations(self) -> list[str]:
@@ -124,6 +139,8 @@
                 self._violations.append(f"{request_id} ran as {request.path}, which no caller sent")
             elif sent.body_size != len(request.body):
                 self._violations.append(f"{request_id} ran with {len(request.body)} bytes of body")
+            else:
+                self._statements.on_run(node, sent.origin, sent.sent_at, request_id)
 
         server.on_run = record_run
         server.misbehaviour = self._choose_misbehaviour
@@ -149,7 +166,7 @@
         if is_booking and self._callers_random.random() < _UPLOAD_SHARE:
             path = f"/upload/{number}"
             body = b"u" * self._callers_random.randrange(*_UPLOAD_SIZE_RANGE)
-        sent = SentRequest(path, trio.current_time(), body_size=len(body))
+        sent = SentRequest(path, trio.current_time(), _origin(node), body_size=len(body))
         self._sent_requests[request_id] = sent
         response = await self._fleet.send(node, path, request_id, _RESPONSE_TIMEOUT_S, body=body)
         if response is not None:
@@ -159,6 +176,7 @@
         """Record a response and check that it is the whole one to its own request."""
         sent = self._sent_requests[request_id]
         path = sent.path
+        self._statements.on_response(sent.origin, response)
         sent.status = response.status
         echoed = header_value(response.headers, b"request-id")
         if echoed != request_id:
@@ -181,7 +199,9 @@
         for _ in range(self._callers_random.randint(2, _MAX_PIPELINED)):
             number = next(self._request_numbers)
             path = f"/look/{number}"
-            self._sent_requests[f"q{number}"] = SentRequest(path, trio.current_time())
+            self._sent_requests[f"q{number}"] = SentRequest(
+                path, trio.current_time(), _origin(node)
+            )
             request_ids.append(f"q{number}")
             data += (
                 f"GET {path} HTTP/1.1\r\nhost: {node.entry.host}\r\nrequest-id: q{number}\r\n"
@@ -322,7 +342,9 @@
             newest_served = self._newest_served_by_process.get(process_key, 0)
             request_id = f"q{next(self._request_numbers)}"
             path = f"/only{number}/{request_id}"
-            sent = self._sent_requests[request_id] = SentRequest(path, trio.current_time())
+            sent = self._sent_requests[request_id] = SentRequest(
+                path, trio.current_time(), _origin(node)
+            )
             response = await self._fleet.send(node, path, request_id, _RESPONSE_TIMEOUT_S)
             sent.status = response.status if response is not None else 0
             # A restart during the request leaves open which process served it.
@@ -391,7 +413,7 @@
     async def _probe(self, node: FleetNode) -> bool:
         number = next(self._request_numbers)
         sent = self._sent_requests[f"q{number}"] = SentRequest(
-            f"/look/{number}", trio.current_time()
+            f"/look/{number}", trio.current_time(), _origin(node)
         )
         response = await self._fleet.send(node, sent.path, f"q{number}", _RESPONSE_TIMEOUT_S)
         sent.status = response.status if response is not None else 0
@@ -400,6 +422,10 @@
         return sent.status == 200
 
 
+def _origin(node: FleetNode) -> Origin:
+    return (node.node_id, node.process.pid if node.process is not None else 0)
+
+
 def _routes(number: int) -> dict[str, dict[str, object]]:
     """Return the routes of a configuration, one of which no other configuration has."""
     return {
@@ -418,6 +444,7 @@
     seconds: float
     nodes: int = _DEFAULT_NODES
     fault: str = ""
+    has_statements: bool = True
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -437,7 +464,9 @@
                 await fleet.add(service, f"z{number % 2}", proxied=True)
             fleet.configure(_routes(0), ["shop", "web"])
             await fleet.wait_until_known()
-            soak = Soak(fleet, rng, random.Random(options.seed + 1))
+            soak = Soak(
+                fleet, rng, random.Random(options.seed + 1), random.Random(options.seed + 2)
+            )
             for node in fleet.nodes:
                 soak.watch_server(node)
             until = trio.current_time() + options.seconds
@@ -446,6 +475,8 @@
                 nursery.start_soon(soak.send_pipelines, until)
                 nursery.start_soon(soak.inject_faults, until)
                 nursery.start_soon(soak.probe_configurations, until)
+                if options.has_statements:
+                    nursery.start_soon(soak.inject_statements, until)
             await soak.check_recovery()
             soak.check_runs()
             print(f"seed {options.seed}: {soak.summary()}", flush=True)
