Give a restored store the configuration in force again (the product's own interface)

After a restore the next change that an operator confirmed got a generation that the nodes already had from a lost change, or a lower one, and no node put it in force; ctl reported success.

A watcher that holds a later generation than the store now writes its own in place of an older copy, found by the write ids of its history, by compare-and-swap. A change that an operator made to the older copy becomes the generation after the one in force, and the history keeps what was lost. Generations still only rise.

--- a/gooseberrydock/configuration.py
+++ b/gooseberrydock/configuration.py
@@ -126,6 +126,30 @@
     return Configuration(0, "", "", ())
 
 
+def configuration_for_restored_store(
+    held: Configuration, stored: Configuration
+) -> Configuration | None:
+    """Return what a store that came back from an older copy should hold, or None if it does.
+
+    That is ``held`` if the stored configuration is one of those before it. A configuration that an
+    operator wrote to the older copy becomes the generation after ``held``.
+    """
+    if stored.generation > held.generation or stored.write_id == held.write_id:
+        return None
+    known = {entry.write_id for entry in held.history}
+    is_too_old = held.generation - stored.generation >= len(held.history)
+    if stored.write_id in known or is_too_old:
+        return held
+    generation = held.generation + 1
+    added = tuple(
+        attrs.evolve(entry, generation=generation)
+        for entry in stored.history
+        if entry.write_id not in known
+    )
+    history = (*added, *held.history)[: defaults.HISTORY_LENGTH]
+    return attrs.evolve(stored, generation=generation, history=history)
+
+
 def encode_configuration(configuration: Configuration) -> bytes:
     """Encode a configuration as compressed JSON, for the key-value service and for peers."""
     return zlib.compress(json.dumps(configuration_to_plain(configuration)).encode())
@@ -232,6 +256,18 @@
         """Return the encoded configuration in force."""
         return self._payload
 
+    def payload_for_restored_store(self, stored: bytes | None) -> bytes | None:
+        """Return what to write to the store in place of an older copy, or None to leave it."""
+        if self._current.generation == 0:
+            return None
+        try:
+            stored_configuration = decode_configuration(stored) if stored else empty_configuration()
+        except GooseberrydockError:
+            # The attempt to apply it has logged why it is invalid.
+            return None
+        wanted = configuration_for_restored_store(self._current, stored_configuration)
+        return encode_configuration(wanted) if wanted is not None else None
+
     def apply_if_newer(self, payload: bytes) -> bool:
         """Put an encoded configuration in force if it is newer; return whether it was."""
         candidate = decode_configuration(payload)
--- a/gooseberrydock/node_run.py
+++ b/gooseberrydock/node_run.py
@@ -89,7 +89,11 @@
     if node.store is None:
         return None
     return StoreWatch(
-        node.store, node.create_random(), node.is_store_watcher, node.apply_configuration
+        node.store,
+        node.create_random(),
+        node.is_store_watcher,
+        node.apply_configuration,
+        node.core.configuration.payload_for_restored_store,
     )
 
 
--- a/gooseberrydock/store_watch.py
+++ b/gooseberrydock/store_watch.py
@@ -2,7 +2,9 @@
 
 A watcher follows the configuration by blocking queries. A node reads the seed record to join if
 its settings name no other seed, or if none of those answers. Watchers keep the record up to date
-and write it only if it does not contain their own address.
+and write it only if it does not contain their own address. A store that came back from an older
+copy gets the configuration in force again: generations only rise, so that the nodes would ignore
+all changes made to that copy.
 """
 
 import json
@@ -17,10 +19,10 @@
 from gooseberrydock.backoff import Backoff
 from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.errors import GooseberrydockError
-from gooseberrydock.events import STORE_BACK, STORE_LOST
+from gooseberrydock.events import STORE_BACK, STORE_LOST, STORE_RESTORED
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address, parse_address
-from gooseberrydock.store_client import StoreClient
+from gooseberrydock.store_client import StoreClient, StoredValue
 
 _ROLE_CHECK_PERIOD_MS: Final[Millis] = 2_000.0
 _SEED_CHECK_PERIOD_MS: Final[Millis] = 60_000.0
@@ -36,6 +38,7 @@
     _random: random.Random
     _is_watcher: Callable[[], bool]
     _on_payload: Callable[[bytes], None]
+    _payload_for_restored_store: Callable[[bytes | None], bytes | None]
     _is_available: bool = True
 
     async def watch_configuration(self) -> None:
@@ -59,8 +62,23 @@
             index = 0 if stored.watch_index < index else stored.watch_index
             if stored.value is not None:
                 self._on_payload(stored.value)
+            await self._repair_restored_store(stored)
             await trio.sleep(_MIN_WATCH_PERIOD_MS / MS_PER_SECOND)
 
+    async def _repair_restored_store(self, stored: StoredValue) -> None:
+        """Write the configuration in force in place of an older copy, unless that was changed."""
+        payload = self._payload_for_restored_store(stored.value)
+        if payload is None:
+            return
+        log(STORE_RESTORED, index=stored.modify_index)
+        try:
+            await self._store.compare_and_swap(
+                defaults.CONFIGURATION_KEY, payload, stored.modify_index
+            )
+        except GooseberrydockError as error:
+            # The next answer of the watch shows whether it still is to be done.
+            self._record_failure(error)
+
     async def read_seeds(self) -> list[Address]:
         """Return the recorded seeds, retrying without limit until the store answers."""
         backoff = Backoff(self._random)
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -1,5 +1,6 @@
 """Two operators, lost answers and outages: no operator receives a wrong result."""
 
+import random
 import unittest
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -23,6 +24,7 @@
 from gooseberrydock.errorcodes import CONFIGURATION_CONFLICT, STORE_UNAVAILABLE
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.store_client import StoredValue
+from gooseberrydock.store_watch import StoreWatch
 
 _FAULTS = ("ok", "lost", "down", "slow", "late")
 
@@ -70,6 +72,22 @@
         return True
 
 
+@attrs.define(eq=False)
+class RestorableStore(FakeStore):
+    """Store that may be set back to an earlier value and index, with watches."""
+
+    async def watch(self, key: str, index: int) -> StoredValue:
+        """Return the value once the index differs, or after half a second."""
+        with trio.move_on_after(0.5):
+            while self.index == index:
+                await trio.sleep(0.01)
+        return StoredValue(self.value, self.index, self.index)
+
+    def restore(self, copy: tuple[bytes | None, int]) -> None:
+        """Come back from an older copy of value and index."""
+        self.value, self.index = copy
+
+
 def _no_answer() -> GooseberrydockError:
     return GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
 
@@ -160,6 +178,59 @@
         return decode_configuration(store.value)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """Two nodes watch a store that comes back from an older copy."""
+
+    def _run(self, lost_changes: int, has_operator_waited: bool) -> list[ConfigurationController]:
+        store = RestorableStore(iter(()))
+        controllers = [ConfigurationController() for _ in range(2)]
+
+        async def watch(controller: ConfigurationController) -> None:
+            def apply(payload: bytes) -> None:
+                controller.apply_if_newer(payload)
+
+            watch = StoreWatch(
+                store,  # type: ignore[arg-type]
+                random.Random(1),
+                lambda: True,
+                apply,
+                controller.payload_for_restored_store,
+            )
+            await watch.watch_configuration()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                for controller in controllers:
+                    nursery.start_soon(watch, controller)
+                results: dict[str, Any] = {}
+                await _apply(store, "first", results)
+                copy = (store.value, store.index)
+                for number in range(lost_changes):
+                    await _apply(store, f"lost-{number}", results)
+                await trio.sleep(1.0)
+                store.restore(copy)
+                if has_operator_waited:
+                    await trio.sleep(2.0)
+                await _apply(store, "after", results)
+                self.assertIsInstance(results["after"], Configuration)
+                await trio.sleep(3.0)
+                nursery.cancel_scope.cancel()
+
+        _run(main)
+        return controllers
+
+    def test_change_confirmed_after_a_restore_is_in_force_on_all_nodes(self) -> None:
+        for lost_changes in (1, 3):
+            for has_operator_waited in (False, True):
+                with self.subTest(lost_changes=lost_changes, waited=has_operator_waited):
+                    controllers = self._run(lost_changes, has_operator_waited)
+                    names = [[item.name for item in c.current.classes] for c in controllers]
+                    self.assertEqual([["after"], ["after"]], names)
+                    authors = [entry.author for entry in controllers[0].current.history]
+                    lost = [f"lost-{number}" for number in reversed(range(lost_changes))]
+                    self.assertEqual(["after", *lost, "first"], authors)
+
+
 class ControllerTest(unittest.TestCase):
     """A node only applies newer configurations."""
 
