Write the owners' register again when the store has an older copy of it

In the new test the next member that is replaced after a restore never gets an epoch and its keys stay undecided; with the change all new keys have one owner. A member that is due to act now treats an older register like a lost one and writes the newest that it knows as the next version.

Found on the way and not mended: a member paused since before the copy reads it as current and runs keys that another member owns.

--- a/gooseberrydock/ownership.py
+++ b/gooseberrydock/ownership.py
@@ -366,9 +366,11 @@
         """Return the next step of a membership change, if this node has to make it."""
         if not self._is_due_to_act(wall_ms):
             return None
-        if stored is None:
+        known = self._register
+        if stored is None or (known is not None and stored.version < known.version):
+            # The store has lost the register, or came back from an older copy.
             return self._restored_register(wall_ms)
-        if stored != self._register:
+        if stored != known:
             return None
         if stored.pending is not None:
             return self._next_pending_change(wall_ms, stored)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -122,7 +122,8 @@
             return
         self.messages.remove(message)
         sender = message.sender.identity
-        if (sender.node_id, message.node_id) in self.cuts:
+        is_to_itself = receiver is message.sender
+        if is_to_itself or (sender.node_id, message.node_id) in self.cuts:
             return
         wall_ms = self.wall(receiver)
         if isinstance(message.body, OwnerHeartbeat):
@@ -392,6 +393,38 @@
         self._attempt_new_keys(simulation)
         self.assertEqual(set(simulation.runs.values()), {1})
 
+    def _replace_member(self, simulation: Simulation, node_id: str) -> _Process:
+        """Pause a member and start its next incarnation; return the paused one."""
+        replaced = simulation.newest(node_id)
+        replaced.is_paused = True
+        simulation.start(node_id, 0.0)
+        simulation.update_all_members()
+        simulation.settle(120)
+        return replaced
+
+    def test_membership_changes_go_on_after_the_register_came_back_from_an_older_copy(self) -> None:
+        simulation = self._create_settled_simulation()
+        copy = (simulation.stored, simulation.index)
+        self._replace_member(simulation, "a")
+        simulation.stored, simulation.index = copy
+        simulation.settle(120)
+        self._replace_member(simulation, "b")
+        self.assertTrue(
+            all(KeyStatus.OWN in statuses for statuses in self._attempt_new_keys(simulation))
+        )
+        self.assertEqual(set(simulation.runs.values()), {1})
+
+    def test_member_paused_since_before_the_copy_runs_no_key_of_another_owner(self) -> None:
+        simulation = self._create_settled_simulation()
+        copy = (simulation.stored, simulation.index)
+        replaced = self._replace_member(simulation, "a")
+        simulation.stored, simulation.index = copy
+        replaced.is_paused = False
+        for _ in range(20):
+            simulation.settle(1)
+            self._attempt_new_keys(simulation, 6)
+        self.assertEqual(set(simulation.runs.values()), {1})
+
 
 def _activates(register: Register) -> bool:
     return register.pending is None and len(register.epochs) > 1
