A restore that another node reports counts, also for a node that the store turns away

Forwarded changes of a later era were only a reason to read, so that a node which the store turned away knew nothing of the records any more after a restore, and an answer of the earlier era would have set it back. The first forward after a restore holds all records: such a node now takes the era and the records from it, writes its own record as soon as the store lets it, and an era never goes down. test_node_turned_away_by_a_restored_store_hears_of_its_changes failed before and passes now, 26 tests of watching and reading pass.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -212,6 +212,10 @@
             self._era = changes.era
         if changes.era < self._era:
             return
+        if changes.era > self._era and changes.after < 0:
+            # The other node has read all records of the restored store.
+            self._era = changes.era
+            self._on_restored()
         if changes.era == self._era and changes.upto <= records.revision:
             return
         if changes.era > self._era or changes.after > records.revision:
@@ -481,12 +485,11 @@
 
     def _check_era(self) -> None:
         """Notice that the store has come back from an older copy since the last answer."""
-        era = self._store.era
-        if era == self._era:
+        era, known_era = self._store.era, self._era
+        if era is None or (known_era is not None and era <= known_era):
             return
-        is_first_answer = self._era is None
         self._era = era
-        if not is_first_answer:
+        if known_era is not None:
             self._on_restored()
 
     def _check_revision(self, prefix: "_WatchedPrefix", changes: StoreChanges) -> None:
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -5,7 +5,8 @@
 import attrs
 import trio
 
-from tests.store_fleet import PREFIX, StoreFleet, run_store_fleet
+from tests.mesh_helpers import make_member
+from tests.store_fleet import PREFIX, StoreFleet, UnavailableStore, run_store_fleet
 
 _CONFIGURATION_S = 2.0
 """Time within which a change of the route table is to be in force."""
@@ -120,6 +121,22 @@
 
         run_store_fleet(scenario)
 
+    def test_node_turned_away_by_a_restored_store_hears_of_its_changes(self) -> None:
+        async def scenario(fleet: StoreFleet) -> None:
+            rejected = fleet.add(make_member("rejected", domain="d1"), UnavailableStore())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.run_node, rejected)
+                rejected.values.update(fleet.nodes[0].values)
+                rejected.sync._records.revision = fleet.store.revision
+                await _let_revisions_rise(fleet, 60)
+                fleet.store.restore(age_s=5.0)
+                await trio.sleep(3.0)
+                fleet.store.put(PREFIX + "n0", b"forwarded")
+                await fleet.wait_for_record("n0", b"forwarded", within_s=4.0)
+                rejected.scope.cancel()
+
+        run_store_fleet(scenario)
+
     def test_second_restore_is_noticed_like_the_first(self) -> None:
         async def scenario(fleet: StoreFleet) -> None:
             for number in (2, 3):
