Keep what other nodes know of a target per start, and bound it

Found when reading: a notice of a start was dropped if a late announcement of an earlier start came first, and the limit or the leaving of the present one was lost again; notices of starts that never announce themselves, and statements of nodes that are gone, were kept without bound. A node now keeps one merged entry for each of the last eight starts, whatever it has as current, and callers' nodes drop statements older than a minute when they add one.

Three new tests in tests/test_target_statements.py failed before and pass now, with the 61 others of the parts touched.

--- a/gooseberrydock/mesh/rate_limiter.py
+++ b/gooseberrydock/mesh/rate_limiter.py
@@ -63,9 +63,8 @@
         if not self._per_second:
             return 0.0
         burst = burst_of(self._per_second)
-        return (
-            max(0.0, burst - self._bucket.fill(now_ms, self._per_second, burst) + waiting) / burst
-        )
+        used = burst - self._bucket.fill(now_ms, self._per_second, burst) + waiting
+        return max(0.0, used) / burst
 
     def capacity(self, concurrency_limit: int, mean_run_ms: Millis) -> float:
         """Return how many calls run at once at the limit, by Little's law."""
--- a/gooseberrydock/mesh/statement_memory.py
+++ b/gooseberrydock/mesh/statement_memory.py
@@ -43,6 +43,7 @@
             return
         known = self._by_node.get(node_id)
         if known is None or known.start_id != report.start_id:
+            self._drop_old(now_ms)
             known = RememberedStatement(report.start_id, 0.0, _NOT_LEAVING_MS, now_ms)
             self._by_node[node_id] = known
         known.heard_at = now_ms
@@ -53,15 +54,20 @@
     def notice_for(self, now_ms: Millis, node_id: str) -> TargetNotice | None:
         """Return what a node's target stated lately, or None."""
         known = self._by_node.get(node_id)
-        if known is None:
-            return None
-        if now_ms - known.heard_at > _MEMORY_MS:
-            del self._by_node[node_id]
+        if known is None or now_ms - known.heard_at > _MEMORY_MS:
             return None
         is_leaving = known.leaving_since >= 0
         leaving_for_ms = now_ms - known.leaving_since if is_leaving else 0.0
         return TargetNotice(known.start_id, known.rate_limit, is_leaving, leaving_for_ms)
 
+    def _drop_old(self, now_ms: Millis) -> None:
+        oldest_ms = now_ms - _MEMORY_MS
+        self._by_node = {
+            node_id: known
+            for node_id, known in self._by_node.items()
+            if known.heard_at >= oldest_ms
+        }
+
     def _on_nothing_stated(self, node_id: str) -> None:
         known = self._by_node.get(node_id)
         if known is not None and known.leaving_since < 0:
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -17,6 +17,9 @@
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
 
+_MAX_NOTED_STARTS: Final = 8
+"""Starts of the target of which is kept what other nodes know."""
+
 
 class TargetState(enum.Enum):
     """State that a target announces."""
@@ -43,13 +46,21 @@
     cold_left_ms: Millis
 
 
-@attrs.frozen
-class _ReceivedNotice:
-    """Notice of another node, with the time of the statement by this node's clock."""
+@attrs.define
+class _NotedStatement:
+    """What other nodes know of one start: its lowest limit, and when it stated its leaving."""
 
-    rate_limit: float
-    is_leaving: bool
-    leaving_since: Millis
+    rate_limit: float | None = None
+    leaving_since: Millis | None = None
+
+    def add(self, now_ms: Millis, notice: TargetNotice) -> None:
+        """Add what one more node knows."""
+        if notice.rate_limit:
+            self.rate_limit = min(notice.rate_limit, self.rate_limit or notice.rate_limit)
+        if notice.is_leaving:
+            leaving_since = now_ms - notice.leaving_for_ms
+            if self.leaving_since is None or leaving_since < self.leaving_since:
+                self.leaving_since = leaving_since
 
 
 @attrs.define
@@ -65,7 +76,7 @@
     _mismatched_id: str = ""
     _rate_limit: float | None = None
     _has_answered: bool = False
-    _notices: dict[str, list[_ReceivedNotice]] = attrs.field(factory=dict)
+    _noted: dict[str, _NotedStatement] = attrs.field(factory=dict)
 
     @property
     def current(self) -> InstanceAnnouncement | None:
@@ -166,25 +177,24 @@
 
     def on_notice(self, now_ms: Millis, notice: TargetNotice) -> bool:
         """Record what another node knows of a start; return whether this target's state changed."""
-        received = _ReceivedNotice(
-            notice.rate_limit, notice.is_leaving, now_ms - notice.leaving_for_ms
-        )
-        if notice.start_id == self.start_id:
-            return self._apply_notice(received)
-        if self._current is None:
-            self._notices.setdefault(notice.start_id, []).append(received)
-        return False
-
-    def _apply_notice(self, notice: "_ReceivedNotice") -> bool:
-        """Apply a notice, whose limit counts only until the target answers itself."""
+        noted = self._noted.get(notice.start_id)
+        if noted is None:
+            noted = self._noted[notice.start_id] = _NotedStatement()
+        noted.add(now_ms, notice)
+        if len(self._noted) > _MAX_NOTED_STARTS:
+            del self._noted[next(iter(self._noted))]
+        # Another start may not have announced itself to this node yet.
+        return notice.start_id == self.start_id and self._apply_noted(noted)
+
+    def _apply_noted(self, noted: _NotedStatement) -> bool:
+        """Apply what other nodes know; a limit counts only until the target answers itself."""
         has_changed = False
-        if notice.is_leaving and not self._is_leaving:
-            self._set_leaving(notice.leaving_since)
+        if noted.leaving_since is not None and not self._is_leaving:
+            self._set_leaving(noted.leaving_since)
+            has_changed = True
+        if not self._has_answered and noted.rate_limit != self._rate_limit:
+            self._rate_limit = noted.rate_limit
             has_changed = True
-        if notice.rate_limit and not self._has_answered:
-            rate_limit = min(notice.rate_limit, self._rate_limit or notice.rate_limit)
-            has_changed = has_changed or rate_limit != self._rate_limit
-            self._rate_limit = rate_limit
         return has_changed
 
     def on_mismatch(self, instance_id: str) -> bool:
@@ -224,9 +234,9 @@
         self._mismatched_id = ""
         self._rate_limit = None
         self._has_answered = False
-        for notice in self._notices.pop(self.start_id, ()):
-            self._apply_notice(notice)
-        self._notices.clear()
+        noted = self._noted.get(self.start_id)
+        if noted is not None:
+            self._apply_noted(noted)
         if new.state is TargetState.LEAVING and not self._is_leaving:
             self._set_leaving(now_ms)
         return True
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from gooseberrydock.errorcodes import STATEMENT_INVALID
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.members import Address
@@ -84,6 +86,13 @@
         memory.on_report(0.0, "n1", _report(_START_ID, 20.0), is_answer=True)
         self.assertIsNone(memory.notice_for(120_000.0, "n1"))
 
+    def test_statements_of_nodes_that_are_gone_are_not_kept_forever(self) -> None:
+        memory = StatementMemory()
+        for number in range(1_000):
+            report = _report(_START_ID, is_leaving=True)
+            memory.on_report(number * 1_000.0, f"n{number}", report, is_answer=True)
+        self.assertLess(len(memory._by_node), 100)
+
 
 class RecoveredStateCases(unittest.TestCase):
     """What a restarted node makes of the notices of others, before and after an announcement."""
@@ -115,6 +124,21 @@
                 registration = self._register(notice, is_announced=is_announced)
                 self.assertFalse(registration.accepts(1.0, "shop"))
 
+    def test_notice_outlasts_a_late_announcement_of_an_earlier_start(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        earlier = attrs.evolve(_ANNOUNCEMENT, started_wall_ms=500)
+        registration.on_announcement(0.0, earlier)
+        registration.on_notice(0.0, TargetNotice(_START_ID, 5.0, True, _DRAIN_MS))
+        registration.on_announcement(1.0, _ANNOUNCEMENT)
+        self.assertEqual(5.0, registration.rate_limit)
+        self.assertFalse(registration.accepts(2.0, "shop"))
+
+    def test_notices_of_many_starts_are_bounded(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        for number in range(1_000):
+            registration.on_notice(0.0, TargetNotice(f"i-1@{number}", 5.0, False, 0.0))
+        self.assertLess(len(registration._noted), 100)
+
     def test_notice_of_another_start_changes_nothing(self) -> None:
         for is_announced in (False, True):
             with self.subTest(is_announced=is_announced):
