A limit that doesn't bind shortens no wait at a target

A target that named a rate above what its slots can do got shorter queues all the same: callers' requests waited 250 ms at most where a full target lets them wait a quarter of their time. The shorter wait now applies only where the rate is reached before the slots are full, also before the first run has been timed.

--- a/gooseberrydock/mesh/admission_queue.py
+++ b/gooseberrydock/mesh/admission_queue.py
@@ -175,7 +175,7 @@
         if ticket.is_nested:
             return _NESTED_WAIT_SHARE * ticket.call.remaining_ms
         max_wait_ms = _MAX_WAIT_SHARE * ticket.call.remaining_ms
-        if not self._rate_limiter.per_second:
+        if not self._is_rate_bound:
             return max_wait_ms
         has_alternative = ticket.call.has_alternative
         rate_wait_ms = _MAX_RATE_WAIT_WITH_ALTERNATIVE_MS if has_alternative else _MAX_RATE_WAIT_MS
@@ -272,7 +272,7 @@
     @property
     def _is_rate_bound(self) -> bool:
         """Return whether the rate limit is reached before the slots are full."""
-        return self.capacity < self.limit
+        return self._rate_limiter.ms_per_call > self._mean_run_ms / max(1, self.limit)
 
     def _record_arrival(self, ticket: Ticket) -> None:
         run_ms = self._run_ms_by_route.get(ticket.call.route, self._mean_run_ms)
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -201,6 +201,29 @@
         self.assertLessEqual(taken, 10.0 * 21.0 + burst_of(21.0))
 
 
+class QueueCases(unittest.TestCase):
+    """How long calls wait for a target that names a limit."""
+
+    def _fill(self, rate_limit: float | None) -> int:
+        """Return how many of 40 calls at once run or wait, after one run has been timed."""
+        queue = create_admission_queue(NestedRoutes())
+        queue.set_target("shop", 10)
+        queue.set_rate_limit(0.0, rate_limit)
+        call = RoutedCall(0, "look", "shop", "web", "GET", "/", [], b"", 4_000.0, 2)
+        first = queue.create_ticket(1_000.0, 0, "", call)
+        queue.submit(1_000.0, first)
+        queue.finish(1_000.0 + _RUN_MS, first, has_completed=True)
+        for number in range(1, 41):
+            queue.submit(2_000.0, queue.create_ticket(2_000.0, number, "", call))
+        return queue.in_flight
+
+    def test_limit_above_what_the_slots_can_do_shortens_no_wait(self) -> None:
+        self.assertEqual(self._fill(None), self._fill(10_000.0))
+
+    def test_calls_do_not_queue_for_a_low_limit(self) -> None:
+        self.assertLessEqual(self._fill(4.0), 4)
+
+
 class PartOfAServiceLimitedCases(unittest.TestCase):
     """Two of three hosts name a limit below what they get; the third has room for the rest."""
 
