Soak: after the faults one more configuration is in force and all records are in the store

So far only service was checked at the end, so that a node whose record was missing or that no longer read the store went unseen.

--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -16,6 +16,7 @@
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.model import Route
 from gooseberrydock.mesh.rate_limiter import RateLimiter
+from gooseberrydock.mesh.store_sync import StoreSync
 from gooseberrydock.mesh.target_registration import TargetRegistration
 from gooseberrydock.messages import ConfigurationPush, ConfigurationRequest
 from gooseberrydock.peer_links import PeerLink
@@ -81,6 +82,11 @@
     )
 
 
+def _keep_revisions() -> None:
+    """Go on with the revisions and the lease from before a restore of the store."""
+    StoreSync._on_restored = lambda self: None  # type: ignore[method-assign]
+
+
 FAULTS: Final[dict[str, Callable[[], None]]] = {
     "repeat-unsafe": _retry_non_idempotent,
     "refuse-untruly": _report_false_not_run,
@@ -88,6 +94,7 @@
     "take-old-tables": _accept_older_route_tables,
     "ignore-limits": _ignore_limits,
     "ignore-stated-leaving": _ignore_stated_leaving,
+    "keep-revisions": _keep_revisions,
 }
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -61,6 +61,8 @@
 """Offset that the wall clock of a restarted node may have in either direction."""
 
 
+_CONFIGURATION_TIMEOUT_S: Final = 4.0
+"""Time in which the last configuration is to be in force on each node, one after the other."""
 _UPLOAD_SIZE_RANGE: Final = (20_000, 300_000)
 _UPLOAD_SHARE: Final = 0.15
 _PIPELINE_INTERVAL_S: Final = 0.4
@@ -394,6 +396,29 @@
                 f"not everything is served {_RECOVERY_TIMEOUT_S} s after the faults ended"
             )
 
+    async def check_store(self) -> None:
+        """Check that the next configuration reaches all nodes, which are in the store."""
+        await self._configure()
+        path = f"/only{self._newest_configuration}/last"
+        late = []
+        for node in self._fleet.nodes:
+            with trio.move_on_after(_CONFIGURATION_TIMEOUT_S) as scope:
+                while await self._probe_path(node, path) != 200:
+                    await trio.sleep(_PROBE_INTERVAL_S)
+            if scope.cancelled_caught:
+                late.append(node.node_id)
+        if late:
+            self._violations.append(f"the last configuration is not in force on {late}")
+        try:
+            await self._fleet.wait_until_known()
+        except trio.TooSlowError:
+            self._violations.append("the store does not hold the records of all nodes")
+
+    async def _probe_path(self, node: FleetNode, path: str) -> int:
+        request_id = f"q{next(self._request_numbers)}"
+        self._sent_requests[request_id] = SentRequest(path, trio.current_time(), _origin(node))
+        return await self._fleet.status(node, path, request_id)
+
     async def _probe_until_served(self, node: FleetNode) -> None:
         successes_in_a_row = 0
         while successes_in_a_row < 5:
@@ -478,6 +503,7 @@
                 if options.has_statements:
                     nursery.start_soon(soak.inject_statements, until)
             await soak.check_recovery()
+            await soak.check_store()
             soak.check_runs()
             print(f"seed {options.seed}: {soak.summary()}", flush=True)
             soak.write_verdict(options)
