After a restore, write the own record against the revision that the copy mostly has

Each node expected its key to be absent after a restore, so that the write was refused, the key read and written once more: three calls of each node where one is enough, as the copy has most records at the revision of their last write.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -481,7 +481,7 @@
         """Schedule a new write if the store removed this node's record after its last write."""
         if revision < self._revision:
             return
-        self._forget_own_record()
+        self._schedule_write(expected_revision=0)
 
     def _check_era(self) -> None:
         """Notice that the store has come back from an older copy since the last answer."""
@@ -503,15 +503,16 @@
         for prefix in (self._records, self._table):
             if prefix is not None:
                 prefix.forget_revisions()
-        self._forget_own_record()
+        # The copy mostly has this node's record, at the revision of its last write.
+        self._schedule_write(self._revision)
         self._pacer.read_fast(self._clock.now_ms())
         for scope in self._watch_scopes:
             scope.cancel()
 
-    def _forget_own_record(self) -> None:
+    def _schedule_write(self, expected_revision: int) -> None:
         """Schedule a new write of this node's record under a new lease."""
         self._written_record = None
-        self._revision = 0
+        self._revision = expected_revision
         self._lease = None
         self._work_available.set()
 
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -46,6 +46,7 @@
     old_reads: int = 0
     watches: int = 0
     writes: int = 0
+    conflicts: int = 0
     era: int = 0
     calls: int = 0
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -151,6 +152,7 @@
             raise GooseberrydockError(LEASE_ENDED, Step.STORE)
         item = self.current(key)
         if expected_revision != (item.revision if item is not None else 0):
+            self.conflicts += 1
             raise GooseberrydockError(CONFIGURATION_CONFLICT, Step.STORE)
         self.writes += 1
         self.leases[lease_id].add(key)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -110,6 +110,17 @@
 
         run_store_fleet(scenario)
 
+    def test_record_that_the_copy_has_is_written_again_without_a_conflict(self) -> None:
+        async def scenario(fleet: StoreFleet) -> None:
+            store = fleet.store
+            await _let_revisions_rise(fleet, 60)
+            writes = store.writes
+            store.restore(age_s=5.0)
+            await trio.sleep(8.0)
+            self.assertEqual((40, 0), (store.writes - writes, store.conflicts))
+
+        run_store_fleet(scenario)
+
     def test_lower_revision_shows_the_restore_of_a_store_that_names_no_era(self) -> None:
         async def scenario(fleet: StoreFleet) -> None:
             await _let_revisions_rise(fleet, 60)
