--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -12,7 +12,6 @@
 once to a store that has recovered.
 """
 
-import math
 import random
 from collections.abc import Awaitable
 from typing import Final, Protocol, TypeVar
@@ -42,6 +41,7 @@
 from gooseberrydock.mesh.read_pacing import ReadPacer
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
 from gooseberrydock.mesh.watch_plan import WatchPlan
+from gooseberrydock.mesh.watched_prefix import WatchedPrefix
 from gooseberrydock.messages import RecordChange, RecordChanges
 
 _Answer = TypeVar("_Answer")
@@ -89,72 +89,6 @@
         """Record whether the store is available to this node."""
 
 
-@attrs.define(eq=False)
-class _WatchedPrefix:
-    """What a node has read of a key prefix; revisions are -1 before the first read.
-
-    ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
-    items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
-    forwarded to others. ``starts_with_latest`` is set if a start must not use an earlier state,
-    ``needs_latest`` if the next read must not either.
-    """
-
-    prefix: str
-    fast_ms: Millis
-    settled_ms: Millis
-    starts_with_latest: bool = False
-    read_revision: int = -1
-    revision: int = -1
-    forwarded_revision: int = -1
-    revisions: dict[str, int] = attrs.field(factory=dict)
-    must_read: bool = True
-    needs_latest: bool = False
-    is_watched: bool = False
-    has_gap: bool = False
-    polled_at: Millis = -math.inf
-    woken: trio.Event = attrs.field(factory=trio.Event)
-
-    @property
-    def has_items(self) -> bool:
-        """Return whether the node's last read found any item."""
-        return bool(self.revisions)
-
-    def add(self, changes: StoreChanges) -> None:
-        """Record the changes after the last read."""
-        for item in changes.items:
-            if item.value is None:
-                self.revisions.pop(item.key, None)
-            else:
-                self.revisions[item.key] = item.revision
-        self._advance(changes.revision)
-
-    def replace_all(self, changes: StoreChanges) -> tuple[StoreItem, ...]:
-        """Record a read of all items; return the changes since the last read."""
-        present = {item.key for item in changes.items}
-        removed = [
-            StoreItem(key, None, changes.revision) for key in self.revisions if key not in present
-        ]
-        changed = [item for item in changes.items if self.revisions.get(item.key) != item.revision]
-        self.revisions = {item.key: item.revision for item in changes.items}
-        self._advance(changes.revision)
-        self.must_read = False
-        self.needs_latest = False
-        self.has_gap = False
-        return (*changed, *removed)
-
-    def forget_revisions(self) -> None:
-        """Read all items anew: the store's revisions have begun again from an earlier one."""
-        self.read_revision = self.revision = self.forwarded_revision = -1
-        self.revisions.clear()
-        self.must_read = True
-        self.needs_latest = True
-        self.woken.set()
-
-    def _advance(self, revision: int) -> None:
-        self.read_revision = max(self.read_revision, revision)
-        self.revision = max(self.revision, revision)
-
-
 @attrs.define(eq=False)
 class StoreSync:
     """Watch the store and maintain the record of this node in it."""
@@ -167,7 +101,7 @@
     _lease_min_ms: Millis
     _pacer: ReadPacer
     _plan: WatchPlan
-    _records: "_WatchedPrefix" = attrs.field(init=False)
+    _records: WatchedPrefix = attrs.field(init=False)
     _is_available: bool = True
     _last_success_at: Millis = 0.0
     _record: Member | None = None
@@ -180,11 +114,11 @@
     _watch_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     _available_again: trio.Event = attrs.field(factory=trio.Event)
     _era: int | None = None
-    _table: "_WatchedPrefix | None" = None
+    _table: WatchedPrefix | None = None
 
     @_records.default
-    def _create_records(self) -> "_WatchedPrefix":
-        return _WatchedPrefix(self._node_prefix, _FAST_RECORDS_PAUSE_MS, _SETTLED_RECORDS_PAUSE_MS)
+    def _create_records(self) -> WatchedPrefix:
+        return WatchedPrefix(self._node_prefix, _FAST_RECORDS_PAUSE_MS, _SETTLED_RECORDS_PAUSE_MS)
 
     @property
     def store_calls(self) -> int:
@@ -198,7 +132,7 @@
 
     async def watch_table(self, key: str) -> None:
         """Pass the route table to the sink, at first and after each change."""
-        self._table = _WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
+        self._table = WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
         await self._follow(self._table)
 
     async def watch_records(self) -> None:
@@ -230,7 +164,7 @@
         records.revision = changes.upto
         self._apply(items, is_snapshot=False)
 
-    async def _follow(self, prefix: "_WatchedPrefix") -> None:
+    async def _follow(self, prefix: WatchedPrefix) -> None:
         """Pass all items of a prefix to the sink; a pause batches changes into one answer."""
         backoff = Backoff(self._random, RETRY_POLICY)
         while True:
@@ -265,7 +199,7 @@
             with trio.move_on_after(_MAX_RECOVERY_WAIT_MS / MS_PER_SECOND):
                 await self._available_again.wait()
 
-    async def _watch_step(self, prefix: "_WatchedPrefix") -> None:
+    async def _watch_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due, or wait for changes; forward changes of records."""
         if not prefix.is_watched:
             prefix.is_watched = True
@@ -289,7 +223,7 @@
             self._forward(prefix.forwarded_revision, changes.revision, items)
             prefix.forwarded_revision = changes.revision
 
-    async def _poll_step(self, prefix: "_WatchedPrefix") -> None:
+    async def _poll_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due."""
         prefix.is_watched = False
         now_ms = self._clock.now_ms()
@@ -313,7 +247,7 @@
             prefix.replace_all(changes)
             self._apply_all(prefix, changes)
 
-    async def _wait_for_poll(self, prefix: "_WatchedPrefix") -> None:
+    async def _wait_for_poll(self, prefix: WatchedPrefix) -> None:
         """Wait until a poll may be due, or until the changes forwarded to this node have a gap."""
         now_ms = self._clock.now_ms()
         interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
@@ -323,7 +257,7 @@
             await prefix.woken.wait()
         prefix.woken = trio.Event()
 
-    def _apply_all(self, prefix: "_WatchedPrefix", changes: StoreChanges) -> None:
+    def _apply_all(self, prefix: WatchedPrefix, changes: StoreChanges) -> None:
         """Apply a read of all items; only one of the records says which records are gone."""
         is_of_records = prefix is self._records
         self._apply(changes.items, is_snapshot=is_of_records)
@@ -492,7 +426,7 @@
         if known_era is not None:
             self._on_restored()
 
-    def _check_revision(self, prefix: "_WatchedPrefix", changes: StoreChanges) -> None:
+    def _check_revision(self, prefix: WatchedPrefix, changes: StoreChanges) -> None:
         """Notice the same by a latest revision that is lower than before, if no era is named."""
         if changes.revision < prefix.read_revision:
             self._on_restored()
