--- a/tests/soak.py
+++ b/tests/soak.py
@@ -469,7 +469,6 @@
     seconds: float
     nodes: int = _DEFAULT_NODES
     fault: str = ""
-    has_statements: bool = True
 
     @property
     def program(self) -> tuple[str, ...]:
@@ -500,8 +499,7 @@
                 nursery.start_soon(soak.send_pipelines, until)
                 nursery.start_soon(soak.inject_faults, until)
                 nursery.start_soon(soak.probe_configurations, until)
-                if options.has_statements:
-                    nursery.start_soon(soak.inject_statements, until)
+                nursery.start_soon(soak.inject_statements, until)
             await soak.check_recovery()
             await soak.check_store()
             soak.check_runs()
