Log when a node begins or ends to watch a key prefix

The log told when a configuration came into force and from where, but not which nodes were watching the store at that time, so that dark watchers, starting nodes and silent watches looked alike. Event 1405 names prefix and role at each change. No decision changes.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -156,6 +156,9 @@
 STORE_RESTORED: Final = _register(
     1404, "store-restored", _WARNING, "The key-value service came back from an older copy"
 )
+WATCH_ROLE_CHANGED: Final = _register(
+    1405, "watch-role-changed", _INFO, "The node began or ended to watch a key prefix for others"
+)
 REQUEST_REFUSED: Final = _register(
     1500,
     "request-refused",
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -35,6 +35,7 @@
     STORE_HISTORY_LOST,
     STORE_LOST,
     STORE_RESTORED,
+    WATCH_ROLE_CHANGED,
 )
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, encode_member
@@ -202,7 +203,7 @@
     async def _watch_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due, or wait for changes; forward changes of records."""
         if not prefix.is_watched:
-            prefix.is_watched = True
+            self._set_watched(prefix, is_watched=True)
             prefix.forwarded_revision = prefix.read_revision
         if prefix.must_read:
             changes = await self._await_changes(self._store.read_prefix(prefix.prefix))
@@ -223,9 +224,14 @@
             self._forward(prefix.forwarded_revision, changes.revision, items)
             prefix.forwarded_revision = changes.revision
 
+    def _set_watched(self, prefix: WatchedPrefix, is_watched: bool) -> None:
+        prefix.is_watched = is_watched
+        log(WATCH_ROLE_CHANGED, prefix=prefix.prefix, watches=is_watched)
+
     async def _poll_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due."""
-        prefix.is_watched = False
+        if prefix.is_watched:
+            self._set_watched(prefix, is_watched=False)
         now_ms = self._clock.now_ms()
         interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
         is_due = now_ms - prefix.polled_at >= interval_ms
