Reproduce changes of the configuration that are late: starts, dark watchers, silent watches

A fleet of 30 nodes in three failure domains, with the real view of the fleet, directory and store synchronization, one store in memory and simulated links, on a virtual clock.

--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -49,6 +49,9 @@
     conflicts: int = 0
     era: int = 0
     calls: int = 0
+    old_read_age_s: float = OLD_READ_AGE_S
+    loses_watches: bool = False
+    """Whether watches, also those that wait already, are never answered."""
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     @property
@@ -105,7 +108,7 @@
             self.old_reads += 1
         else:
             self.reads += 1
-        until = trio.current_time() - (OLD_READ_AGE_S if may_be_old else 0.0)
+        until = trio.current_time() - (self.old_read_age_s if may_be_old else 0.0)
         state: dict[str, StoreItem] = {}
         revision = 1
         for changed_at, item in self.history:
@@ -127,7 +130,7 @@
                     for _, item in self.history
                     if item.revision > after and item.key.startswith(prefix)
                 ]
-                if items:
+                if items and not self.loses_watches:
                     return StoreChanges(tuple(items), self.revision)
                 await self.changed.wait()
                 if self.is_down:
