Read the route table again when no node has confirmed it lately

Cause: a change reached a node only if some node heard of it from a watch. Three nodes of each failure domain watch, chosen among records that outlive their nodes by 9 s and more; in its first 4 s no node watches, and polls with reads that may be seconds old; a watch on a connection that lost its answer waits 25 s. In each case nobody notices that nobody knows. Class of fault: a role that a few hold for many, whose loss is noticed by a lease or not at all.

Change: each node tracks the time up to which its table is known to be the newest, i.e. when the latest exact read that confirmed it was sent, by itself or another node. Nodes report that read and its age with the version that they exchange on links anyway (TableStatus); an age grows by the time that a report was held up on its link, and a report counts once. Older than 0.9 s, the node that read last reads again; if it falls silent, others do after random delays of up to 0.5 s, few of them in a fleet of any size. A node that reaches no other reads for itself. Polls of the table by the nodes that don't watch are gone; watches stay, as they bring a change at once. A table learned from another node is passed on in fleets of more than 128 nodes.

Ruled out as the cause: the store (it answered all the time, no event 1400) and links (a version known to one node was on all others 70 ms later).

Tests changed, not loosened: stand-ins in tests of watches report reads of other nodes, so that their read counts stay those of watches.

--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -1,5 +1,6 @@
 """The controllers of a node, created and connected in one place."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -19,6 +20,7 @@
 from gooseberrydock.mesh.retry_budget import RetryBudget, create_retry_budget
 from gooseberrydock.mesh.share_notices import ShareNotices, create_share_notices
 from gooseberrydock.mesh.shares import AdmittedShares, create_admitted_shares
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.mesh.target_registration import (
     TargetRegistration,
     create_target_registration,
@@ -52,6 +54,7 @@
     call_graph: CallGraph
     crash_watch: CrashWatch
     share_notices: ShareNotices
+    table_freshness: TableFreshness
     entry: Entry = attrs.field(init=False)
 
     def propagate_downstream_capacities(self, now_ms: Millis) -> None:
@@ -92,11 +95,12 @@
 ) -> NodeControllers:
     """Create the controllers of a node."""
     nested_routes = NestedRoutes()
+    directory = create_directory(options.node_id)
     return NodeControllers(
         keys=keys,
         decode_table=decode_table,
         registration=create_target_registration(options.target_address, options.drain_ms),
-        directory=create_directory(options.node_id),
+        directory=directory,
         admission_queue=create_admission_queue(nested_routes),
         budget=create_retry_budget(options.retry_budget, seed),
         shares=create_admitted_shares(seed),
@@ -104,4 +108,5 @@
         call_graph=create_call_graph(),
         crash_watch=create_crash_watch(),
         share_notices=create_share_notices(seed),
+        table_freshness=TableFreshness(random.Random(seed), lambda: directory.node_count),
     )
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -2,7 +2,8 @@
 
 Both arrive from the store and from links to other nodes; the first copy of a newer version takes
 effect. A node writes its own record to the store and sends it on its links. A node that requests
-the route table and has an older version receives the newer one.
+the route table and has an older version receives the newer one. Nodes also report the latest read
+of the table on their links, so that a node reads it only if no other node has done so lately.
 """
 
 import math
@@ -28,12 +29,13 @@
 from gooseberrydock.mesh.model import EMPTY_TABLE, RouteTable
 from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.messages import (
     ConfigurationPush,
-    ConfigurationRequest,
     LoadNotice,
     MemberSync,
     RecordChanges,
+    TableStatus,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 
@@ -56,6 +58,10 @@
 """Missing links opened per round."""
 _MAX_DOMAIN_RECIPIENTS: Final = 64
 """Nodes of the failure domain to which a node sends its load at a time."""
+_MAX_STATUS_RECIPIENTS: Final = 128
+"""Nodes to which a node reports its read of the route table; in a larger fleet they pass it on."""
+_STATUS_FANOUT: Final = 4
+"""Nodes to which each of them passes it on."""
 _TABLE_REQUEST_MS: Final[Millis] = 300.0
 """Time to wait for a requested table before it is requested from another node."""
 _MAX_SILENT_ROUNDS: Final = 4
@@ -85,6 +91,7 @@
     _links: PeerLinks
     _keys: StoreKeys
     _decode_table: TableDecoder
+    _freshness: TableFreshness
     _sync: StoreSync | None = None
     _table: RouteTable = EMPTY_TABLE
     _table_payload: bytes = b""
@@ -167,7 +174,7 @@
             others = random.sample(others, _MAX_SENT_RECORDS)
         records = [encode_member(member) for member in (self._record, *others)]
         link.send(MemberSync(tuple(records), ()))
-        link.send(ConfigurationRequest(self._table.version))
+        link.send(self._table_status())
 
     def on_member_sync(self, message: MemberSync, link: PeerLink) -> None:
         """Apply records; those of third nodes expire soon unless stored or renewed by messages."""
@@ -179,12 +186,42 @@
         if self._sync is not None:
             self._sync.on_forwarded_changes(changes)
 
-    def on_configuration_request(self, request: ConfigurationRequest, link: PeerLink) -> None:
-        """Send the route table if it is newer than the other node's, request it if it is older."""
-        if self._table.version > request.generation:
+    def on_table_status(self, status: TableStatus, link: PeerLink) -> None:
+        """Send the route table if it is newer than the other node's, request it if it is older.
+
+        The other node's latest read also confirms a table that is not older.
+        """
+        read_age_ms = status.read_age_ms + link.excess_delay_ms(status.sent_at)
+        if self._table.version < status.version:
+            self._request_table(status.version, link)
+            return
+        if self._freshness.on_report(self._clock.now_ms(), status.read_id, read_age_ms):
+            self._pass_status_on()
+        if self._table.version > status.version:
             link.send(ConfigurationPush(self._table.version, self._table_payload))
-        elif self._table.version < request.generation:
-            self._request_table(request.generation, link)
+
+    def report_table_read(self) -> None:
+        """Report a read of the route table to other nodes."""
+        self._send_status(_MAX_STATUS_RECIPIENTS)
+
+    def _pass_status_on(self) -> None:
+        """Report a change or a read to a few nodes if the first one could not reach all."""
+        if self._directory.node_count > _MAX_STATUS_RECIPIENTS:
+            self._send_status(_STATUS_FANOUT)
+
+    def _send_status(self, max_recipients: int) -> None:
+        links = self._links.open_links
+        if len(links) > max_recipients:
+            links = random.sample(links, max_recipients)
+        status = self._table_status()
+        for link in links:
+            link.send(status)
+
+    def _table_status(self) -> TableStatus:
+        """Return what this node reports about its route table now."""
+        now_ms, read_id = self._clock.now_ms(), self._freshness.read_id
+        age_ms = self._freshness.age_ms(now_ms) if read_id else 0.0
+        return TableStatus(self._table.version, now_ms, read_id, age_ms)
 
     def _request_table(self, version: int, link: PeerLink) -> None:
         """Request a newer table, not from every node that offers it at the same time."""
@@ -192,7 +229,7 @@
         if version > self._requested_version or now_ms >= self._requested_at + _TABLE_REQUEST_MS:
             self._requested_version = version
             self._requested_at = now_ms
-            link.send(ConfigurationRequest(self._table.version))
+            link.send(self._table_status())
 
     def on_configuration_push(self, push: ConfigurationPush) -> None:
         """Apply a route table from another node if it is newer."""
@@ -226,7 +263,7 @@
             _MAX_EAGER_LINKS if self._is_in_other_domain(member) else _MAX_EAGER_DOMAIN_LINKS
         )
         if member.state is not MemberState.DEAD and self._links.linked_node_count < max_links:
-            self._links.send(member.node_id, ConfigurationRequest(self._table.version))
+            self._links.send(member.node_id, self._table_status())
 
     # The store.
 
@@ -300,6 +337,8 @@
 
     def _apply_table(self, payload: bytes, source: str) -> None:
         """Decode and apply a route table if it is newer than the current one."""
+        if payload == self._table_payload:
+            return
         try:
             table = self._decode_table(payload)
         except GooseberrydockError as error:
@@ -313,7 +352,9 @@
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
         if source == _STORE:
             # Most nodes only poll the store; those that have an older table request this one.
-            self._links.broadcast(ConfigurationRequest(table.version))
+            self._links.broadcast(self._table_status())
+        else:
+            self._pass_status_on()
         if table.unknown_kinds:
             log(CONFIGURATION_NOT_UNDERSTOOD, kinds=sorted(table.unknown_kinds))
 
@@ -344,7 +385,7 @@
         cycle_rounds = max(1, math.ceil(len(links) / _LINKS_PER_ROUND))
         self._round += 1
         for link in links[self._round % cycle_rounds :: cycle_rounds]:
-            link.send(ConfigurationRequest(self._table.version))
+            link.send(self._table_status())
         self._links.close_silent_links(_MAX_SILENT_ROUNDS * cycle_rounds)
         if len(links) < _MAX_EAGER_LINKS:
             self._open_missing_links()
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -35,7 +35,6 @@
 from gooseberrydock.messages import (
     Cancel,
     ConfigurationPush,
-    ConfigurationRequest,
     CrashNotice,
     LoadNotice,
     MemberSync,
@@ -43,6 +42,7 @@
     RoutedAnswer,
     RoutedCall,
     ShareNotice,
+    TableStatus,
     TargetNotice,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
@@ -97,6 +97,7 @@
             links=self._links,
             keys=self._controllers.keys,
             decode_table=self._controllers.decode_table,
+            freshness=self._controllers.table_freshness,
         )
 
     @property
@@ -443,8 +444,8 @@
 
 
 @handle_message.register
-def _(message: ConfigurationRequest, node: MeshNode, link: PeerLink) -> None:
-    node.fleet.on_configuration_request(message, link)
+def _(message: TableStatus, node: MeshNode, link: PeerLink) -> None:
+    node.fleet.on_table_status(message, link)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -154,6 +154,7 @@
             lease_min_ms=self._options.lease_min_ms,
             pacer=pacer,
             plan=plan,
+            freshness=node.controllers.table_freshness,
         )
 
     def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -1,8 +1,9 @@
 """The tasks that synchronize a node with the store: reads of changes, and writes of its record.
 
-A node watches the store or polls it, as ``watch_plan`` decides. A node that watches the records
-forwards their changes to the nodes of its failure domain, each time with the revisions between
-which these are all changes. A node that misses some of them notices the gap and reads all records.
+A node watches the store or polls the records, as ``watch_plan`` decides. Whether it watches or not,
+it reads the route table when ``table_freshness`` says so. A node that watches the records forwards
+their changes to the nodes of its failure domain, each time with the revisions between which these
+are all changes. A node that misses some of them notices the gap and reads all records.
 
 Revisions and lease numbers are forgotten when the store comes back from an older copy, which gives
 them out again. A call during which that happens counts as failed, whatever its answer.
@@ -41,6 +42,7 @@
 from gooseberrydock.members import Member, encode_member
 from gooseberrydock.mesh.read_pacing import ReadPacer
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.mesh.watched_prefix import WatchedPrefix
 from gooseberrydock.messages import RecordChange, RecordChanges
@@ -86,6 +88,9 @@
     def forward_record_changes(self, changes: RecordChanges) -> None:
         """Send changes of records to the nodes of the failure domain, most of which only poll."""
 
+    def report_table_read(self) -> None:
+        """Report to other nodes that the route table was read."""
+
     def on_store_availability(self, is_available: bool) -> None:
         """Record whether the store is available to this node."""
 
@@ -102,6 +107,7 @@
     _lease_min_ms: Millis
     _pacer: ReadPacer
     _plan: WatchPlan
+    _freshness: TableFreshness
     _records: WatchedPrefix = attrs.field(init=False)
     _is_available: bool = True
     _last_success_at: Millis = 0.0
@@ -133,8 +139,10 @@
 
     async def watch_table(self, key: str) -> None:
         """Pass the route table to the sink, at first and after each change."""
-        self._table = WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, starts_with_latest=True)
-        await self._follow(self._table)
+        table = self._table = WatchedPrefix(key, fast_ms=0.0, settled_ms=0.0, is_polled=False)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._refresh_table, table)
+            await self._follow(table)
 
     async def watch_records(self) -> None:
         """Pass the node records to the sink, at first and after changes."""
@@ -178,10 +186,15 @@
                     )
                     if pause_ms:
                         await trio.sleep(pause_ms / MS_PER_SECOND)
-                else:
+                elif prefix.is_polled:
                     await self._poll_step(prefix)
                     backoff.reset()
                     await self._wait_for_poll(prefix)
+                else:
+                    self._set_watched(prefix, is_watched=False)
+                    await trio.sleep(
+                        self._plan.check_interval_ms(self._clock.now_ms()) / MS_PER_SECOND
+                    )
             except GooseberrydockError as error:
                 # Read all items again: a new watch might miss changes from before the failure.
                 prefix.must_read = True
@@ -190,6 +203,33 @@
                 self._note_failure(error)
                 await self._wait_to_retry(backoff)
 
+    async def _refresh_table(self, table: WatchedPrefix) -> None:
+        """Read the route table whenever the latest confirmation of it is too old."""
+        backoff = Backoff(self._random, RETRY_POLICY)
+        while True:
+            wait_ms = self._freshness.read_at - self._clock.now_ms()
+            if wait_ms > 0:
+                await trio.sleep(wait_ms / MS_PER_SECOND)
+                continue
+            try:
+                await self._read_table(table)
+                backoff.reset()
+            except GooseberrydockError as error:
+                self._note_failure(error)
+                was_unavailable = not self._is_available
+                await self._wait_to_retry(backoff)
+                if was_unavailable:
+                    self._freshness.defer(self._clock.now_ms())
+
+    async def _read_table(self, table: WatchedPrefix) -> None:
+        sent_at = self._clock.now_ms()
+        changes = await self._await_changes(self._store.read_prefix(table.prefix))
+        self._check_revision(table, changes)
+        table.replace_all(changes)
+        self._apply(changes.items, is_snapshot=False)
+        self._freshness.on_read(sent_at)
+        self._sink.report_table_read()
+
     async def _wait_to_retry(self, backoff: Backoff) -> None:
         """Wait after a failure, and longer while the lease renewal retries an unavailable store.
 
@@ -202,8 +242,7 @@
 
     async def _watch_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due, or wait for changes; forward changes of records."""
-        if not prefix.is_watched:
-            self._set_watched(prefix, is_watched=True)
+        if self._set_watched(prefix, is_watched=True):
             prefix.forwarded_revision = prefix.read_revision
         if prefix.must_read:
             changes = await self._await_changes(self._store.read_prefix(prefix.prefix))
@@ -224,24 +263,23 @@
             self._forward(prefix.forwarded_revision, changes.revision, items)
             prefix.forwarded_revision = changes.revision
 
-    def _set_watched(self, prefix: WatchedPrefix, is_watched: bool) -> None:
+    def _set_watched(self, prefix: WatchedPrefix, is_watched: bool) -> bool:
+        """Record whether this node watches a prefix; return whether that changed."""
+        if prefix.is_watched == is_watched:
+            return False
         prefix.is_watched = is_watched
         log(WATCH_ROLE_CHANGED, prefix=prefix.prefix, watches=is_watched)
+        return True
 
     async def _poll_step(self, prefix: WatchedPrefix) -> None:
         """Read all items if that is due."""
-        if prefix.is_watched:
-            self._set_watched(prefix, is_watched=False)
+        self._set_watched(prefix, is_watched=False)
         now_ms = self._clock.now_ms()
         interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
         is_due = now_ms - prefix.polled_at >= interval_ms
         if not (is_due or prefix.must_read or prefix.has_gap):
             return
-        may_be_old = not (
-            prefix.has_gap
-            or prefix.needs_latest
-            or (prefix.starts_with_latest and prefix.read_revision < 0)
-        )
+        may_be_old = not (prefix.has_gap or prefix.needs_latest)
         if prefix.has_gap:
             # All nodes of the failure domain may have the gap.
             await trio.sleep(self._random.uniform(0.0, _GAP_READ_JITTER_MS) / MS_PER_SECOND)
--- a/gooseberrydock/mesh/watch_plan.py
+++ b/gooseberrydock/mesh/watch_plan.py
@@ -1,10 +1,10 @@
 """Division of the watches on the store among the nodes of a fleet.
 
 If every node watched the store, each change would be read by the whole fleet. Instead, a few nodes
-of each failure domain watch it and forward the changes on links; the others poll now and then, for
-changes that did not reach them. A starting node does not know the others yet, so that it polls
-until it does. Polls may be answered with an older state, which the store serves at a lower cost.
-Performs no I/O.
+of each failure domain watch it and forward the changes on links; the others poll the records now
+and then, for changes that did not reach them. A starting node does not know the others yet, so that
+it polls until it does. Polls may be answered with an older state, which the store serves at a lower
+cost. Performs no I/O.
 """
 
 from collections.abc import Callable, Iterable
--- a/gooseberrydock/mesh/watched_prefix.py
+++ b/gooseberrydock/mesh/watched_prefix.py
@@ -15,14 +15,14 @@
 
     ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
     items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
-    forwarded to others. ``starts_with_latest`` is set if a start must not use an earlier state,
-    ``needs_latest`` if the next read must not either.
+    forwarded to others. ``is_polled`` is set if a node that does not watch polls, ``needs_latest``
+    if the next read must not use an earlier state.
     """
 
     prefix: str
     fast_ms: Millis
     settled_ms: Millis
-    starts_with_latest: bool = False
+    is_polled: bool = True
     read_revision: int = -1
     revision: int = -1
     forwarded_revision: int = -1
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -306,6 +306,20 @@
     rate_used: float = 0.0
 
 
+@attrs.frozen
+class TableStatus:
+    """Version of the route table at a node, and the latest read that confirmed it there.
+
+    The receiver sends its table if it is newer and requests the other one if it is older.
+    ``sent_at`` is the time by the sender's clock. ``read_id`` is 0 if no read is known.
+    """
+
+    version: int
+    sent_at: Millis
+    read_id: int
+    read_age_ms: Millis
+
+
 @attrs.frozen
 class RecordChange:
     """Change of a node's record in the store; the value is empty if the record was removed."""
@@ -345,4 +359,5 @@
     | RecordChanges
     | TargetNotice
     | LoadNotice
+    | TableStatus
 )
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -9,6 +9,7 @@
 import hashlib
 import hmac
 import itertools
+import math
 import os
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -82,6 +83,7 @@
     _silent_rounds: int = 0
     _is_retired: bool = False
     _opened_at: Millis = 0.0
+    _min_clock_difference_ms: Millis = math.inf
 
     @property
     def link_id(self) -> str:
@@ -179,6 +181,15 @@
             return False
         return now_ms - self._probe_sent_at >= _SILENCE_TIMEOUT_MS - _PROBE_AFTER_MS
 
+    def excess_delay_ms(self, sent_at: Millis) -> Millis:
+        """Return how much longer a message took than the fastest one on this link.
+
+        ``sent_at`` is by the peer's clock, whose difference to this node's is not known.
+        """
+        difference_ms = self._links.clock.now_ms() - sent_at
+        self._min_clock_difference_ms = min(self._min_clock_difference_ms, difference_ms)
+        return difference_ms - self._min_clock_difference_ms
+
     def count_silent_round(self) -> int:
         """Count one more round without bytes from the peer; return how many came in succession."""
         self._silent_rounds += 1
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -38,6 +38,7 @@
 TAG_RECORD_CHANGES: Final = 17
 TAG_LOAD_NOTICE: Final = 18
 TAG_TARGET_NOTICE: Final = 19
+TAG_TABLE_STATUS: Final = 20
 
 
 _MAX_STATUS: Final = 599
@@ -148,6 +149,17 @@
     return [TAG_CONFIGURATION_REQUEST, message.generation]
 
 
+@_to_array.register
+def _table_status_to_array(message: messages.TableStatus) -> list[Any]:
+    return [
+        TAG_TABLE_STATUS,
+        message.version,
+        message.sent_at,
+        message.read_id,
+        message.read_age_ms,
+    ]
+
+
 @_to_array.register
 def _configuration_push_to_array(message: messages.ConfigurationPush) -> list[Any]:
     return [TAG_CONFIGURATION_PUSH, message.generation, message.payload]
@@ -392,6 +404,12 @@
     return messages.ConfigurationRequest(array[1])
 
 
+def _to_table_status(array: list[Any]) -> messages.TableStatus:
+    _check_field_types(array, (int, float, int, float))
+    _check_finite_not_negative(*array[1:])
+    return messages.TableStatus(*array[1:])
+
+
 def _to_configuration_push(array: list[Any]) -> messages.ConfigurationPush:
     _check_field_types(array, (int, bytes))
     return messages.ConfigurationPush(*array[1:])
@@ -545,4 +563,5 @@
     TAG_RECORD_CHANGES: _to_record_changes,
     TAG_LOAD_NOTICE: _to_load_notice,
     TAG_TARGET_NOTICE: _to_target_notice,
+    TAG_TABLE_STATUS: _to_table_status,
 }
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -19,6 +19,7 @@
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.messages import RecordChanges
 from tests.mesh_helpers import make_member
@@ -197,6 +198,7 @@
     fleet: "StoreFleet"
     values: dict[str, bytes] = attrs.field(factory=dict)
     sync: StoreSync = attrs.field(init=False)
+    freshness: TableFreshness = attrs.field(init=False)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     hears_others: bool = True
 
@@ -220,6 +222,16 @@
             if node is not self and is_near and node.hears_others:
                 node.sync.on_forwarded_changes(changes)
 
+    def report_table_read(self) -> None:
+        """Pass the table on to the other nodes, which need not read it then."""
+        now_ms = CLOCK.now_ms()
+        read_id, age_ms = self.freshness.read_id, self.freshness.age_ms(now_ms)
+        for node in self.fleet.live:
+            if node is not self and node.hears_others:
+                is_later = node.freshness.on_report(now_ms, read_id, age_ms)
+                if is_later and "table" in self.values:
+                    node.values["table"] = self.values["table"]
+
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
 
@@ -251,11 +263,13 @@
     def add(self, member: Member, store: object | None = None) -> StoreNode:
         """Add a node that starts now."""
         node = StoreNode(member, self)
+        generator = random.Random(member.node_id)
+        node.freshness = TableFreshness(generator, lambda: len(self.nodes))
         node.sync = StoreSync(
             store=store or self.store,  # type: ignore[arg-type]
             sink=node,
             clock=CLOCK,
-            random=random.Random(member.node_id),
+            random=generator,
             node_prefix=PREFIX,
             lease_min_ms=1_000.0,
             pacer=create_read_pacer(16_000.0, lambda: len(self.nodes), CLOCK.now_ms()),
@@ -265,6 +279,7 @@
                 node_count=lambda: len(self.nodes),
                 started_at=CLOCK.now_ms(),
             ),
+            freshness=node.freshness,
         )
         self.nodes.append(node)
         return node
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -1,5 +1,6 @@
 """Fleet views with their store synchronization on one store and simulated links."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from functools import singledispatchmethod
@@ -18,13 +19,14 @@
 from gooseberrydock.mesh.model import RouteTable
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.messages import (
     ConfigurationPush,
-    ConfigurationRequest,
     MemberSync,
     PeerMessage,
     RecordChanges,
+    TableStatus,
 )
 from tests.mesh_helpers import make_member, make_table
 from tests.store_fleet import CLOCK, PREFIX, SharedStore
@@ -57,6 +59,7 @@
     unsent: list[PeerMessage] = attrs.field(factory=list)
     other_end: "SimulatedLink | None" = None
     silent_rounds: int = 0
+    min_difference_ms: float = math.inf
 
     @property
     def node_id(self) -> str:
@@ -70,6 +73,12 @@
             return
         self.own.fleet.nursery.start_soon(self._deliver, wire.encode(message))
 
+    def excess_delay_ms(self, sent_at: float) -> float:
+        """Return how much longer a message took than the fastest one on this link."""
+        difference_ms = CLOCK.now_ms() - sent_at
+        self.min_difference_ms = min(self.min_difference_ms, difference_ms)
+        return difference_ms - self.min_difference_ms
+
     async def _deliver(self, data: bytes) -> None:
         await trio.sleep(self.own.fleet.link_delay_s(self.own, self.peer))
         if self.own.is_on and self.peer.is_on and self.other_end in self.peer.links.open_links:
@@ -159,6 +168,7 @@
 
     member: Member
     fleet: "TableFleet"
+    freshness: TableFreshness
     links: SimulatedLinks = attrs.field(init=False)
     view: FleetView = attrs.field(init=False)
     sync: StoreSync = attrs.field(init=False)
@@ -202,8 +212,8 @@
         self.view.on_record_changes(message)
 
     @_dispatch.register
-    def _(self, message: ConfigurationRequest, link: SimulatedLink) -> None:
-        self.view.on_configuration_request(message, link)  # type: ignore[arg-type]
+    def _(self, message: TableStatus, link: SimulatedLink) -> None:
+        self.view.on_table_status(message, link)  # type: ignore[arg-type]
 
     @_dispatch.register
     def _(self, message: ConfigurationPush, link: SimulatedLink) -> None:
@@ -260,8 +270,10 @@
             incarnation=earlier.member.incarnation + 1 if earlier is not None else 1,
             peer_address=Address("10.0.0.1", len(self.nodes) + 1),
         )
-        node = TableNode(member, self)
         directory = create_directory(node_id)
+        generator = random.Random(f"{node_id}-{member.incarnation}")
+        freshness = TableFreshness(generator, lambda: directory.node_count)
+        node = TableNode(member, self, freshness)
         node.links = SimulatedLinks(node)
         node.view = FleetView(
             owner=node,
@@ -271,6 +283,7 @@
             links=node.links,  # type: ignore[arg-type]
             keys=StoreKeys(table=TABLE_KEY, nodes=PREFIX),
             decode_table=_decode_table,
+            freshness=freshness,
         )
         node.plan = WatchPlan(
             own_record=lambda: node.view.record,
@@ -282,11 +295,12 @@
             store=store or self.store,  # type: ignore[arg-type]
             sink=node.view,
             clock=CLOCK,
-            random=random.Random(f"{node_id}-{member.incarnation}"),
+            random=generator,
             node_prefix=PREFIX,
             lease_min_ms=1_000.0,
             pacer=create_read_pacer(16_000.0, lambda: directory.node_count, CLOCK.now_ms()),
             plan=node.plan,
+            freshness=freshness,
         )
         node.view.attach_store(node.sync)
         self.nodes[node_id] = node
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
-from itertools import pairwise
+from itertools import count, pairwise
 
 import attrs
 import trio
@@ -16,6 +16,7 @@
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
+from gooseberrydock.mesh.table_freshness import TableFreshness
 from gooseberrydock.mesh.watch_plan import WatchPlan
 from gooseberrydock.messages import RecordChanges
 from tests.mesh_helpers import make_member
@@ -83,6 +84,9 @@
     def forward_record_changes(self, changes: RecordChanges) -> None:
         """Ignore changes for other nodes."""
 
+    def report_table_read(self) -> None:
+        """Ignore the read."""
+
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
 
@@ -92,7 +96,14 @@
     return WatchPlan(lambda: make_member("n1"), lambda: others, lambda: len(others) + 1, started_at)
 
 
-def _make_sync(store: _ChangingStore) -> StoreSync:
+async def _report_reads(freshness: TableFreshness) -> None:
+    """Report reads of the table by another node, so that this node need not read it."""
+    for read_id in count(1):
+        freshness.on_report(_CLOCK.now_ms(), read_id, 0.0)
+        await trio.sleep(0.3)
+
+
+def _make_sync(store: _ChangingStore, freshness: TableFreshness) -> StoreSync:
     return StoreSync(
         store=store,
         sink=_IgnoringSink(),
@@ -102,20 +113,28 @@
         lease_min_ms=1_000.0,
         pacer=create_read_pacer(2_000.0, lambda: 12, _CLOCK.now_ms()),
         plan=_make_plan(others=()),
+        freshness=freshness,
     )
 
 
 def _run_tasks(
-    store: _ChangingStore, seconds: float, *tasks: Callable[[StoreSync], Awaitable[None]]
+    store: _ChangingStore,
+    seconds: float,
+    *tasks: Callable[[StoreSync], Awaitable[None]],
+    others_read: bool = True,
 ) -> None:
     """Run tasks of the store synchronization on a virtual clock."""
 
     async def main() -> None:
         store.started_at_s = trio.current_time()
-        sync = _make_sync(store)
+        freshness = TableFreshness(random.Random(1), _always(1))
+        sync = _make_sync(store, freshness)
         sync.set_record(make_member("n1"))
         with trio.move_on_after(seconds):
             async with trio.open_nursery() as nursery:
+                if others_read:
+                    nursery.start_soon(_report_reads, freshness)
+                    await trio.sleep(0)
                 for task in tasks:
                     nursery.start_soon(task, sync)
 
--- a/tests/test_table_spread.py
+++ b/tests/test_table_spread.py
@@ -4,10 +4,12 @@
 
 import trio
 
+from tests.store_fleet import CLOCK
 from tests.table_fleet import TableFleet, run_table_fleet
 
 _IN_FORCE_S = 2.0
 """Time within which a change of the route table is to be in force."""
+_DOMAINS = ("d0", "d1", "d2")
 
 
 class TableSpreadCases(unittest.TestCase):
@@ -56,3 +58,37 @@
                 await self._change_and_check(fleet, version)
 
         run_table_fleet(scenario)
+
+    def test_late_reports_from_other_failure_domains_do_not_make_a_change_late(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            fleet.store.loses_watches = True
+            reader = min(fleet.on, key=lambda node: node.freshness.read_at)
+            late = next(domain for domain in _DOMAINS if domain != reader.member.failure_domain)
+            for domain in _DOMAINS:
+                fleet.late_domains[domain, late] = 0.0 if domain == late else 4.0
+            await trio.sleep(6.0)
+            for version in range(2, 6):
+                await self._change_and_check(fleet, version)
+
+        run_table_fleet(scenario)
+
+    def test_fresh_tables_cost_a_fleet_few_reads(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            before = fleet.store.reads
+            await trio.sleep(20.0)
+            self.assertLessEqual(fleet.store.reads - before, 2 * 20)
+
+        run_table_fleet(scenario)
+
+    def test_report_that_was_held_up_on_its_link_confirms_only_what_was_read_then(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            reporting, receiving = fleet.on
+            fleet.store.set_down(True)
+            fleet.late_domains["d0", "d0"] = 1.5
+            reporting.freshness.on_read(CLOCK.now_ms())
+            reporting.view.report_table_read()
+            await trio.sleep(1.6)
+            self.assertEqual(reporting.freshness.read_id, receiving.freshness.read_id)
+            self.assertAlmostEqual(1_600.0, receiving.freshness.age_ms(CLOCK.now_ms()), delta=10.0)
+
+        run_table_fleet(scenario, nodes=2, domains=1)
