Repeat a table read on a new connection when the open ones may be silent

What callers would see: open connections to the store go silent at all nodes, a version is acknowledged just after, and no node has it for more than 2 s: the read that is due after 0.9 s waits 1.5 s for its answer, and the next one may take another silent connection from the pool.

Cause: a call that got no answer ended only its own connection, and nothing ended the waits of watches on the others.

Change: a read of the table that has no answer after 0.5 s is sent once more; a call without an answer closes the idle connections of the pool too, and such a read sends waiting watches again. Event 1406 names it.

Evidence: test_change_is_in_force_in_time_though_all_connections_have_gone_silent (30 nodes, no node had the change after 2 s) and test_call_after_one_on_a_silent_connection_does_not_use_another_silent_one (real sockets) failed before.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -159,6 +159,12 @@
 WATCH_ROLE_CHANGED: Final = _register(
     1405, "watch-role-changed", _INFO, "The node began or ended to watch a key prefix for others"
 )
+STORE_SILENT: Final = _register(
+    1406,
+    "store-silent",
+    _INFO,
+    "A read of the key-value service was not answered in time and is repeated on a new connection",
+)
 REQUEST_REFUSED: Final = _register(
     1500,
     "request-refused",
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -36,6 +36,7 @@
     STORE_HISTORY_LOST,
     STORE_LOST,
     STORE_RESTORED,
+    STORE_SILENT,
     WATCH_ROLE_CHANGED,
 )
 from gooseberrydock.logs import log
@@ -60,6 +61,8 @@
 is missed."""
 _RENEWAL_FRACTION: Final = 0.3
 """Fraction of a lease's TTL after which it is renewed, so that two renewals may fail."""
+_SILENCE_TIMEOUT_MS: Final[Millis] = 500.0
+"""Time after which a read is repeated on a new connection, as open ones may have gone silent."""
 _LEASE_TTL_MS: Final[Millis] = 9_000.0
 """Lease TTL: time after the last renewal for which the record of a failed node remains."""
 _EARLIEST_RENEWAL_FRACTION: Final = 0.7
@@ -223,7 +226,14 @@
 
     async def _read_table(self, table: WatchedPrefix) -> None:
         sent_at = self._clock.now_ms()
-        changes = await self._await_changes(self._store.read_prefix(table.prefix))
+        changes: StoreChanges | None = None
+        with trio.move_on_after(_SILENCE_TIMEOUT_MS / MS_PER_SECOND):
+            changes = await self._await_changes(self._store.read_prefix(table.prefix))
+        if changes is None:
+            log(STORE_SILENT, calls=self._store.calls)
+            self._restart_watches()
+            sent_at = self._clock.now_ms()
+            changes = await self._await_changes(self._store.read_prefix(table.prefix))
         self._check_revision(table, changes)
         table.replace_all(changes)
         self._apply(changes.items, is_snapshot=False)
@@ -484,6 +494,10 @@
         # The copy mostly has this node's record, at the revision of its last write.
         self._schedule_write(self._revision)
         self._pacer.read_fast(self._clock.now_ms())
+        self._restart_watches()
+
+    def _restart_watches(self) -> None:
+        """Send waiting watches again, since they may never be answered."""
         for scope in self._watch_scopes:
             scope.cancel()
 
@@ -511,9 +525,7 @@
             self._is_available = True
             self._available_again.set()
             self._pacer.read_fast(now_ms)
-            for scope in self._watch_scopes:
-                # A watch from before the outage may never be answered.
-                scope.cancel()
+            self._restart_watches()
             log(STORE_BACK, away_ms=round(now_ms - self._last_success_at))
             self._sink.on_store_availability(is_available=True)
         self._last_success_at = now_ms
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -144,7 +144,13 @@
         """Send a request and return the decoded JSON of its response."""
         self._calls += 1
         timeout_s = (_CALL_TIMEOUT_MS + wait_ms) / MS_PER_SECOND
-        response = await fetch(self._pool, request, timeout_s)
+        response: HttpResponse | None = None
+        try:
+            response = await fetch(self._pool, request, timeout_s)
+        finally:
+            if response is None:
+                # Other connections may have gone silent together with the one that was used.
+                self._pool.close()
         if response is None:
             raise self._store_error(STORE_UNAVAILABLE, f"{request.path}: no response")
         era = _decode_era(response)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -47,6 +47,8 @@
     calls: int = 0
     writes: int = 0
     era: int = 1
+    _connections: set[HttpConnection] = attrs.field(factory=set)
+    _silent_connections: set[HttpConnection] = attrs.field(factory=set)
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     async def serve(self) -> None:
@@ -94,6 +96,10 @@
         self.compacted_revision = min(self.compacted_revision, self.revision)
         self.era += 1
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that were used so far."""
+        self._silent_connections |= self._connections
+
     def _respond(self, connection: HttpConnection, status: int, fields: dict[str, Any]) -> None:
         headers = [(b"store-era", b"%d" % self.era)]
         connection.respond(HttpResponse(status, headers, json.dumps(fields).encode()))
@@ -105,7 +111,8 @@
 
     def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
         self.calls += 1
-        if self.mode == "silent":
+        self._connections.add(connection)
+        if self.mode == "silent" or connection in self._silent_connections:
             return
         if self.mode == "down":
             self._respond(connection, 503, {})
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -174,6 +174,40 @@
         return self.current(key)
 
 
+@attrs.define(eq=False)
+class StoreConnection:
+    """A node's way to a store, on which connections can go silent while new ones work."""
+
+    store: SharedStore
+    timeout_s: float = 1.5
+    is_silent: bool = False
+
+    @property
+    def era(self) -> int:
+        """Return the era of the latest answer."""
+        return self.store.era
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls of all nodes."""
+        return self.store.calls
+
+    async def watch(self, prefix: str, after: int, wait_ms: Millis) -> StoreChanges:
+        """Watch the store."""
+        return await self.store.watch(prefix, after, wait_ms)
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[object]]:
+        async def call(*arguments: object, **options: object) -> object:
+            if self.is_silent:
+                # The connection is given up with this call, so that the next one opens another.
+                self.is_silent = False
+                await trio.sleep(self.timeout_s)
+                raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
+            return await getattr(self.store, name)(*arguments, **options)
+
+        return call
+
+
 @attrs.define(eq=False)
 class UnavailableStore:
     """Reject every call, as a store does that turns a host away."""
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -29,7 +29,7 @@
     TableStatus,
 )
 from tests.mesh_helpers import make_member, make_table
-from tests.store_fleet import CLOCK, PREFIX, SharedStore
+from tests.store_fleet import CLOCK, PREFIX, SharedStore, StoreConnection
 
 LINK_DELAY_S = 0.002
 CONNECT_TIMEOUT_S = 1.0
@@ -59,6 +59,7 @@
     unsent: list[PeerMessage] = attrs.field(factory=list)
     other_end: "SimulatedLink | None" = None
     silent_rounds: int = 0
+    is_silent: bool = False
     min_difference_ms: float = math.inf
 
     @property
@@ -81,6 +82,8 @@
 
     async def _deliver(self, data: bytes) -> None:
         await trio.sleep(self.own.fleet.link_delay_s(self.own, self.peer))
+        if self.is_silent:
+            return
         if self.own.is_on and self.peer.is_on and self.other_end in self.peer.links.open_links:
             self.other_end.silent_rounds = 0
             self.peer.on_message(self.other_end, wire.decode(data, self.own.node_id))
@@ -169,6 +172,7 @@
     member: Member
     fleet: "TableFleet"
     freshness: TableFreshness
+    connection: StoreConnection
     links: SimulatedLinks = attrs.field(init=False)
     view: FleetView = attrs.field(init=False)
     sync: StoreSync = attrs.field(init=False)
@@ -262,7 +266,7 @@
         domains = (sender.member.failure_domain, receiver.member.failure_domain)
         return LINK_DELAY_S + self.late_domains.get(domains, 0.0)
 
-    def start(self, node_id: str, domain: str, store: object | None = None) -> TableNode:
+    def start(self, node_id: str, domain: str) -> TableNode:
         """Start a node, which has the number of its start as its incarnation."""
         earlier = self.nodes.get(node_id)
         member = attrs.evolve(
@@ -273,7 +277,8 @@
         directory = create_directory(node_id)
         generator = random.Random(f"{node_id}-{member.incarnation}")
         freshness = TableFreshness(generator, lambda: directory.node_count)
-        node = TableNode(member, self, freshness)
+        connection = StoreConnection(self.store)
+        node = TableNode(member, self, freshness, connection)
         node.links = SimulatedLinks(node)
         node.view = FleetView(
             owner=node,
@@ -292,7 +297,7 @@
             started_at=CLOCK.now_ms(),
         )
         node.sync = StoreSync(
-            store=store or self.store,  # type: ignore[arg-type]
+            store=connection,  # type: ignore[arg-type]
             sink=node.view,
             clock=CLOCK,
             random=generator,
@@ -315,6 +320,14 @@
                 if link.other_end is not None:
                     link.peer.links.drop(link.other_end)
 
+    def silence_connections(self) -> None:
+        """Lose whatever is sent on open links and on connections to the store."""
+        self.store.loses_watches = True
+        for node in self.on:
+            node.connection.is_silent = True
+            for link in node.links.open_links:
+                link.is_silent = True
+
     def power_off(self, nodes: Iterable[TableNode]) -> None:
         """Silence machines; their links stay open at the other ends."""
         for node in nodes:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -215,6 +215,19 @@
 
         self._run(scenario)
 
+    def test_call_after_one_on_a_silent_connection_does_not_use_another_silent_one(self) -> None:
+        async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
+            async with trio.open_nursery() as nursery:
+                for _ in range(4):
+                    nursery.start_soon(store.read_prefix, "op/")
+            standin.silence_connections()
+            with trio.move_on_after(0.3):
+                await store.read_prefix("op/")
+            with trio.fail_after(0.3):
+                await store.read_prefix("op/")
+
+        self._run(scenario)
+
     def test_outages_raise_coded_errors(self) -> None:
         async def scenario(store: PlatformStore, standin: StoreStandin) -> None:
             standin.mode = "down"
--- a/tests/test_table_spread.py
+++ b/tests/test_table_spread.py
@@ -59,6 +59,14 @@
 
         run_table_fleet(scenario)
 
+    def test_change_is_in_force_in_time_though_all_connections_have_gone_silent(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            fleet.silence_connections()
+            await trio.sleep(0.1)
+            await self._change_and_check(fleet, 2)
+
+        run_table_fleet(scenario)
+
     def test_late_reports_from_other_failure_domains_do_not_make_a_change_late(self) -> None:
         async def scenario(fleet: TableFleet) -> None:
             fleet.store.loses_watches = True
