Do not let an old read from before a restore hide later changes of the records

What callers would see: a node that starts just after the store came back from an older copy doesn't learn of nodes that join, change or leave until the store's revisions have passed those that were lost.

Cause: reads that may be old are answered for some seconds with items and a revision of the lost history, under the new era. The node took that revision as its own, and dropped forwarded changes and later polls, whose revisions were lower.

Change: a revision that only an old read has shown is unproven; forwarded changes or a poll below it make the node read exactly.

Evidence: test_old_read_after_a_restore_does_not_hide_later_changes failed before; the bounds on reads of the other tests hold.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -163,6 +163,8 @@
             self._era = changes.era
             self._on_restored()
         if changes.era == self._era and changes.upto <= records.revision:
+            if changes.upto < records.revision:
+                records.on_lower_revision()
             return
         if changes.era > self._era or changes.after > records.revision:
             records.has_gap = True
@@ -174,6 +176,7 @@
             if item.revision > records.revision
         )
         records.revision = changes.upto
+        records.is_unproven = False
         self._apply(items, is_snapshot=False)
 
     async def _follow(self, prefix: WatchedPrefix) -> None:
@@ -297,9 +300,11 @@
         prefix.polled_at = now_ms
         if not may_be_old:
             self._check_revision(prefix, changes)
-        if changes.revision >= prefix.revision:
-            prefix.replace_all(changes)
-            self._apply_all(prefix, changes)
+        if changes.revision < prefix.revision:
+            prefix.on_lower_revision()
+            return
+        prefix.replace_all(changes, may_be_old)
+        self._apply_all(prefix, changes)
 
     async def _wait_for_poll(self, prefix: WatchedPrefix) -> None:
         """Wait until a poll may be due, or until the changes forwarded to this node have a gap."""
--- a/gooseberrydock/mesh/watched_prefix.py
+++ b/gooseberrydock/mesh/watched_prefix.py
@@ -16,7 +16,8 @@
     ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
     items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
     forwarded to others. ``is_polled`` is set if a node that does not watch polls, ``needs_latest``
-    if the next read must not use an earlier state.
+    if the next read must not use an earlier state. ``is_unproven`` is set while ``revision`` is that
+    of an old read, which may be of a time before the store came back from an older copy.
     """
 
     prefix: str
@@ -29,6 +30,7 @@
     revisions: dict[str, int] = attrs.field(factory=dict)
     must_read: bool = True
     needs_latest: bool = False
+    is_unproven: bool = False
     is_watched: bool = False
     has_gap: bool = False
     polled_at: Millis = -math.inf
@@ -48,8 +50,12 @@
                 self.revisions[item.key] = item.revision
         self._advance(changes.revision)
 
-    def replace_all(self, changes: StoreChanges) -> tuple[StoreItem, ...]:
+    def replace_all(self, changes: StoreChanges, is_old: bool = False) -> tuple[StoreItem, ...]:
         """Record a read of all items; return the changes since the last read."""
+        if not is_old:
+            self.is_unproven = False
+        elif changes.revision > self.revision:
+            self.is_unproven = True
         present = {item.key for item in changes.items}
         removed = [
             StoreItem(key, None, changes.revision) for key in self.revisions if key not in present
@@ -62,12 +68,19 @@
         self.has_gap = False
         return (*changed, *removed)
 
+    def on_lower_revision(self) -> None:
+        """Read the latest state if the known revision may be from before a restore."""
+        if self.is_unproven:
+            self.has_gap = True
+            self.woken.set()
+
     def forget_revisions(self) -> None:
         """Read all items anew: the store's revisions have begun again from an earlier one."""
         self.read_revision = self.revision = self.forwarded_revision = -1
         self.revisions.clear()
         self.must_read = True
         self.needs_latest = True
+        self.is_unproven = False
         self.woken.set()
 
     def _advance(self, revision: int) -> None:
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -1,5 +1,6 @@
 """A fleet of store synchronizations on one store in memory, on a virtual clock."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -51,6 +52,9 @@
     era: int = 0
     calls: int = 0
     old_read_age_s: float = OLD_READ_AGE_S
+    lost_history: list[tuple[float, StoreItem]] = attrs.field(factory=list)
+    """The history before the last restore, from which cheap reads are still answered for a while."""
+    restored_at_s: float = -math.inf
     loses_watches: bool = False
     """Whether watches, also those that wait already, are never answered."""
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -77,6 +81,7 @@
     def restore(self, age_s: float) -> None:
         """Come back from a copy of some seconds ago; later changes and leases are gone."""
         until_s = trio.current_time() - age_s
+        self.lost_history, self.restored_at_s = self.history, trio.current_time()
         self.history = [entry for entry in self.history if entry[0] <= until_s]
         self.leases = {
             lease: keys
@@ -110,9 +115,10 @@
         else:
             self.reads += 1
         until = trio.current_time() - (self.old_read_age_s if may_be_old else 0.0)
+        history = self.history if until >= self.restored_at_s else self.lost_history
         state: dict[str, StoreItem] = {}
         revision = 1
-        for changed_at, item in self.history:
+        for changed_at, item in history:
             if changed_at <= until:
                 state[item.key] = item
                 revision = item.revision
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -148,6 +148,20 @@
 
         run_store_fleet(scenario)
 
+    def test_old_read_after_a_restore_does_not_hide_later_changes(self) -> None:
+        async def scenario(fleet: StoreFleet) -> None:
+            await _let_revisions_rise(fleet, 200)
+            fleet.store.restore(age_s=5.0)
+            starting = fleet.add(make_member("starting", domain="d0"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.run_node, starting)
+                await trio.sleep(8.0)
+                fleet.store.put(PREFIX + "n0", b"changed after the restore")
+                await fleet.wait_for_record("n0", b"changed after the restore", within_s=4.0)
+                starting.scope.cancel()
+
+        run_store_fleet(scenario)
+
     def test_second_restore_is_noticed_like_the_first(self) -> None:
         async def scenario(fleet: StoreFleet) -> None:
             for number in (2, 3):
