--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -95,6 +95,7 @@
     _sync: StoreSync | None = None
     _table: RouteTable = EMPTY_TABLE
     _table_payload: bytes = b""
+    _refused_payload: bytes = b""
     _is_store_unavailable: bool = False
     _round: int = 0
     _requested_version: int = 0
@@ -337,11 +338,12 @@
 
     def _apply_table(self, payload: bytes, source: str) -> None:
         """Decode and apply a route table if it is newer than the current one."""
-        if payload == self._table_payload:
+        if payload in (self._table_payload, self._refused_payload):
             return
         try:
             table = self._decode_table(payload)
         except GooseberrydockError as error:
+            self._refused_payload = payload
             log(CONFIGURATION_REFUSED, code=error.code.number, detail=error.detail, source=source)
             return
         if table.version <= self._table.version:
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -57,6 +57,8 @@
     restored_at_s: float = -math.inf
     loses_watches: bool = False
     """Whether watches, also those that wait already, are never answered."""
+    spoils_values: bool = False
+    """Whether the bytes of all values are wrong."""
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     @property
@@ -108,6 +110,12 @@
             for key in keys:
                 self.put(key, None)
 
+    def _spoil(self, changes: StoreChanges) -> StoreChanges:
+        if not self.spoils_values:
+            return changes
+        items = (attrs.evolve(item, value=item.value and b"spoiled") for item in changes.items)
+        return attrs.evolve(changes, items=tuple(items))
+
     async def read_prefix(self, prefix: str, may_be_old: bool = False) -> StoreChanges:
         await self._answer()
         if may_be_old:
@@ -123,7 +131,8 @@
                 state[item.key] = item
                 revision = item.revision
         items = (item for key, item in state.items() if key.startswith(prefix))
-        return StoreChanges(tuple(item for item in items if item.value is not None), revision)
+        found = tuple(item for item in items if item.value is not None)
+        return self._spoil(StoreChanges(found, revision))
 
     async def watch(self, prefix: str, after: int, wait_ms: Millis) -> StoreChanges:
         self.watches += 1
@@ -138,7 +147,7 @@
                     if item.revision > after and item.key.startswith(prefix)
                 ]
                 if items and not self.loses_watches:
-                    return StoreChanges(tuple(items), self.revision)
+                    return self._spoil(StoreChanges(tuple(items), self.revision))
                 await self.changed.wait()
                 if self.is_down:
                     raise GooseberrydockError(STORE_UNAVAILABLE, Step.STORE)
--- a/tests/test_table_spread.py
+++ b/tests/test_table_spread.py
@@ -5,7 +5,7 @@
 import trio
 
 from tests.store_fleet import CLOCK
-from tests.table_fleet import TableFleet, run_table_fleet
+from tests.table_fleet import TABLE_KEY, TableFleet, run_table_fleet
 
 _IN_FORCE_S = 2.0
 """Time within which a change of the route table is to be in force."""
@@ -100,3 +100,25 @@
             self.assertAlmostEqual(1_600.0, receiving.freshness.age_ms(CLOCK.now_ms()), delta=10.0)
 
         run_table_fleet(scenario, nodes=2, domains=1)
+
+    def test_table_that_was_spoiled_at_its_first_read_is_in_force_in_time(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            fleet.store.spoils_values = True
+            changed_at = await fleet.change_table(2)
+            await trio.sleep(0.3)
+            fleet.store.spoils_values = False
+            await trio.sleep(_IN_FORCE_S)
+            self.assertEqual({}, fleet.late_nodes(2, changed_at, _IN_FORCE_S))
+
+        run_table_fleet(scenario)
+
+    def test_table_that_cannot_be_decoded_is_logged_once_by_each_node(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            with self.assertLogs("gooseberrydock", "ERROR") as logs:
+                fleet.store.put(TABLE_KEY, b"not a table")
+                await trio.sleep(20.0)
+            self.assertLessEqual(len(logs.output), len(fleet.on))
+            self.assertEqual({1}, {node.version for node in fleet.on})
+            await self._change_and_check(fleet, 2)
+
+        run_table_fleet(scenario)
