Let other nodes watch for a failure domain when no node of it is watching

What callers would see: when the three watching nodes of a failure domain lose power, the nodes left send requests to hosts that are gone and don't learn of others, since nobody reads changed records for them until the leases end (9 s) and a poll of up to 12 s later.

Cause: who watches was decided from records alone, which outlive their nodes by the lease, and a node that the store turns away still counted as watching.

Change: nodes report on their links, with the version of the table, how long ago a node of their domain was watching the records. A watching node to which the store is unavailable no longer counts. The delays move to a module of their own.

Evidence: two tests of WatchingNodesCases fail without it (six nodes left know a changed record within the lease though old reads lag; few nodes stand in for those that lost power, in each domain, and end when they return); a settled fleet has no other watching nodes.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -30,12 +30,13 @@
 from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.store_sync import StoreSync
 from gooseberrydock.mesh.table_freshness import TableFreshness
+from gooseberrydock.mesh.watch_plan import UNKNOWN_AGE_MS
 from gooseberrydock.messages import (
     ConfigurationPush,
     LoadNotice,
     MemberSync,
     RecordChanges,
-    TableStatus,
+    StoreStatus,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 
@@ -175,7 +176,7 @@
             others = random.sample(others, _MAX_SENT_RECORDS)
         records = [encode_member(member) for member in (self._record, *others)]
         link.send(MemberSync(tuple(records), ()))
-        link.send(self._table_status())
+        link.send(self._store_status())
 
     def on_member_sync(self, message: MemberSync, link: PeerLink) -> None:
         """Apply records; those of third nodes expire soon unless stored or renewed by messages."""
@@ -187,20 +188,28 @@
         if self._sync is not None:
             self._sync.on_forwarded_changes(changes)
 
-    def on_table_status(self, status: TableStatus, link: PeerLink) -> None:
+    def on_store_status(self, status: StoreStatus, link: PeerLink) -> None:
         """Send the route table if it is newer than the other node's, request it if it is older.
 
         The other node's latest read also confirms a table that is not older.
         """
-        read_age_ms = status.read_age_ms + link.excess_delay_ms(status.sent_at)
+        delay_ms = link.excess_delay_ms(status.sent_at)
+        self._record_watch_report(link.node_id, status.watch_age_ms, delay_ms)
         if self._table.version < status.version:
             self._request_table(status.version, link)
             return
+        read_age_ms = status.read_age_ms + delay_ms
         if self._freshness.on_report(self._clock.now_ms(), status.read_id, read_age_ms):
             self._pass_status_on()
         if self._table.version > status.version:
             link.send(ConfigurationPush(self._table.version, self._table_payload))
 
+    def _record_watch_report(self, node_id: str, age_ms: Millis, delay_ms: Millis) -> None:
+        reporter = self._directory.find(node_id)
+        if self._sync is None or reporter is None or self._is_in_other_domain(reporter):
+            return
+        self._sync.on_watch_report(reporter, age_ms, delay_ms)
+
     def report_table_read(self) -> None:
         """Report a read of the route table to other nodes."""
         self._send_status(_MAX_STATUS_RECIPIENTS)
@@ -214,15 +223,16 @@
         links = self._links.open_links
         if len(links) > max_recipients:
             links = random.sample(links, max_recipients)
-        status = self._table_status()
+        status = self._store_status()
         for link in links:
             link.send(status)
 
-    def _table_status(self) -> TableStatus:
+    def _store_status(self) -> StoreStatus:
         """Return what this node reports about its route table now."""
         now_ms, read_id = self._clock.now_ms(), self._freshness.read_id
         age_ms = self._freshness.age_ms(now_ms) if read_id else 0.0
-        return TableStatus(self._table.version, now_ms, read_id, age_ms)
+        watch_age_ms = self._sync.watch_age_ms if self._sync is not None else UNKNOWN_AGE_MS
+        return StoreStatus(self._table.version, now_ms, read_id, age_ms, watch_age_ms)
 
     def _request_table(self, version: int, link: PeerLink) -> None:
         """Request a newer table, not from every node that offers it at the same time."""
@@ -230,7 +240,7 @@
         if version > self._requested_version or now_ms >= self._requested_at + _TABLE_REQUEST_MS:
             self._requested_version = version
             self._requested_at = now_ms
-            link.send(self._table_status())
+            link.send(self._store_status())
 
     def on_configuration_push(self, push: ConfigurationPush) -> None:
         """Apply a route table from another node if it is newer."""
@@ -264,7 +274,7 @@
             _MAX_EAGER_LINKS if self._is_in_other_domain(member) else _MAX_EAGER_DOMAIN_LINKS
         )
         if member.state is not MemberState.DEAD and self._links.linked_node_count < max_links:
-            self._links.send(member.node_id, self._table_status())
+            self._links.send(member.node_id, self._store_status())
 
     # The store.
 
@@ -354,7 +364,7 @@
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
         if source == _STORE:
             # Most nodes only poll the store; those that have an older table request this one.
-            self._links.broadcast(self._table_status())
+            self._links.broadcast(self._store_status())
         else:
             self._pass_status_on()
         if table.unknown_kinds:
@@ -387,7 +397,7 @@
         cycle_rounds = max(1, math.ceil(len(links) / _LINKS_PER_ROUND))
         self._round += 1
         for link in links[self._round % cycle_rounds :: cycle_rounds]:
-            link.send(self._table_status())
+            link.send(self._store_status())
         self._links.close_silent_links(_MAX_SILENT_ROUNDS * cycle_rounds)
         if len(links) < _MAX_EAGER_LINKS:
             self._open_missing_links()
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -42,7 +42,7 @@
     RoutedAnswer,
     RoutedCall,
     ShareNotice,
-    TableStatus,
+    StoreStatus,
     TargetNotice,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
@@ -444,8 +444,8 @@
 
 
 @handle_message.register
-def _(message: TableStatus, node: MeshNode, link: PeerLink) -> None:
-    node.fleet.on_table_status(message, link)
+def _(message: StoreStatus, node: MeshNode, link: PeerLink) -> None:
+    node.fleet.on_store_status(message, link)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -144,6 +144,7 @@
             others=lambda: directory.others,
             node_count=lambda: directory.node_count,
             started_at=now_ms,
+            random=self._random,
         )
         return StoreSync(
             store=self._environment.open_store(nursery),
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -135,6 +135,19 @@
         """Return the number of calls to the store so far."""
         return self._store.calls
 
+    @property
+    def watch_age_ms(self) -> Millis:
+        """Return the time since a node of the failure domain, or this node, watched the records."""
+        if self._records.is_watched and self._is_available:
+            return 0.0
+        return self._plan.watch_age_ms(self._clock.now_ms())
+
+    def on_watch_report(self, reporter: Member, age_ms: Millis, delay_ms: Millis) -> None:
+        """Record when a node of the failure domain was watching the records."""
+        now_ms = self._clock.now_ms()
+        watching = reporter if age_ms == 0.0 else None
+        self._plan.on_watch_report(now_ms - age_ms - delay_ms, now_ms, watching)
+
     def set_record(self, member: Member) -> None:
         """Schedule a write of this node's record."""
         self._record = member
--- a/gooseberrydock/mesh/table_freshness.py
+++ b/gooseberrydock/mesh/table_freshness.py
@@ -8,9 +8,8 @@
 time is too long ago.
 
 The node that read last reads again first, so that one node reads for all that it reaches, and a
-node that reaches no other reads for itself. If reports end, delays with a truncated exponential
-distribution, as in the feedback suppression of RFC 5401, let a few nodes read before the others of
-a large fleet, whatever its size. Performs no I/O.
+node that reaches no other reads for itself. If reports end, a few nodes read after random delays,
+whatever the size of the fleet. Performs no I/O.
 """
 
 import math
@@ -22,6 +21,7 @@
 import attrs
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.mesh.suppression import draw_suppressed_delay_ms
 
 _MAX_AGE_MS: Final[Millis] = 900.0
 """Age at which the table is read again; with the next time below what operators wait for."""
@@ -88,9 +88,4 @@
         self._read_at = self._confirmed_at + _MAX_AGE_MS + self._draw_delay_ms()
 
     def _draw_delay_ms(self) -> Millis:
-        """Return a delay that is short for a few nodes only."""
-        rate = math.log(max(1, self._node_count())) + 1.0
-        uniform = self._random.random()
-        return _READ_SPREAD_MS * (
-            1.0 + math.log(uniform + (1.0 - uniform) * math.exp(-rate)) / rate
-        )
+        return draw_suppressed_delay_ms(self._random, self._node_count(), _READ_SPREAD_MS)
--- a/gooseberrydock/mesh/watched_prefix.py
+++ b/gooseberrydock/mesh/watched_prefix.py
@@ -16,8 +16,8 @@
     ``read_revision`` is the revision of the node's own reads, and ``revisions`` are those of the
     items then. ``revision`` also covers changes forwarded by others, ``forwarded_revision`` those
     forwarded to others. ``is_polled`` is set if a node that does not watch polls, ``needs_latest``
-    if the next read must not use an earlier state. ``is_unproven`` is set while ``revision`` is that
-    of an old read, which may be of a time before the store came back from an older copy.
+    if the next read must not use an earlier state. ``is_unproven`` is set while ``revision`` is
+    that of an old read, which may be of a time before the store came back from an older copy.
     """
 
     prefix: str
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -307,17 +307,20 @@
 
 
 @attrs.frozen
-class TableStatus:
-    """Version of the route table at a node, and the latest read that confirmed it there.
+class StoreStatus:
+    """What a node knows of the store: the route table's version, and who reads the store.
 
     The receiver sends its table if it is newer and requests the other one if it is older.
-    ``sent_at`` is the time by the sender's clock. ``read_id`` is 0 if no read is known.
+    ``sent_at`` is the time by the sender's clock. ``read_id`` identifies the latest known read of
+    the table, 0 if there is none. ``watch_age_ms`` is the time since a node of the sender's failure
+    domain last watched the records, as far as known, 0 if the sender does.
     """
 
     version: int
     sent_at: Millis
     read_id: int
     read_age_ms: Millis
+    watch_age_ms: Millis
 
 
 @attrs.frozen
@@ -359,5 +362,5 @@
     | RecordChanges
     | TargetNotice
     | LoadNotice
-    | TableStatus
+    | StoreStatus
 )
--- a/gooseberrydock/watchers.py
+++ b/gooseberrydock/watchers.py
@@ -31,5 +31,10 @@
     return higher_ranked < watchers_per_domain
 
 
+def outranks(member: Member, other: Member) -> bool:
+    """Return whether a member is chosen as a watcher of its failure domain before another one."""
+    return _score(member) > _score(other)
+
+
 def _score(member: Member) -> int:
     return xxhash.xxh3_64_intdigest(f"{member.failure_domain}\0{member.node_id}".encode())
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -38,7 +38,7 @@
 TAG_RECORD_CHANGES: Final = 17
 TAG_LOAD_NOTICE: Final = 18
 TAG_TARGET_NOTICE: Final = 19
-TAG_TABLE_STATUS: Final = 20
+TAG_STORE_STATUS: Final = 20
 
 
 _MAX_STATUS: Final = 599
@@ -150,13 +150,14 @@
 
 
 @_to_array.register
-def _table_status_to_array(message: messages.TableStatus) -> list[Any]:
+def _store_status_to_array(message: messages.StoreStatus) -> list[Any]:
     return [
-        TAG_TABLE_STATUS,
+        TAG_STORE_STATUS,
         message.version,
         message.sent_at,
         message.read_id,
         message.read_age_ms,
+        message.watch_age_ms,
     ]
 
 
@@ -404,10 +405,10 @@
     return messages.ConfigurationRequest(array[1])
 
 
-def _to_table_status(array: list[Any]) -> messages.TableStatus:
-    _check_field_types(array, (int, float, int, float))
+def _to_store_status(array: list[Any]) -> messages.StoreStatus:
+    _check_field_types(array, (int, float, int, float, float))
     _check_finite_not_negative(*array[1:])
-    return messages.TableStatus(*array[1:])
+    return messages.StoreStatus(*array[1:])
 
 
 def _to_configuration_push(array: list[Any]) -> messages.ConfigurationPush:
@@ -563,5 +564,5 @@
     TAG_RECORD_CHANGES: _to_record_changes,
     TAG_LOAD_NOTICE: _to_load_notice,
     TAG_TARGET_NOTICE: _to_target_notice,
-    TAG_TABLE_STATUS: _to_table_status,
+    TAG_STORE_STATUS: _to_store_status,
 }
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -18,7 +18,7 @@
 from gooseberrydock.mesh.rate_limiter import RateLimiter
 from gooseberrydock.mesh.store_sync import StoreSync
 from gooseberrydock.mesh.target_registration import TargetRegistration
-from gooseberrydock.messages import ConfigurationPush, TableStatus
+from gooseberrydock.messages import ConfigurationPush, StoreStatus
 from gooseberrydock.peer_links import PeerLink
 from gooseberrydock.platform.__main__ import main
 
@@ -56,7 +56,7 @@
 def _accept_older_route_tables() -> None:
     """Accept any route table that a peer sends, including an older one."""
 
-    def on_status(self: FleetView, status: TableStatus, link: PeerLink) -> None:
+    def on_status(self: FleetView, status: StoreStatus, link: PeerLink) -> None:
         if self._table.version != status.version:
             link.send(ConfigurationPush(self._table.version, self._table_payload))
 
@@ -66,7 +66,7 @@
             self._table = self._decode_table(push.payload)
             self._owner.on_table(self._table)
 
-    FleetView.on_table_status = on_status  # type: ignore[method-assign]
+    FleetView.on_store_status = on_status  # type: ignore[method-assign]
     FleetView.on_configuration_push = on_push  # type: ignore[method-assign]
 
 
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -53,7 +53,7 @@
     calls: int = 0
     old_read_age_s: float = OLD_READ_AGE_S
     lost_history: list[tuple[float, StoreItem]] = attrs.field(factory=list)
-    """The history before the last restore, from which cheap reads are still answered for a while."""
+    """The history before the last restore, with which cheap reads are answered for a while."""
     restored_at_s: float = -math.inf
     loses_watches: bool = False
     """Whether watches, also those that wait already, are never answered."""
@@ -280,6 +280,11 @@
                 is_later = node.freshness.on_report(now_ms, read_id, age_ms)
                 if is_later and "table" in self.values:
                     node.values["table"] = self.values["table"]
+        for watching in self.fleet.watching:
+            for node in self.fleet.live:
+                is_near = node.member.failure_domain == watching.member.failure_domain
+                if node is not watching and is_near and node.hears_others:
+                    node.sync.on_watch_report(watching.member, age_ms=0.0, delay_ms=0.0)
 
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
@@ -327,6 +332,7 @@
                 others=lambda: [item.member for item in self.live if item is not node],
                 node_count=lambda: len(self.nodes),
                 started_at=CLOCK.now_ms(),
+                random=generator,
             ),
             freshness=node.freshness,
         )
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -14,7 +14,7 @@
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.members import Address, Member
 from gooseberrydock.mesh.controllers import StoreKeys
-from gooseberrydock.mesh.directory import create_directory
+from gooseberrydock.mesh.directory import Directory, create_directory
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.model import RouteTable
 from gooseberrydock.mesh.read_pacing import create_read_pacer
@@ -26,7 +26,7 @@
     MemberSync,
     PeerMessage,
     RecordChanges,
-    TableStatus,
+    StoreStatus,
 )
 from tests.mesh_helpers import make_member, make_table
 from tests.store_fleet import CLOCK, PREFIX, SharedStore, StoreConnection
@@ -171,6 +171,7 @@
 
     member: Member
     fleet: "TableFleet"
+    directory: Directory
     freshness: TableFreshness
     connection: StoreConnection
     links: SimulatedLinks = attrs.field(init=False)
@@ -200,7 +201,7 @@
 
     def on_message(self, link: SimulatedLink, message: PeerMessage) -> None:
         """Handle a message."""
-        self.view._directory.on_alive(CLOCK.now_ms(), link.node_id)
+        self.directory.on_alive(CLOCK.now_ms(), link.node_id)
         self._dispatch(message, link)
 
     @singledispatchmethod
@@ -216,8 +217,8 @@
         self.view.on_record_changes(message)
 
     @_dispatch.register
-    def _(self, message: TableStatus, link: SimulatedLink) -> None:
-        self.view.on_table_status(message, link)  # type: ignore[arg-type]
+    def _(self, message: StoreStatus, link: SimulatedLink) -> None:
+        self.view.on_store_status(message, link)  # type: ignore[arg-type]
 
     @_dispatch.register
     def _(self, message: ConfigurationPush, link: SimulatedLink) -> None:
@@ -278,7 +279,7 @@
         generator = random.Random(f"{node_id}-{member.incarnation}")
         freshness = TableFreshness(generator, lambda: directory.node_count)
         connection = StoreConnection(self.store)
-        node = TableNode(member, self, freshness, connection)
+        node = TableNode(member, self, directory, freshness, connection)
         node.links = SimulatedLinks(node)
         node.view = FleetView(
             owner=node,
@@ -295,6 +296,7 @@
             others=lambda: directory.others,
             node_count=lambda: directory.node_count,
             started_at=CLOCK.now_ms(),
+            random=generator,
         )
         node.sync = StoreSync(
             store=connection,  # type: ignore[arg-type]
@@ -364,7 +366,10 @@
 
 
 def run_table_fleet(
-    scenario: Callable[[TableFleet], Awaitable[None]], nodes: int = 30, domains: int = 3
+    scenario: Callable[[TableFleet], Awaitable[None]],
+    nodes: int = 30,
+    domains: int = 3,
+    settled_s: float = SETTLED_S,
 ) -> None:
     """Run a scenario with a settled fleet that has version 1 of the table."""
 
@@ -374,7 +379,7 @@
             fleet.store.put(TABLE_KEY, encode_version(1))
             for number in range(nodes):
                 fleet.start(f"n{number}", f"d{number % domains}")
-            await trio.sleep(SETTLED_S)
+            await trio.sleep(settled_s)
             await scenario(fleet)
             nursery.cancel_scope.cancel()
 
--- a/tests/test_table_spread.py
+++ b/tests/test_table_spread.py
@@ -2,13 +2,19 @@
 
 import unittest
 
+import attrs
 import trio
 
-from tests.store_fleet import CLOCK
+from gooseberrydock.members import encode_member
+from tests.store_fleet import CLOCK, PREFIX
 from tests.table_fleet import TABLE_KEY, TableFleet, run_table_fleet
 
 _IN_FORCE_S = 2.0
 """Time within which a change of the route table is to be in force."""
+_LEASE_S = 9.0
+"""Time for which the record of a node outlives it."""
+_WATCHES_ENDED_S = 40.0
+"""Time after which the watches of nodes that did not know all others at their start have ended."""
 _DOMAINS = ("d0", "d1", "d2")
 
 
@@ -122,3 +128,50 @@
             await self._change_and_check(fleet, 2)
 
         run_table_fleet(scenario)
+
+
+class WatchingNodesCases(unittest.TestCase):
+    """The same fleet; who watches the records for a failure domain."""
+
+    def test_nodes_left_watch_when_all_that_watched_lose_power(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            watching = fleet.watching
+            left = [node for node in fleet.on if node not in watching][:6]
+            fleet.power_off(node for node in fleet.on if node not in left)
+            fleet.store.old_read_age_s = 30.0
+            changed = attrs.evolve(watching[0].member, version=9)
+            fleet.store.put(PREFIX + changed.node_id, encode_member(changed))
+            await trio.sleep(_LEASE_S)
+            known = {node.node_id: node.directory.find(changed.node_id) for node in left}
+            self.assertEqual({node.node_id: changed for node in left}, known)
+
+        run_table_fleet(scenario, settled_s=_WATCHES_ENDED_S)
+
+    def test_few_nodes_watch_in_place_of_those_that_lost_power_and_end_when_these_return(
+        self,
+    ) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            watching = fleet.watching
+            fleet.power_off(watching)
+            await trio.sleep(_LEASE_S)
+            standing_in = fleet.watching
+            domains = {node.member.failure_domain for node in standing_in}
+            self.assertEqual((3, True), (len(domains), len(standing_in) <= 9))
+            for node in watching:
+                fleet.start(node.node_id, node.member.failure_domain)
+            await trio.sleep(_LEASE_S)
+            self.assertEqual(
+                {node.node_id for node in watching}, {node.node_id for node in fleet.watching}
+            )
+
+        run_table_fleet(scenario, settled_s=_WATCHES_ENDED_S)
+
+    def test_settled_fleet_has_no_other_watching_nodes(self) -> None:
+        async def scenario(fleet: TableFleet) -> None:
+            watching = {node.node_id for node in fleet.watching}
+            for _ in range(20):
+                await trio.sleep(1.0)
+                self.assertEqual(watching, {node.node_id for node in fleet.watching})
+            self.assertEqual(9, len(watching))
+
+        run_table_fleet(scenario)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -107,11 +107,12 @@
         run_ms_by_route=st.dictionaries(_SHORT_TEXTS, st.floats(0.0, 1e6), max_size=3),
     ),
     st.builds(
-        messages.TableStatus,
+        messages.StoreStatus,
         version=_NUMBERS,
         sent_at=_FLOATS,
         read_id=_NUMBERS,
         read_age_ms=_FLOATS,
+        watch_age_ms=_FLOATS,
     ),
     st.builds(messages.ConfigurationPush, generation=_NUMBERS, payload=st.binary(max_size=9)),
     st.builds(messages.MemberSyncRequest, digests=st.lists(_NUMBERS).map(tuple)),
