Soak: reads that may be old lag behind, and all nodes start at once; a metric of the table's age

The stand-in now keeps earlier states, the soak lets old reads lag by up to 4 s, and at its end kills and starts all nodes while they lag 20 s; the configuration of a second later must be in force on each node within 4 s, the bound of the check before.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -120,6 +120,13 @@
         """Return whether other nodes are known but none is reachable."""
         return bool(self._directory.others) and not self._links.open_links
 
+    @property
+    def table_age_ms(self) -> Millis | None:
+        """Return the time since the route table was confirmed to be the newest, if it ever was."""
+        if not self._freshness.read_id:
+            return None
+        return self._freshness.age_ms(self._clock.now_ms())
+
     @property
     def store_calls(self) -> int:
         """Return the number of calls to the store so far."""
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -79,6 +79,11 @@
             "Open connections to the target",
         ),
     }
+    if node.fleet.table_age_ms is not None:
+        values["table_age_ms"] = (
+            node.fleet.table_age_ms,
+            "Time since the route table was confirmed to be the newest",
+        )
     rate_limit = node.controllers.registration.rate_limit
     if rate_limit is not None:
         values["target_rate_limit"] = (rate_limit, "Requests per second that the target takes")
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import urllib.parse
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -47,6 +48,11 @@
     calls: int = 0
     writes: int = 0
     era: int = 1
+    old_read_age_s: float = 0.0
+    """Age of the state that reads return which may be old."""
+    _states: deque[tuple[float, dict[str, dict[str, Any]], int]] = attrs.field(
+        factory=lambda: deque(maxlen=1_000)
+    )
     _connections: set[HttpConnection] = attrs.field(factory=set)
     _silent_connections: set[HttpConnection] = attrs.field(factory=set)
     _changed: trio.Event = attrs.field(factory=trio.Event)
@@ -105,6 +111,7 @@
         connection.respond(HttpResponse(status, headers, json.dumps(fields).encode()))
 
     def _record_event(self, event: dict[str, Any]) -> None:
+        self._states.append((trio.current_time(), dict(self.items), self.revision))
         self.history.append(event)
         self._changed.set()
         self._changed = trio.Event()
@@ -133,11 +140,9 @@
             item = self.items.get(query["key"])
             return (200, {**item, "storeRevision": self.revision}) if item else (404, {})
         if path == "/-/kv-range":
-            items = [
-                item for key, item in sorted(self.items.items()) if self._matches_query(key, query)
-            ]
-            page = {"items": items, "truncated": False, "storeRevision": self.revision}
-            return 200, page
+            state, revision = self._state_for(may_be_old="staleOk" in query)
+            items = [item for key, item in sorted(state.items()) if self._matches_query(key, query)]
+            return 200, {"items": items, "truncated": False, "storeRevision": revision}
         if path == "/-/kv-txn":
             return self._transact(fields)
         if path == "/-/kv-lease":
@@ -151,6 +156,14 @@
         self.end_lease(lease)
         return 200, {}
 
+    def _state_for(self, may_be_old: bool) -> tuple[dict[str, dict[str, Any]], int]:
+        """Return the items and the revision that a read returns."""
+        if not may_be_old or not self.old_read_age_s:
+            return self.items, self.revision
+        until_s = trio.current_time() - self.old_read_age_s
+        older = [(items, revision) for at_s, items, revision in self._states if at_s <= until_s]
+        return older[-1] if older else ({}, 1)
+
     def _transact(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for row in fields["expected"]:
             if self.items.get(row["key"], {}).get("revision", 0) != row["revision"]:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -63,6 +63,8 @@
 
 _CONFIGURATION_TIMEOUT_S: Final = 4.0
 """Time in which the last configuration is to be in force on each node, one after the other."""
+_OLD_READ_AGE_S: Final = 20.0
+"""Age of old reads while all nodes start; an exact read must bring them a configuration."""
 _UPLOAD_SIZE_RANGE: Final = (20_000, 300_000)
 _UPLOAD_SHARE: Final = 0.15
 _PIPELINE_INTERVAL_S: Final = 0.4
@@ -398,6 +400,24 @@
 
     async def check_store(self) -> None:
         """Check that the next configuration reaches all nodes, which are in the store."""
+        await self._check_next_configuration()
+        try:
+            await self._fleet.wait_until_known()
+        except trio.TooSlowError:
+            self._violations.append("the store does not hold the records of all nodes")
+
+    async def check_start_of_all(self) -> None:
+        """Check that a configuration reaches nodes that all started just before."""
+        self._fleet.store.old_read_age_s = _OLD_READ_AGE_S
+        for node in self._fleet.nodes:
+            node.kill()
+        for node in self._fleet.nodes:
+            self._restart(node)
+        await trio.sleep(1.0)
+        await self._check_next_configuration()
+        self._fleet.store.old_read_age_s = 0.0
+
+    async def _check_next_configuration(self) -> None:
         await self._configure()
         path = f"/only{self._newest_configuration}/last"
         late = []
@@ -409,10 +429,6 @@
                 late.append(node.node_id)
         if late:
             self._violations.append(f"the last configuration is not in force on {late}")
-        try:
-            await self._fleet.wait_until_known()
-        except trio.TooSlowError:
-            self._violations.append("the store does not hold the records of all nodes")
 
     async def _probe_path(self, node: FleetNode, path: str) -> int:
         request_id = f"q{next(self._request_numbers)}"
@@ -502,6 +518,7 @@
                 nursery.start_soon(soak.inject_statements, until)
             await soak.check_recovery()
             await soak.check_store()
+            await soak.check_start_of_all()
             soak.check_runs()
             print(f"seed {options.seed}: {soak.summary()}", flush=True)
             soak.write_verdict(options)
--- a/tests/soak_statements.py
+++ b/tests/soak_statements.py
@@ -1,4 +1,4 @@
-"""The part of the soak in which servers state limits and their leaving, and the store is restored.
+"""The part of the soak in which servers state limits and leaving, and the store lags or goes back.
 
 It draws from a generator of its own, so that a seed keeps its other faults. The checks excuse a
 restart of the node where a request began; the users' rules also excuse pauses and cuts.
@@ -25,6 +25,7 @@
 _LEAVING_RANGE_S: Final = (2.5, 5.0)
 _MEAN_INTERVAL_S: Final = 1.5
 _MAX_COPY_AGE_S: Final = 6.0
+_MAX_OLD_READ_AGE_S: Final = 4.0
 
 Origin = tuple[str, int]
 """The node at which a request began, and the id of its process."""
@@ -72,7 +73,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._copy_store, until)
             while trio.current_time() < until:
-                fault = self._random.choice((self._limit, self._leave, self._restore_store))
+                fault = self._random.choice(
+                    (self._limit, self._leave, self._restore_store, self._delay_old_reads)
+                )
                 nursery.start_soon(fault)
                 await trio.sleep(self._random.uniform(0.4, 1.6) * _MEAN_INTERVAL_S)
 
@@ -132,6 +135,13 @@
             del self._leaving_passed_at[key]
         self._record_event("its server started again", node.node_id)
 
+    async def _delay_old_reads(self) -> None:
+        store = self._fleet.store
+        store.old_read_age_s = self._random.uniform(0.5, _MAX_OLD_READ_AGE_S)
+        self._record_event(f"old reads are {store.old_read_age_s:.1f} s behind", "store")
+        await trio.sleep(self._random.uniform(2.0, 6.0))
+        store.old_read_age_s = 0.0
+
     async def _restore_store(self) -> None:
         store = self._fleet.store
         newest = dict(store.items)
