--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -148,6 +148,18 @@
         node.fleet.on_store_items((other,), is_snapshot=False)
         self.assertFalse(node.is_ready)
 
+    def test_call_of_a_route_that_only_the_callers_table_has_is_run(self) -> None:
+        for version in (b"", b"7"):
+            with self.subTest(version=version):
+                node = _make_node()
+                if version:
+                    node.fleet.on_store_items((StoreItem("table", version, 1),), is_snapshot=False)
+                node.target_dispatcher.on_announcement(
+                    InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
+                )
+                node.target_dispatcher.on_call("", make_call())
+                self.assertEqual(1, node.target_dispatcher.in_flight)
+
     def test_announcement_of_an_unknown_service_is_rejected(self) -> None:
         node = _make_node()
         node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_snapshot=False)
