--- a/gooseberrydock/mesh/watch_plan.py
+++ b/gooseberrydock/mesh/watch_plan.py
@@ -24,14 +24,14 @@
 from gooseberrydock.mesh.suppression import draw_suppressed_delay_ms
 from gooseberrydock.watchers import is_watcher, outranks
 
+UNKNOWN_AGE_MS: Final[Millis] = 1e9
+"""Age that a node reports if it knows of no watching node."""
 _WATCHERS_PER_DOMAIN: Final = 3
 """Nodes of each failure domain that watch the store, so that two may be unable to at a time."""
 _START_MS: Final[Millis] = 4_000.0
 """Time after which a starting node knows the others, also if the whole fleet starts."""
 _MAX_WATCH_AGE_MS: Final[Millis] = 3_000.0
 """Time without a sign of a watching node after which others watch; reports take up to a second."""
-UNKNOWN_AGE_MS: Final[Millis] = 1e9
-"""Age that a node reports if it knows of no watching node."""
 _STAND_IN_SPREAD_MS: Final[Millis] = 1_000.0
 """Time over which they begin."""
 _START_POLL_INTERVAL_MS: Final[Millis] = 800.0
