Say in comments and texts what a reader would have to ask

Found when reading the diff: what the two bounds of the table's age come from, who stays the reader, which messages are passed on, and a comment that said that most nodes poll the table. The text of event 1405 and a private name; no behaviour changes.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -157,7 +157,7 @@
     1404, "store-restored", _WARNING, "The key-value service came back from an older copy"
 )
 WATCH_ROLE_CHANGED: Final = _register(
-    1405, "watch-role-changed", _INFO, "The node began or ended to watch a key prefix for others"
+    1405, "watch-role-changed", _INFO, "The node began or stopped watching a key prefix"
 )
 STORE_SILENT: Final = _register(
     1406,
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -51,7 +51,7 @@
     on_body: Callable[[bytes], None] = attrs.field(init=False)
 
     @on_body.default
-    def _add_part(self) -> Callable[[bytes], None]:
+    def _bind_on_body(self) -> Callable[[bytes], None]:
         # A target may send chunks of a few bytes without end, so each must cost little.
         return self._parts.append
 
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -60,9 +60,9 @@
 _MAX_DOMAIN_RECIPIENTS: Final = 64
 """Nodes of the failure domain to which a node sends its load at a time."""
 _MAX_STATUS_RECIPIENTS: Final = 128
-"""Nodes to which a node reports its read of the route table; in a larger fleet they pass it on."""
+"""Nodes to which a node reports what it knows of the store; in a larger fleet they pass it on."""
 _STATUS_FANOUT: Final = 4
-"""Nodes to which each of them passes it on."""
+"""Nodes to which each receiver of a newer read or table passes it on."""
 _TABLE_REQUEST_MS: Final[Millis] = 300.0
 """Time to wait for a requested table before it is requested from another node."""
 _MAX_SILENT_ROUNDS: Final = 4
@@ -235,7 +235,7 @@
             link.send(status)
 
     def _store_status(self) -> StoreStatus:
-        """Return what this node reports about its route table now."""
+        """Return what this node knows of the store now."""
         now_ms, read_id = self._clock.now_ms(), self._freshness.read_id
         age_ms = self._freshness.age_ms(now_ms) if read_id else 0.0
         watch_age_ms = self._sync.watch_age_ms if self._sync is not None else UNKNOWN_AGE_MS
@@ -370,7 +370,7 @@
         self._owner.on_table(table)
         log(CONFIGURATION_IN_FORCE, generation=table.version, source=source)
         if source == _STORE:
-            # Most nodes only poll the store; those that have an older table request this one.
+            # Most nodes do not watch the store; those that have an older table request this one.
             self._links.broadcast(self._store_status())
         else:
             self._pass_status_on()
--- a/gooseberrydock/mesh/table_freshness.py
+++ b/gooseberrydock/mesh/table_freshness.py
@@ -24,7 +24,8 @@
 from gooseberrydock.mesh.suppression import draw_suppressed_delay_ms
 
 _MAX_AGE_MS: Final[Millis] = 900.0
-"""Age at which the table is read again; with the next time below what operators wait for."""
+"""Age at which the table is read again. With the spread below, it stays under the shortest time in
+which operators expect a change to be in force, 2 s."""
 _READ_SPREAD_MS: Final[Millis] = 500.0
 """Time over which the nodes that miss reports spread their reads."""
 _READ_ID_BITS: Final = 62
@@ -61,7 +62,10 @@
         return now_ms - self._confirmed_at
 
     def on_read(self, sent_at: Millis) -> None:
-        """Record an exact read of this node, which reads again before others if it was due."""
+        """Record an exact read of this node, which stays the reader if the read was due.
+
+        The first reads of nodes that start together make none of them the reader.
+        """
         was_old = _MAX_AGE_MS <= sent_at - self._confirmed_at < math.inf
         self._use_read(self._random.getrandbits(_READ_ID_BITS) | 1, sent_at)
         if was_old:
--- a/gooseberrydock/mesh/watch_plan.py
+++ b/gooseberrydock/mesh/watch_plan.py
@@ -33,7 +33,7 @@
 _MAX_WATCH_AGE_MS: Final[Millis] = 3_000.0
 """Time without a sign of a watching node after which others watch; reports take up to a second."""
 _STAND_IN_SPREAD_MS: Final[Millis] = 1_000.0
-"""Time over which they begin."""
+"""Time over which the nodes that watch in the place of others begin."""
 _START_POLL_INTERVAL_MS: Final[Millis] = 800.0
 _POLL_INTERVAL_MS: Final[Millis] = 12_000.0
 """Interval of the polls of a node that does not watch, in a fleet of up to the next number."""
