Do not wait for times that are too short for the clock to advance

If less than the resolution of the clock is left, the virtual clock does not advance and the loop runs for ever; on a real clock it would only spin for moments. Whether it happens depends on random choices of links, which are not seeded in the tests. The wait for the next read of the table had the same form.

Change: no wait below 1 ms. The new test asks for the wait one step of a float before that time.

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -61,6 +61,8 @@
 is missed."""
 _RENEWAL_FRACTION: Final = 0.3
 """Fraction of a lease's TTL after which it is renewed, so that two renewals may fail."""
+_MIN_WAIT_MS: Final[Millis] = 1.0
+"""Shortest wait; the clock may not advance during one below its resolution."""
 _SILENCE_TIMEOUT_MS: Final[Millis] = 500.0
 """Time after which a read is repeated on a new connection, as open ones may have gone silent."""
 _LEASE_TTL_MS: Final[Millis] = 9_000.0
@@ -230,7 +232,7 @@
         while True:
             wait_ms = self._freshness.read_at - self._clock.now_ms()
             if wait_ms > 0:
-                await trio.sleep(wait_ms / MS_PER_SECOND)
+                await trio.sleep(max(_MIN_WAIT_MS, wait_ms) / MS_PER_SECOND)
                 continue
             try:
                 await self._read_table(table)
--- a/gooseberrydock/mesh/watch_plan.py
+++ b/gooseberrydock/mesh/watch_plan.py
@@ -39,6 +39,8 @@
 """Interval of the polls of a node that does not watch, in a fleet of up to the next number."""
 _POLL_INTERVAL_NODES: Final = 200
 """In a larger fleet the interval grows with the number of nodes, as a poll reads all records."""
+_MIN_WAIT_MS: Final[Millis] = 1.0
+"""Shortest wait; the clock may not advance during one below its resolution."""
 _ROLE_CHECK_INTERVAL_MS: Final[Millis] = 2_000.0
 """Longest time after which a node begins to watch in the place of one that left."""
 
@@ -106,7 +108,7 @@
         stands_in_after_ms = self._stands_in_at - now_ms
         if stands_in_after_ms <= 0.0:
             return _ROLE_CHECK_INTERVAL_MS
-        return min(_ROLE_CHECK_INTERVAL_MS, stands_in_after_ms)
+        return min(_ROLE_CHECK_INTERVAL_MS, max(_MIN_WAIT_MS, stands_in_after_ms))
 
     def _is_starting(self, now_ms: Millis) -> bool:
         return now_ms - self._started_at < _START_MS
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -1,5 +1,6 @@
 """Tests of watching the store on a virtual clock: read rate, and recovery after failures."""
 
+import math
 import random
 import unittest
 from collections.abc import Awaitable, Callable
@@ -145,6 +146,15 @@
     await sync.watch_table("table")
 
 
+class WatchPlanCases(unittest.TestCase):
+    """When a node decides again whether it watches."""
+
+    def test_wait_just_before_standing_in_is_not_too_short_for_the_clock_to_advance(self) -> None:
+        plan = _make_plan(others=(), started_at=0.0)
+        before_ms = math.nextafter(plan._stands_in_at, 0.0)
+        self.assertGreaterEqual(plan.check_interval_ms(before_ms), 1.0)
+
+
 class ReadPacingCases(unittest.TestCase):
     """Watches must not overload the store: reads grow with nodes times changes."""
 
