Let only an orderly end complete an answer that has no length

Cause: the kernel reports a reset to one call only. Where the task that sent the upload, a send without waiting or the check for unread bytes met it first, the reader saw an end that looked orderly; so did a close by the node itself. The client of the own interface and of the store never asked how an answer ended.

Now every call that meets a failure records it, and the end counts as orderly only if it was read and nothing had failed before. A failed send leaves what has arrived to the reader.

--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -83,10 +83,11 @@
 
     async def run(self) -> None:
         """Read answers until the connection ends."""
-        while not self._stream.is_closed:
+        is_open = True
+        while is_open:
             data = await self._stream.receive()
-            if not self._feed(data):
-                break
+            # Only an orderly end may complete an answer that has no length.
+            is_open = bool(data or self._stream.has_ended_orderly) and self._feed(data)
         self._stream.close()
         self._fail(TARGET_TRUNCATED if self._head is not None else TARGET_LOST)
 
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -175,7 +175,7 @@
         """Complete or fail the request after the target closed the connection."""
         if self._observer is None:
             return
-        if self._reader.is_between_messages or self._stream.was_reset:
+        if self._reader.is_between_messages or not self._stream.has_ended_orderly:
             self._fail(TARGET_LOST)
             return
         try:
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -44,17 +44,18 @@
     _is_flushing: bool = False
     _closes_when_flushed: bool = False
     _is_finishing: bool = False
-    _was_reset: bool = False
+    _has_failed: bool = False
+    _has_ended_orderly: bool = False
 
     @property
-    def was_reset(self) -> bool:
-        """Return whether a read failed instead of reaching the orderly end of the connection."""
-        return self._was_reset
+    def has_ended_orderly(self) -> bool:
+        """Return whether the peer's orderly end was read, and no operation had failed before it."""
+        return self._has_ended_orderly
 
     @property
     def is_closed(self) -> bool:
-        """Return whether this side closed the connection."""
-        return self._is_closed
+        """Return whether this side closed the connection, or the connection has failed."""
+        return self._is_closed or self._has_failed
 
     @property
     def is_finishing(self) -> bool:
@@ -74,30 +75,35 @@
         except BlockingIOError:
             return False
         except OSError:
-            pass
+            self._fail()
         return True
 
     async def receive(self) -> bytes:
-        """Return the next bytes, or ``b""`` at the end or after a failure of the connection."""
+        """Return the next bytes, or ``b""`` at the end or after a failure of the connection.
+
+        Bytes that arrived before a failure are still returned.
+        """
         while not self._is_closed:
             try:
                 await trio.lowlevel.wait_readable(self._socket)
                 data = self._socket.recv(defaults.RECEIVE_BYTES)
                 if data and self._is_finishing:
                     continue
+                if not data:
+                    self._has_ended_orderly = not self._has_failed
                 return data
             except BlockingIOError:
                 continue
             except OSError:
-                self._was_reset = True
+                self._fail()
                 return b""
             except trio.ClosedResourceError:
                 return b""
         return b""
 
     def send(self, data: bytes) -> None:
-        """Send bytes now or once the socket accepts them; close the connection if that fails."""
-        if self._is_closed or self._is_finishing or not data:
+        """Send bytes now or once the socket accepts them."""
+        if self.is_closed or self._is_finishing or not data:
             return
         if self._unsent_bytes:
             self._buffer(data)
@@ -107,7 +113,7 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.close()
+            self._fail()
             return
         if sent < len(data):
             self._buffer(data[sent:])
@@ -136,13 +142,23 @@
 
     def finish(self) -> None:
         """Send the end of the stream after all bytes, and discard what the peer has still sent."""
-        if self._is_closed or self._is_finishing:
+        if self.is_closed or self._is_finishing:
             return
         self._is_finishing = True
         if not self._unsent_bytes:
             self._shut_down_sending()
             self._nursery.start_soon(self._close_if_peer_stays)
 
+    def _fail(self) -> None:
+        """Record a failure of the connection; what has arrived can still be read.
+
+        The kernel reports a reset to one call only, and an orderly end to all later ones.
+        """
+        self._has_failed = True
+        self._unsent_bytes.clear()
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def _shut_down_sending(self) -> None:
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
@@ -154,6 +170,7 @@
     def _buffer(self, data: bytes) -> None:
         self._unsent_bytes += data
         if len(self._unsent_bytes) > _MAX_UNSENT_BYTES:
+            self._has_failed = True
             self.close()
             return
         if not self._is_flushing:
@@ -167,11 +184,13 @@
                 await trio.lowlevel.wait_writable(self._socket)
                 sent = self._socket.send(self._unsent_bytes)
                 del self._unsent_bytes[:sent]
-        except (OSError, trio.ClosedResourceError):
-            self.close()
+        except trio.ClosedResourceError:
+            return
+        except OSError:
+            self._fail()
         finally:
             self._is_flushing = False
-        if self._is_closed:
+        if self.is_closed:
             return
         if self._closes_when_flushed:
             self.close_when_sent()
