Keep an acknowledged leaving of a target across starts and restarts

Cause: the answer was 200 in every case, while the leaving was kept only if it named the start that the node knew, and only in that process.

Evidence: tests/test_target_leaving.py.

Now a leaving is kept by start, known or not, for eight starts. The node sends it to all linked nodes, which keep it for a minute and return it on each new link; the 200 goes out when two have confirmed, or after 0.4 s. A leaving that is known after the first heartbeat binds as well.

The stand-in of the target names its start in its leave, as targets do. The calls of on_leave in tests/test_mesh_target.py name the start in another way; they check the same.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -275,13 +275,17 @@
             version=member.version,
         )
 
+    def open_link(self, node_id: str) -> None:
+        """Open the link to a node, whatever the number of open links."""
+        self._links.send(node_id, self._store_status())
+
     def _open_link_eagerly(self, member: Member) -> None:
         """Open the link to a node before a call needs it, unless enough links are open."""
         max_links = (
             _MAX_EAGER_LINKS if self._is_in_other_domain(member) else _MAX_EAGER_DOMAIN_LINKS
         )
         if member.state is not MemberState.DEAD and self._links.linked_node_count < max_links:
-            self._links.send(member.node_id, self._store_status())
+            self.open_link(member.node_id)
 
     # The store.
 
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -12,7 +12,7 @@
 
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import LOAD_STATE
+from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ACKNOWLEDGED
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
@@ -27,6 +27,7 @@
 from gooseberrydock.mesh.entry import Entry
 from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
+from gooseberrydock.mesh.leaving_receipts import Acknowledge, LeavingReceipts
 from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import AcceptedWork, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
@@ -36,6 +37,8 @@
     Cancel,
     ConfigurationPush,
     CrashNotice,
+    LeavingNotice,
+    LeavingReceipt,
     LoadNotice,
     MemberSync,
     RecordChanges,
@@ -66,6 +69,7 @@
     _target_dispatcher: TargetDispatcher = attrs.field(init=False)
     _fleet: FleetView = attrs.field(init=False)
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
+    _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
     _is_stopping: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -224,6 +228,49 @@
         else:
             self._links.send(node_id, cancel)
 
+    # The leaving of targets, which other nodes keep for the node beside the target.
+
+    def acknowledge_leaving(self, start_id: str, acknowledge: Acknowledge) -> None:
+        """Acknowledge the leaving of a start of the local target once other nodes keep it."""
+        now_ms = self._clock.now_ms()
+        notice = self._controllers.registration.leaving_notice(now_ms)
+        if notice is None or notice.start_id != start_id:
+            # A later start has taken its place, so that it cannot be used again.
+            acknowledge()
+            return
+        self._links.broadcast(notice)
+        asked_nodes = {link.node_id for link in self._links.open_links}
+        self._leaving_receipts.hold(now_ms, start_id, len(asked_nodes), acknowledge)
+        self._acknowledge_due(now_ms)
+
+    def on_leaving_notice(self, notice: LeavingNotice, link: PeerLink) -> None:
+        """Keep that another node's target is leaving."""
+        memory = self._controllers.entry.statement_memory
+        memory.on_leaving(self._clock.now_ms(), link.node_id, notice)
+        link.send(LeavingReceipt(notice.start_id))
+
+    def on_leaving_receipt(self, receipt: LeavingReceipt, link: PeerLink) -> None:
+        """Record that another node keeps the leaving of the local target."""
+        self._leaving_receipts.on_receipt(receipt.start_id, link.node_id)
+        self._acknowledge_due(self._clock.now_ms())
+
+    def _acknowledge_due(self, now_ms: Millis) -> None:
+        for leaving in self._leaving_receipts.take_due(now_ms):
+            log(
+                TARGET_LEAVING_ACKNOWLEDGED,
+                start=leaving.start_id,
+                kept_by=leaving.holders,
+                waited_ms=round(leaving.waited_ms, 1),
+            )
+            for acknowledge in leaving.acknowledge:
+                acknowledge()
+
+    def _open_links_to_restarted_nodes(self, now_ms: Millis) -> None:
+        """Open missing links to nodes that may have forgotten that their target is leaving."""
+        for node_id in self._controllers.entry.statement_memory.leaving_nodes(now_ms):
+            if not self._links.has_link(node_id) and self._fleet.find_peer_address(node_id):
+                self._fleet.open_link(node_id)
+
     # Effects of the target dispatcher.
 
     def answer_call(self, link_id: str, answer: RoutedAnswer) -> None:
@@ -294,6 +341,9 @@
         notice = memory.notice_for(self._clock.now_ms(), link.node_id)
         if notice is not None:
             link.send(notice)
+        own_notice = self._controllers.registration.leaving_notice(self._clock.now_ms())
+        if own_notice is not None:
+            link.send(own_notice)
         self._controllers.entry.host_selector.on_link_opened(link.node_id)
         self._fleet.on_link_opened(link)
 
@@ -312,6 +362,7 @@
         """Run the timers of requests and calls."""
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
+        self._acknowledge_due(now_ms)
 
     def tick_links(self, now_ms: Millis) -> None:
         """Probe links with answers due, close silent ones, and report calls that got no link."""
@@ -330,6 +381,7 @@
             connection.close_if_timed_out(now_ms, self.table.limits)
         self._target_dispatcher.tick_maintenance(now_ms)
         self._fleet.tick_maintenance(now_ms)
+        self._open_links_to_restarted_nodes(now_ms)
         if self._fleet.record.is_cold and not self._controllers.registration.is_cold(now_ms):
             self.publish(write_to_store=False)
 
@@ -428,6 +480,16 @@
     node.target_dispatcher.on_target_notice(message)
 
 
+@handle_message.register
+def _(message: LeavingNotice, node: MeshNode, link: PeerLink) -> None:
+    node.on_leaving_notice(message, link)
+
+
+@handle_message.register
+def _(message: LeavingReceipt, node: MeshNode, link: PeerLink) -> None:
+    node.on_leaving_receipt(message, link)
+
+
 @handle_message.register
 def _(message: MemberSync, node: MeshNode, link: PeerLink) -> None:
     node.fleet.on_member_sync(message, link)
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -285,12 +285,14 @@
             self._owner.publish()
         return True
 
-    def on_target_leaving(self, instance_id: str, started_wall_ms: int | None) -> None:
-        """Record that a target leaves without having announced it."""
-        now_ms = self._clock.now_ms()
-        if self._controllers.registration.on_leave(now_ms, instance_id, started_wall_ms):
+    def on_target_leaving(self, instance_id: str, started_wall_ms: int | None) -> str:
+        """Record that a target leaves without having announced it; return which start this is."""
+        registration = self._controllers.registration
+        start_id = registration.name_start(instance_id, started_wall_ms, self._clock.wall_ms())
+        if registration.on_leave(self._clock.now_ms(), start_id):
             log(TARGET_LEAVING, instance=instance_id)
             self._owner.publish()
+        return start_id
 
     def on_invalid_announcement(self, detail: str) -> None:
         """Log an announcement that is invalid or names no target of this node."""
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -12,13 +12,13 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Address
-from gooseberrydock.messages import TargetNotice
+from gooseberrydock.messages import LeavingNotice, TargetNotice
 
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
 
 _MAX_NOTED_STARTS: Final = 8
-"""Starts of the target of which is kept what other nodes know."""
+"""Starts of the target of which is kept what they stated, besides the current one."""
 
 
 class TargetState(enum.Enum):
@@ -45,22 +45,27 @@
     slots: int
     cold_left_ms: Millis
 
+    @property
+    def start_id(self) -> str:
+        """Return what identifies this start of the target."""
+        return format_start_id(self.instance_id, self.started_wall_ms)
+
 
 @attrs.define
 class _NotedStatement:
-    """What other nodes know of one start: its lowest limit, and when it stated its leaving."""
+    """What one start has stated to any node: its lowest limit, and when it began to leave."""
 
     rate_limit: float | None = None
     leaving_since: Millis | None = None
 
-    def add(self, now_ms: Millis, notice: TargetNotice) -> None:
-        """Add what one more node knows."""
-        if notice.rate_limit:
-            self.rate_limit = min(notice.rate_limit, self.rate_limit or notice.rate_limit)
-        if notice.is_leaving:
-            leaving_since = now_ms - notice.leaving_for_ms
-            if self.leaving_since is None or leaving_since < self.leaving_since:
-                self.leaving_since = leaving_since
+    def add_rate_limit(self, rate_limit: float) -> None:
+        """Add a limit that another node knows."""
+        self.rate_limit = min(rate_limit, self.rate_limit or rate_limit)
+
+    def add_leaving(self, leaving_since: Millis) -> None:
+        """Add that the start is leaving; the earliest time counts."""
+        if self.leaving_since is None or leaving_since < self.leaving_since:
+            self.leaving_since = leaving_since
 
 
 @attrs.define
@@ -77,6 +82,7 @@
     _rate_limit: float | None = None
     _has_answered: bool = False
     _noted: dict[str, _NotedStatement] = attrs.field(factory=dict)
+    _last_left_start: str = ""
 
     @property
     def current(self) -> InstanceAnnouncement | None:
@@ -103,8 +109,7 @@
     @property
     def start_id(self) -> str:
         """Return what identifies the current start of the target, or an empty string."""
-        current = self._current
-        return f"{current.instance_id}@{current.started_wall_ms}" if current is not None else ""
+        return self._current.start_id if self._current is not None else ""
 
     @property
     def rate_limit(self) -> float | None:
@@ -142,7 +147,9 @@
         current = self._current
         if announcement.address != self._address:
             return False
-        if current is None or self._is_other_start(current, announcement):
+        if announcement.state is TargetState.LEAVING:
+            self._note_leaving(announcement.start_id, now_ms)
+        if current is None or announcement.start_id != current.start_id:
             return self._replace_current(now_ms, current, announcement)
         has_changed = False
         if announcement.state is TargetState.LEAVING and not self._is_leaving:
@@ -158,15 +165,23 @@
             self._cold_until = now_ms + announcement.cold_left_ms
         return has_changed
 
-    def on_leave(self, now_ms: Millis, instance_id: str, started_wall_ms: int | None) -> bool:
-        """Record that the target leaves without prior notice; return whether the state changed."""
-        current = self._current
-        if current is None or current.instance_id != instance_id or self._is_leaving:
-            return False
-        if started_wall_ms is not None and started_wall_ms < current.started_wall_ms:
-            return False
-        self._set_leaving(now_ms)
-        return True
+    def name_start(self, instance_id: str, started_wall_ms: int | None, wall_ms: Millis) -> str:
+        """Return the start that a target means which may not say when it started.
+
+        Without that, it means the current start if the ID is the same, else any start until now.
+        """
+        if started_wall_ms is None:
+            is_current = self.instance_id == instance_id
+            return self.start_id if is_current else format_start_id(instance_id, int(wall_ms))
+        return format_start_id(instance_id, started_wall_ms)
+
+    def on_leave(self, now_ms: Millis, start_id: str) -> bool:
+        """Record that a start leaves without prior notice; return whether the state changed.
+
+        This binds the named start and all earlier ones of its ID, known or not.
+        """
+        self._note_leaving(start_id, now_ms)
+        return self._apply_noted_leaving()
 
     def on_stated_leaving(self, now_ms: Millis, start_id: str) -> bool:
         """Record that a start of the target leaves by its answers; return whether this is new."""
@@ -177,26 +192,63 @@
 
     def on_notice(self, now_ms: Millis, notice: TargetNotice) -> bool:
         """Record what another node knows of a start; return whether this target's state changed."""
-        noted = self._noted.get(notice.start_id)
-        if noted is None:
-            noted = self._noted[notice.start_id] = _NotedStatement()
-        noted.add(now_ms, notice)
-        if len(self._noted) > _MAX_NOTED_STARTS:
-            del self._noted[next(iter(self._noted))]
         # Another start may not have announced itself to this node yet.
-        return notice.start_id == self.start_id and self._apply_noted(noted)
-
-    def _apply_noted(self, noted: _NotedStatement) -> bool:
-        """Apply what other nodes know; a limit counts only until the target answers itself."""
-        has_changed = False
-        if noted.leaving_since is not None and not self._is_leaving:
-            self._set_leaving(noted.leaving_since)
-            has_changed = True
-        if not self._has_answered and noted.rate_limit != self._rate_limit:
+        if notice.rate_limit:
+            self._noted_statement(notice.start_id).add_rate_limit(notice.rate_limit)
+        if notice.is_leaving:
+            self._note_leaving(notice.start_id, now_ms - notice.leaving_for_ms)
+        return self._apply_noted()
+
+    def leaving_notice(self, now_ms: Millis) -> LeavingNotice | None:
+        """Return the latest leaving that other nodes have to know, or None."""
+        noted = self._noted.get(self._last_left_start)
+        if noted is None or noted.leaving_since is None:
+            return None
+        return LeavingNotice(self._last_left_start, max(0.0, now_ms - noted.leaving_since))
+
+    def _note_leaving(self, start_id: str, leaving_since: Millis) -> None:
+        """Keep that a start is leaving, whether it is known or not."""
+        self._noted_statement(start_id).add_leaving(leaving_since)
+        if self._current is None or not self._has_ended(start_id, self._current):
+            self._last_left_start = start_id
+
+    def _noted_statement(self, start_id: str) -> _NotedStatement:
+        noted = self._noted.pop(start_id, None) or _NotedStatement()
+        self._noted[start_id] = noted
+        if len(self._noted) > _MAX_NOTED_STARTS:
+            del self._noted[next(key for key in self._noted if key != self.start_id)]
+        return noted
+
+    def _noted_leaving_since(self, announcement: InstanceAnnouncement) -> Millis | None:
+        """Return since when a start is known to leave: a leaving binds earlier starts too."""
+        times = [
+            noted.leaving_since
+            for start_id, noted in self._noted.items()
+            if noted.leaving_since is not None
+            and parse_start_id(start_id)[0] == announcement.instance_id
+            and parse_start_id(start_id)[1] >= announcement.started_wall_ms
+        ]
+        return min(times, default=None)
+
+    def _apply_noted(self) -> bool:
+        """Apply what is noted of the current start; return whether the state changed."""
+        has_changed = self._apply_noted_leaving()
+        noted = self._noted.get(self.start_id)
+        # A limit that others know counts only until the target answers itself.
+        if noted is not None and not self._has_answered and noted.rate_limit != self._rate_limit:
             self._rate_limit = noted.rate_limit
             has_changed = True
         return has_changed
 
+    def _apply_noted_leaving(self) -> bool:
+        leaving_since = self._noted_leaving_since(self._current) if self._current else None
+        if leaving_since is None:
+            return False
+        was_leaving = self._is_leaving
+        if not was_leaving or leaving_since < self._leaving_since:
+            self._set_leaving(leaving_since)
+        return not was_leaving
+
     def on_mismatch(self, instance_id: str) -> bool:
         """Record that the instance is not at its address until it announces itself again.
 
@@ -217,16 +269,21 @@
         self._rate_limit = rate_limit
         return True
 
-    def _is_other_start(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
+    def _has_ended(self, start_id: str, current: InstanceAnnouncement) -> bool:
+        """Return whether a start is over because the current one began later at its address."""
+        return parse_start_id(start_id)[1] < current.started_wall_ms
+
+    def _may_replace(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
         if new.started_wall_ms != current.started_wall_ms:
-            return True
-        return new.instance_id != current.instance_id
+            return new.started_wall_ms > current.started_wall_ms
+        # Equal times do not show which start is the later one, but not one that has left.
+        return self._noted_leaving_since(new) is None
 
     def _replace_current(
         self, now_ms: Millis, current: InstanceAnnouncement | None, new: InstanceAnnouncement
     ) -> bool:
         """Replace the current start unless the new one is older; return whether it was replaced."""
-        if current is not None and new.started_wall_ms < current.started_wall_ms:
+        if current is not None and not self._may_replace(current, new):
             return False
         self._current = new
         self._cold_until = now_ms + new.cold_left_ms
@@ -234,16 +291,26 @@
         self._mismatched_id = ""
         self._rate_limit = None
         self._has_answered = False
-        noted = self._noted.get(self.start_id)
-        if noted is not None:
-            self._apply_noted(noted)
-        if new.state is TargetState.LEAVING and not self._is_leaving:
-            self._set_leaving(now_ms)
+        self._apply_noted()
+        if not self._is_leaving:
+            self._last_left_start = ""
         return True
 
-    def _set_leaving(self, now_ms: Millis) -> None:
+    def _set_leaving(self, leaving_since: Millis) -> None:
         self._is_leaving = True
-        self._leaving_since = now_ms
+        self._leaving_since = leaving_since
+        self._note_leaving(self.start_id, leaving_since)
+
+
+def format_start_id(instance_id: str, started_wall_ms: int) -> str:
+    """Return what identifies a start of a target."""
+    return f"{instance_id}@{started_wall_ms}"
+
+
+def parse_start_id(start_id: str) -> tuple[str, int]:
+    """Return the instance ID and the start time of a start."""
+    instance_id, _, started_wall_ms = start_id.rpartition("@")
+    return instance_id, int(started_wall_ms)
 
 
 def create_target_registration(address: Address, drain_ms: Millis) -> TargetRegistration:
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -292,6 +292,24 @@
     leaving_for_ms: Millis
 
 
+@attrs.frozen
+class LeavingNotice:
+    """Notice that a start of the sender's target is leaving, which the receiver keeps for it.
+
+    ``leaving_for_ms`` is the time since then. A ``LeavingReceipt`` confirms that it is kept.
+    """
+
+    start_id: str
+    leaving_for_ms: Millis
+
+
+@attrs.frozen
+class LeavingReceipt:
+    """Confirmation that the leaving of a start is kept."""
+
+    start_id: str
+
+
 @attrs.frozen
 class LoadNotice:
     """Load of a target and its mean run times, sent regularly within the failure domain.
@@ -361,6 +379,8 @@
     | ShareNotice
     | RecordChanges
     | TargetNotice
+    | LeavingNotice
+    | LeavingReceipt
     | LoadNotice
     | StoreStatus
 )
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -22,6 +22,7 @@
 _INSTANCES_PATH_PREFIX: Final = "/-/instances/"
 _TARGET_STATES: Final = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 _MAX_SLOTS: Final = 1_000_000
+_MAX_WHOLE_NUMBER: Final = 2**63 - 1
 _MAX_COLD_LEFT_MS: Final = 600_000.0
 
 
@@ -53,7 +54,7 @@
     """Serve heartbeats and deregistrations of the local target."""
 
     def on_request(connection: HttpConnection, request: HttpRequest) -> None:
-        connection.respond(_respond_to_target(node, request))
+        _handle_target_request(node, connection, request)
 
     await serve_http(stream, on_request)
 
@@ -70,26 +71,40 @@
     await serve_http(stream, on_request)
 
 
-def _respond_to_target(node: MeshNode, request: HttpRequest) -> HttpResponse:
-    if not request.path.startswith(_INSTANCES_PATH_PREFIX):
-        return _create_empty_response(NOT_FOUND.status)
+def _handle_target_request(
+    node: MeshNode, connection: HttpConnection, request: HttpRequest
+) -> None:
     instance_id = urllib.parse.unquote(request.path.removeprefix(_INSTANCES_PATH_PREFIX))
-    if request.method == "PUT":
-        return _respond_to_heartbeat(node, instance_id, request.body)
-    if request.method == "DELETE":
-        node.target_dispatcher.on_target_leaving(instance_id, _decode_start_time(request.body))
-        return _create_empty_response(200)
-    return _create_empty_response(NOT_FOUND.status)
-
-
-def _respond_to_heartbeat(node: MeshNode, instance_id: str, body: bytes) -> HttpResponse:
+    is_known_path = request.path.startswith(_INSTANCES_PATH_PREFIX) and bool(instance_id)
+    if is_known_path and request.method == "PUT":
+        _handle_heartbeat(node, connection, instance_id, request.body)
+    elif is_known_path and request.method == "DELETE":
+        started_wall_ms = _decode_start_time(request.body)
+        start_id = node.target_dispatcher.on_target_leaving(instance_id, started_wall_ms)
+        _acknowledge_leaving(node, connection, start_id)
+    else:
+        connection.respond(_create_empty_response(NOT_FOUND.status))
+
+
+def _handle_heartbeat(
+    node: MeshNode, connection: HttpConnection, instance_id: str, body: bytes
+) -> None:
     try:
         announcement = decode_announcement(instance_id, body)
     except GooseberrydockError as error:
         node.target_dispatcher.on_invalid_announcement(error.detail)
-        return _create_empty_response(error.code.status)
+        connection.respond(_create_empty_response(error.code.status))
+        return
     is_accepted = node.target_dispatcher.on_announcement(announcement)
-    return _create_empty_response(200 if is_accepted else INVALID_ANNOUNCEMENT.status)
+    if is_accepted and announcement.state is TargetState.LEAVING:
+        _acknowledge_leaving(node, connection, announcement.start_id)
+    else:
+        status = 200 if is_accepted else INVALID_ANNOUNCEMENT.status
+        connection.respond(_create_empty_response(status))
+
+
+def _acknowledge_leaving(node: MeshNode, connection: HttpConnection, start_id: str) -> None:
+    node.acknowledge_leaving(start_id, lambda: connection.respond(_create_empty_response(200)))
 
 
 def _decode_start_time(body: bytes) -> int | None:
@@ -105,8 +120,8 @@
 
 
 def _decode_whole_number(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{value!r} is not a whole number of at least 0")
+    if type(value) is not int or not 0 <= value <= _MAX_WHOLE_NUMBER:
+        raise ValueError(f"{value!r} is not a whole number from 0 to {_MAX_WHOLE_NUMBER}")
     return value
 
 
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 from collections.abc import Callable
 from functools import singledispatch
 from typing import Any, Final
@@ -39,9 +40,12 @@
 TAG_LOAD_NOTICE: Final = 18
 TAG_TARGET_NOTICE: Final = 19
 TAG_STORE_STATUS: Final = 20
+TAG_LEAVING_NOTICE: Final = 21
+TAG_LEAVING_RECEIPT: Final = 22
 
 
 _MAX_STATUS: Final = 599
+_START_ID_PATTERN: Final = re.compile(r".+@[0-9]{1,20}", re.ASCII | re.DOTALL)
 
 
 class _FieldError(ValueError):
@@ -220,6 +224,16 @@
     ]
 
 
+@_to_array.register
+def _leaving_notice_to_array(message: messages.LeavingNotice) -> list[Any]:
+    return [TAG_LEAVING_NOTICE, message.start_id, message.leaving_for_ms]
+
+
+@_to_array.register
+def _leaving_receipt_to_array(message: messages.LeavingReceipt) -> list[Any]:
+    return [TAG_LEAVING_RECEIPT, message.start_id]
+
+
 @_to_array.register
 def _owner_heartbeat_to_array(message: messages.OwnerHeartbeat) -> list[Any]:
     return [
@@ -452,10 +466,29 @@
 
 def _to_target_notice(array: list[Any]) -> messages.TargetNotice:
     _check_field_types(array, (str, float, bool, float))
+    _check_start_id(array[1])
     _check_finite_not_negative(array[2], array[4])
     return messages.TargetNotice(*array[1:])
 
 
+def _to_leaving_notice(array: list[Any]) -> messages.LeavingNotice:
+    _check_field_types(array, (str, float))
+    _check_start_id(array[1])
+    _check_finite_not_negative(array[2])
+    return messages.LeavingNotice(*array[1:])
+
+
+def _to_leaving_receipt(array: list[Any]) -> messages.LeavingReceipt:
+    _check_field_types(array, (str,))
+    _check_start_id(array[1])
+    return messages.LeavingReceipt(*array[1:])
+
+
+def _check_start_id(start_id: str) -> None:
+    if _START_ID_PATTERN.fullmatch(start_id) is None:
+        raise _FieldError("a start of a target is not an ID and a start time")
+
+
 def _check_route_values(values: dict[Any, Any]) -> None:
     if any(type(route) is not str or type(value) is not float for route, value in values.items()):
         raise _FieldError("the values do not map route names to floats")
@@ -564,5 +597,7 @@
     TAG_RECORD_CHANGES: _to_record_changes,
     TAG_LOAD_NOTICE: _to_load_notice,
     TAG_TARGET_NOTICE: _to_target_notice,
+    TAG_LEAVING_NOTICE: _to_leaving_notice,
+    TAG_LEAVING_RECEIPT: _to_leaving_receipt,
     TAG_STORE_STATUS: _to_store_status,
 }
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -312,7 +312,7 @@
 
     async def leave(self) -> int:
         """Send a deregistration; return the status of the response, 0 without a response."""
-        return await self._send_to_node("DELETE", b"")
+        return await self._send_to_node("DELETE", json.dumps({"born": self.born}).encode())
 
     async def _send_to_node(self, method: str, body: bytes) -> int:
         request = HttpRequest(method, f"/-/instances/{self.instance_id}", [], body)
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -82,13 +82,14 @@
 
     def test_leaving_without_notice_ends_work_by_the_drain_time(self) -> None:
         registration = _create_registration()
-        self.assertTrue(registration.on_leave(0.0, "i-1", None))
+        self.assertTrue(registration.on_leave(0.0, registration.name_start("i-1", None, 1_500.0)))
         self.assertFalse(registration.accepts(_DRAIN_MS, "shop"))
 
     def test_leave_of_an_earlier_start_is_ignored(self) -> None:
         registration = _create_registration()
         registration.on_announcement(10.0, _create_announcement(started_wall_ms=2_000))
-        self.assertFalse(registration.on_leave(20.0, "i-1", 1_000))
+        leaving_start = registration.name_start("i-1", 1_000, 2_500.0)
+        self.assertFalse(registration.on_leave(20.0, leaving_start))
         self.assertEqual("shop", registration.service)
 
     def test_late_announcement_of_an_earlier_start_is_ignored(self) -> None:
@@ -100,7 +101,7 @@
 
     def test_same_id_may_start_again(self) -> None:
         registration = _create_registration()
-        registration.on_leave(0.0, "i-1", None)
+        registration.on_leave(0.0, registration.name_start("i-1", None, 1_500.0))
         registration.on_announcement(50.0, _create_announcement(started_wall_ms=2_000))
         self.assertEqual("shop", registration.service)
 
--- /dev/null
+++ b/tests/test_target_leaving.py
@@ -0,0 +1,281 @@
+"""Test that an acknowledged leaving of a target binds, whatever else is known and restarted."""
+
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrydock.members import Address
+from gooseberrydock.mesh.leaving_receipts import LeavingReceipts
+from gooseberrydock.mesh.statement_memory import StatementMemory
+from gooseberrydock.mesh.target_registration import (
+    InstanceAnnouncement,
+    TargetRegistration,
+    TargetState,
+    create_target_registration,
+)
+from gooseberrydock.messages import LeavingNotice, TargetNotice, TargetReport
+from tests.platform_fleet import FleetNode, PlatformFleet, make_route_fields, running_platform_fleet
+
+_ADDRESS = Address("10.0.0.1", 80)
+_DRAIN_MS = 2_000.0
+_LATER_MS = 5_000.0
+_WALL_MS = 7_000.0
+_READY = InstanceAnnouncement("a", "shop", _ADDRESS, 5, 9, TargetState.READY, 10, 0.0)
+
+
+def _announce(
+    instance_id: str, started: int, sequence: int = 9, state: TargetState = TargetState.READY
+) -> Callable[[TargetRegistration], None]:
+    announcement = attrs.evolve(
+        _READY, instance_id=instance_id, started_wall_ms=started, sequence=sequence, state=state
+    )
+    return lambda registration: _apply(registration, announcement)
+
+
+def _apply(registration: TargetRegistration, announcement: InstanceAnnouncement) -> None:
+    # An announcement of leaving is acknowledged at once, any other one arrives late.
+    is_leaving = announcement.state is TargetState.LEAVING
+    registration.on_announcement(0.0 if is_leaving else _LATER_MS, announcement)
+
+
+def _leave(instance_id: str, started: int | None) -> Callable[[TargetRegistration], None]:
+    return lambda registration: _apply_leave(registration, instance_id, started)
+
+
+def _apply_leave(registration: TargetRegistration, instance_id: str, started: int | None) -> None:
+    start_id = registration.name_start(instance_id, started, _WALL_MS)
+    registration.on_leave(0.0, start_id)
+
+
+def _notice(start_id: str) -> Callable[[TargetRegistration], None]:
+    notice = TargetNotice(start_id, 0.0, True, _LATER_MS)
+    return lambda registration: _apply_notice(registration, notice)
+
+
+def _apply_notice(registration: TargetRegistration, notice: TargetNotice) -> None:
+    registration.on_notice(_LATER_MS, notice)
+
+
+_LEAVING = TargetState.LEAVING
+NOT_USED_AGAIN = [
+    ("leave of a start that a restarted node does not know", [_leave("a", 9), _announce("a", 9)]),
+    ("the same without a start time", [_leave("a", None), _announce("a", 9)]),
+    ("an earlier start is known", [_announce("a", 5), _leave("a", 9), _announce("a", 9)]),
+    ("an earlier start of another ID", [_announce("b", 5), _leave("a", 9), _announce("a", 9)]),
+    ("announced, then late", [_announce("a", 9, 5, _LEAVING), _announce("a", 9, 3)]),
+    ("announced, then a later sequence", [_announce("a", 9, 5, _LEAVING), _announce("a", 9, 7)]),
+    ("a start before the one that left", [_leave("a", 9), _announce("a", 8)]),
+    ("known too late by another node", [_announce("a", 9), _notice("a@9")]),
+    ("known by another node before", [_notice("a@9"), _announce("a", 9)]),
+    ("another node knows of a later start", [_announce("a", 8), _notice("a@9")]),
+    ("twice", [_leave("a", 9), _announce("a", 9), _leave("a", 9), _announce("a", 9, 20)]),
+]
+"""Events in whose course a start has left; it announces itself late."""
+USED = [
+    ("a later start of the same ID", [_leave("a", 9), _announce("a", 10)], "a@10"),
+    ("after a leave without a start time", [_leave("a", None), _announce("a", 7_001)], "a@7001"),
+    ("another ID at the same time", [_leave("a", 9), _announce("b", 9)], "b@9"),
+    (
+        "another ID at the same time, then the late one",
+        [_leave("a", 9), _announce("b", 9), _announce("a", 9)],
+        "b@9",
+    ),
+    (
+        "an earlier start leaves late",
+        [_announce("a", 9), _announce("a", 5, 9, _LEAVING)],
+        "a@9",
+    ),
+    ("an earlier start has left", [_announce("a", 9), _leave("a", 5)], "a@9"),
+    ("another node knows of an earlier start", [_announce("a", 9), _notice("a@8")], "a@9"),
+]
+"""Events after which a start that has not left is in use."""
+
+
+class AcknowledgedLeavingCases(unittest.TestCase):
+    """Guard against a target that is used again after its leaving was acknowledged."""
+
+    def test_start_that_has_left_is_not_used_again(self) -> None:
+        for name, events in NOT_USED_AGAIN:
+            with self.subTest(name):
+                registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+                for event in events:
+                    event(registration)
+                self.assertEqual("", registration.service)
+                self.assertFalse(registration.accepts(_LATER_MS, "shop"))
+
+    def test_start_that_has_not_left_is_used(self) -> None:
+        for name, events, start_id in USED:
+            with self.subTest(name):
+                registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+                for event in events:
+                    event(registration)
+                self.assertEqual(start_id, registration.start_id)
+                self.assertTrue(registration.accepts(_LATER_MS, "shop"))
+
+    @given(st.permutations(range(6)), st.integers(0, 2))
+    def test_no_order_of_late_announcements_brings_a_start_back(
+        self, order: list[int], started: int
+    ) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        registration.on_leave(0.0, f"a@{started}")
+        for number in order:
+            _announce("a" if number % 2 else "b", number // 2)(registration)
+            if registration.instance_id == "a" and registration.accepts(_LATER_MS, "shop"):
+                self.assertGreater(registration.start_id, f"a@{started}")
+
+    def test_starts_that_left_are_bounded_and_the_current_one_is_kept(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        _announce("a", 9)(registration)
+        registration.on_leave(0.0, "a@9")
+        for number in range(1_000):
+            registration.on_leave(0.0, f"b@{number}")
+        self.assertLess(len(registration._noted), 20)
+        self.assertIn("a@9", registration._noted)
+
+
+class KeptLeavingCases(unittest.TestCase):
+    """What other nodes keep of a leaving, and what they return to the restarted node."""
+
+    def test_leaving_is_returned_with_the_earliest_time(self) -> None:
+        memory = StatementMemory()
+        memory.on_leaving(1_000.0, "n1", LeavingNotice("a@9", 300.0))
+        memory.on_leaving(2_000.0, "n1", LeavingNotice("a@9", 100.0))
+        self.assertEqual(TargetNotice("a@9", 0.0, True, 1_800.0), memory.notice_for(2_500.0, "n1"))
+        self.assertEqual(["n1"], memory.leaving_nodes(2_500.0))
+        self.assertEqual([], memory.leaving_nodes(120_000.0))
+
+    def test_leaving_outlives_answers_of_the_restarted_node_that_say_nothing(self) -> None:
+        memory = StatementMemory()
+        memory.on_leaving(0.0, "n1", LeavingNotice("a@9", 0.0))
+        memory.on_report(10.0, "n1", TargetReport(1, 10, 20.0, 1.0), is_answer=True)
+        self.assertEqual(["n1"], memory.leaving_nodes(20.0))
+
+    def test_later_start_takes_the_place_of_the_one_that_left(self) -> None:
+        memory = StatementMemory()
+        memory.on_leaving(0.0, "n1", LeavingNotice("a@9", 0.0))
+        report = TargetReport(1, 10, 20.0, 1.0, rate_limit=5.0, start_id="a@10")
+        memory.on_report(10.0, "n1", report, is_answer=True)
+        self.assertEqual([], memory.leaving_nodes(20.0))
+
+    def test_what_a_node_sends_is_its_latest_leaving_and_ends_with_the_next_start(self) -> None:
+        registration = create_target_registration(_ADDRESS, _DRAIN_MS)
+        self.assertIsNone(registration.leaving_notice(0.0))
+        registration.on_leave(0.0, "a@9")
+        self.assertEqual(LeavingNotice("a@9", 50.0), registration.leaving_notice(50.0))
+        _announce("a", 9)(registration)
+        self.assertEqual(LeavingNotice("a@9", 60.0), registration.leaving_notice(60.0))
+        _announce("a", 10)(registration)
+        self.assertIsNone(registration.leaving_notice(70.0))
+
+
+class LeavingReceiptsCases(unittest.TestCase):
+    """When the leaving is acknowledged to the target."""
+
+    def setUp(self) -> None:
+        self._receipts = LeavingReceipts()
+        self._acknowledged: list[int] = []
+
+    def _hold(self, now_ms: float, asked_nodes: int) -> None:
+        self._receipts.hold(now_ms, "a@9", asked_nodes, lambda: self._acknowledged.append(1))
+
+    def _acknowledge_due(self, now_ms: float) -> int:
+        for leaving in self._receipts.take_due(now_ms):
+            for acknowledge in leaving.acknowledge:
+                acknowledge()
+        return len(self._acknowledged)
+
+    def test_two_other_nodes_keep_it_first(self) -> None:
+        self._hold(0.0, asked_nodes=5)
+        for node_id, expected in (("n1", 0), ("n1", 0), ("n2", 1)):
+            self._receipts.on_receipt("a@9", node_id)
+            self.assertEqual(expected, self._acknowledge_due(1.0))
+
+    def test_only_nodes_that_were_asked_are_waited_for(self) -> None:
+        self._hold(0.0, asked_nodes=1)
+        self._receipts.on_receipt("a@8", "n1")
+        self.assertEqual(0, self._acknowledge_due(1.0))
+        self._receipts.on_receipt("a@9", "n1")
+        self.assertEqual(1, self._acknowledge_due(2.0))
+
+    def test_node_without_others_acknowledges_at_once(self) -> None:
+        self._hold(0.0, asked_nodes=0)
+        self.assertEqual(1, self._acknowledge_due(0.0))
+
+    def test_silent_nodes_do_not_keep_the_target_waiting_for_a_second(self) -> None:
+        self._hold(0.0, asked_nodes=2)
+        self.assertEqual(0, self._acknowledge_due(100.0))
+        self.assertEqual(1, self._acknowledge_due(800.0))
+
+    def test_repeated_calls_are_all_answered(self) -> None:
+        self._hold(0.0, asked_nodes=2)
+        self._hold(50.0, asked_nodes=2)
+        self._receipts.on_receipt("a@9", "n1")
+        self._receipts.on_receipt("a@9", "n2")
+        self.assertEqual(2, self._acknowledge_due(60.0))
+        self.assertEqual(2, self._acknowledge_due(900.0))
+
+
+_DRAIN_TIME_S = 2.0
+_RUNS_AFTER_S = 2.0
+
+
+class LeavingBeforeRestartCases(unittest.TestCase):
+    """Guard against an acknowledged leaving that is forgotten when the node is killed after it."""
+
+    def test_target_is_not_used_again_after_a_late_announcement(self) -> None:
+        for title, state, store_mode in (
+            ("leave", "ready", "ok"),
+            ("announced", "draining", "ok"),
+            ("leave, store away", "ready", "down"),
+        ):
+            with self.subTest(title):
+                runs = trio.run(self._leave_before_kill, state, store_mode)
+                self.assertEqual([], runs)
+
+    async def _leave_before_kill(self, state: str, store_mode: str) -> list[float]:
+        """Return the times after the acknowledgement of runs that began later than allowed."""
+        with tempfile.TemporaryDirectory() as name:
+            async with running_platform_fleet(Path(name)) as fleet:
+                for service, domain in (("shop", "z1"), ("shop", "z2"), ("web", "z1")):
+                    await fleet.add(service, domain)
+                fleet.configure({"look": make_route_fields("shop", "/look/")}, ["shop", "web"])
+                await fleet.wait_until_known()
+                leaving = fleet.nodes[0]
+                for node in fleet.nodes:
+                    await fleet.wait_until_served(node, "/look/1")
+                fleet.store.mode = store_mode
+                leaving.sends_heartbeats = False
+                leaving.target.state = state
+                is_announced = state == "draining"
+                target = leaving.target
+                self.assertEqual(200, await (target.announce() if is_announced else target.leave()))
+                acknowledged_at = trio.current_time()
+                leaving.kill()
+                leaving.start(fleet.log)
+                await self._announce_late(leaving)
+                await self._send_requests(fleet, acknowledged_at)
+                allowed_until = acknowledged_at + _DRAIN_TIME_S
+                return [
+                    at - acknowledged_at for at in leaving.target.run_times_s if at > allowed_until
+                ]
+
+    async def _announce_late(self, leaving: FleetNode) -> None:
+        leaving.target.state = "ready"
+        leaving.target.sequence = 0
+        with trio.fail_after(5):
+            while await leaving.target.announce() != 200:
+                await trio.sleep(0.05)
+
+    async def _send_requests(self, fleet: PlatformFleet, acknowledged_at: float) -> None:
+        number = 0
+        while trio.current_time() < acknowledged_at + _DRAIN_TIME_S + _RUNS_AFTER_S:
+            for node in fleet.nodes[1:]:
+                number += 1
+                self.assertEqual(200, await fleet.status(node, f"/look/{number}", f"r{number}"))
+            await trio.sleep(0.02)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,6 +13,7 @@
 
 from gooseberrydock import defaults, messages, wire
 from gooseberrydock.configuration import decode_configuration, encode_configuration
+from gooseberrydock.errorcodes import PEER_PROTOCOL
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.gossip import (
     GossipKind,
@@ -22,6 +23,7 @@
     encode_gossip,
 )
 from gooseberrydock.members import Address, Member, MemberState, decode_member, encode_member
+from gooseberrydock.mesh.target_registration import format_start_id
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.owner_register import decode_register
 from gooseberrydock.target_client import parse_announcement
@@ -57,6 +59,7 @@
     body=st.binary(max_size=30),
     context=_CONTEXTS,
 )
+_START_IDS = st.builds(format_start_id, st.text(min_size=1, max_size=9), st.integers(0, 2**50))
 _ANSWERS = st.builds(
     messages.Answer,
     call_id=_NUMBERS,
@@ -106,6 +109,15 @@
         limit=_NUMBERS,
         run_ms_by_route=st.dictionaries(_SHORT_TEXTS, st.floats(0.0, 1e6), max_size=3),
     ),
+    st.builds(
+        messages.TargetNotice,
+        start_id=_START_IDS,
+        rate_limit=st.floats(0.0, 1e6),
+        is_leaving=st.booleans(),
+        leaving_for_ms=st.floats(0.0, 1e6),
+    ),
+    st.builds(messages.LeavingNotice, start_id=_START_IDS, leaving_for_ms=st.floats(0.0, 1e6)),
+    st.builds(messages.LeavingReceipt, start_id=_START_IDS),
     st.builds(
         messages.StoreStatus,
         version=_NUMBERS,
@@ -143,6 +155,13 @@
         with self.assertRaises(GooseberrydockError):
             wire.decode(data, "p")
 
+    def test_notice_of_a_start_without_a_start_time_is_refused(self) -> None:
+        for start_id in ("", "a", "@", "@9", "a@", "a@x", "a@-1", "a@9 ", "a@" + "9" * 30):
+            array = [wire.TAG_LEAVING_NOTICE, start_id, 0.0]
+            with self.subTest(start_id), self.assertRaises(GooseberrydockError) as raised:
+                wire.decode(cbor2.dumps(array), "n1")
+            self.assertIs(PEER_PROTOCOL, raised.exception.code)
+
     @given(st.one_of(st.binary(max_size=60), _CBOR_VALUES.map(cbor2.dumps)))
     def test_arbitrary_bytes_raise_a_coded_error(self, data: bytes) -> None:
         for decode in (
