Take work during a stop only if it ends before the process

Cause: the steps of the stop were moments on the clock, and none asked how long the work that was just taken needs. Runs, retries and waiting calls began without any check, so that refusing the calls alone would have wasted the runs above them. The own interface took requests up to its stop timeout in the same way.

The time of a run includes that of its calls, so that the calls of a run that is taken are taken as well. A request that the last host of a service refuses in a stop waits like one that finds no host. Event 1005 names each request and run that is cut.

The test of Retry-After in tests/test_mesh_entry.py begins the stop as the node does, before it changes the accepted work; it checks the same.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -50,6 +50,9 @@
 STOP_TIMED_OUT: Final = _register(
     1003, "stop-timed-out", _WARNING, "Calls were still in flight when the stop timeout expired"
 )
+WORK_CUT: Final = _register(
+    1005, "work-cut", _WARNING, "A request or a run was cut off because the stop timeout expired"
+)
 CONNECTION_FAULT: Final = _register(
     1004,
     "connection-fault",
--- a/gooseberrydock/filters.py
+++ b/gooseberrydock/filters.py
@@ -28,6 +28,7 @@
     MALFORMED_REQUEST,
     NO_CONFIGURATION,
     NO_SERVICE_CLASS,
+    NODE_LEAVING,
     PATH_LIMIT,
     QUARANTINED,
     SHED_AT_ENTRY,
@@ -46,6 +47,7 @@
 from gooseberrydock.quarantine import QuarantineController
 from gooseberrydock.ranks import request_rank
 from gooseberrydock.shed_thresholds import ShedThresholds
+from gooseberrydock.stop_plan import StopPlan
 
 _FIRST_ATTEMPT: Final = "1"
 
@@ -158,6 +160,18 @@
         return None
 
 
+@attrs.define
+class StopFilter(_StatelessFilter):
+    """Refuse requests that a stopping node would cut off."""
+
+    _stop_plan: StopPlan
+
+    def admit(self, now_ms: Millis, exchange: Exchange) -> Refusal | None:
+        """Refuse the request unless it surely ends before the process."""
+        is_taken = self._stop_plan.takes_request(now_ms, exchange.class_name, exchange.deadline_at)
+        return None if is_taken else Refusal(NODE_LEAVING)
+
+
 @attrs.define
 class CallerLimitFilter(_StatelessFilter):
     """Enforce the rate limit of each caller."""
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -61,6 +61,7 @@
 from gooseberrydock.run_records import Waiter
 from gooseberrydock.shed_thresholds import ShedThresholds
 from gooseberrydock.stats import NodeStats
+from gooseberrydock.stop_plan import StopPlan
 
 NO_LOAD: Final = LoadReport(0, 0, 1)
 _TOKEN_BITS: Final = 64
@@ -80,6 +81,7 @@
     _node_id: str
     _deduplication: DeduplicationController
     _is_live: Callable[[NodeIdentity], bool]
+    _stop_plan: StopPlan
     _service: str = ""
     _admission: AdmissionController | None = None
     _is_leaving: bool = False
@@ -304,6 +306,8 @@
             return NODE_LEAVING
         if now_ms >= run.deadline_at:
             return DEADLINE_EXPIRED
+        if not self._stop_plan.takes_run(now_ms, run.call.context.class_name, run.deadline_at):
+            return NODE_LEAVING
         if run.is_suspect:
             self._quarantine.mark_suspect(now_ms, run.fingerprint)
         may_be_quarantined = not self._quarantine.is_empty
--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -26,6 +26,7 @@
     create_target_registration,
 )
 from gooseberrydock.messages import ShareNotice
+from gooseberrydock.stop_plan import StopPlan
 
 TableDecoder = Callable[[bytes], RouteTable]
 """Decode a route table; raises ``CONFIGURATION_INVALID`` if it is not valid."""
@@ -55,6 +56,7 @@
     crash_watch: CrashWatch
     share_notices: ShareNotices
     table_freshness: TableFreshness
+    stop_plan: StopPlan
     entry: Entry = attrs.field(init=False)
 
     def propagate_downstream_capacities(self, now_ms: Millis) -> None:
@@ -87,6 +89,7 @@
             call_graph=self.call_graph,
             header_names=options.headers,
             own_service=options.service,
+            stop_plan=self.stop_plan,
         )
 
 
@@ -109,4 +112,5 @@
         crash_watch=create_crash_watch(),
         share_notices=create_share_notices(seed),
         table_freshness=TableFreshness(random.Random(seed), lambda: directory.node_count),
+        stop_plan=StopPlan(),
     )
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -53,6 +53,7 @@
 from gooseberrydock.mesh.statement_memory import StatementMemory
 from gooseberrydock.mesh.traffic_split import TrafficSplitter
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
+from gooseberrydock.stop_plan import StopPlan
 
 _SERVER_ERROR: Final = 500
 _MIN_RETRY_TIME_MS: Final[Millis] = 30.0
@@ -73,7 +74,9 @@
 or retried by its caller."""
 _MAX_DEFERRED: Final = 256
 """Maximum number of deferred requests; they are lost if this node fails."""
-_UNREACHABLE_CODES: Final = frozenset((NO_TARGET, PEER_UNREACHABLE, TARGET_UNREACHABLE))
+_UNREACHABLE_CODES: Final = frozenset(
+    (NO_TARGET, NODE_LEAVING, PEER_UNREACHABLE, TARGET_UNREACHABLE)
+)
 """Errors of requests that no host accepted; they may be temporary, so the requests are deferred."""
 _TARGET_UNAVAILABLE_CODES: Final = frozenset(
     code.number for code in (NO_TARGET, NODE_LEAVING, TARGET_UNREACHABLE)
@@ -94,6 +97,7 @@
     _call_graph: CallGraph
     _header_names: HeaderNames
     _own_service: str
+    _stop_plan: StopPlan = attrs.field(factory=StopPlan)
     _table: RouteTable = EMPTY_TABLE
     _splits: TrafficSplitter = attrs.field(factory=TrafficSplitter)
     _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
@@ -121,6 +125,16 @@
         """Return the number of requests that are not answered yet."""
         return len(self._exchanges)
 
+    @property
+    def stop_plan(self) -> StopPlan:
+        """Return the plan of the work that a stop still takes."""
+        return self._stop_plan
+
+    @property
+    def unanswered(self) -> list[Exchange]:
+        """Return the requests that are not answered yet."""
+        return list(self._exchanges.values())
+
     @property
     def statement_memory(self) -> StatementMemory:
         """Return what targets on other hosts stated."""
@@ -182,6 +196,8 @@
         exchange.is_nested = self._nested_routes.is_nested(route.name)
         if not self._accepted_work.accepts(exchange.is_nested):
             return NODE_LEAVING
+        if not self._stop_plan.takes_request(now_ms, route.name, exchange.deadline_at):
+            return NODE_LEAVING
         exchange.service = self._splits.choose(route)
         if exchange.is_nested or self._shares.admits(now_ms, route.name, route.priority):
             return None
@@ -273,6 +289,8 @@
                 # The call is in flight: only the target's node knows whether it has started.
                 exchange.may_have_run = True
                 self._cancel_call(exchange)
+            if exchange.may_have_run:
+                self._record_duration(now_ms, exchange)
             code = DEADLINE_PASSED if exchange.may_have_run else NOT_DISPATCHED
             self._refuse(now_ms, exchange, code)
 
@@ -340,6 +358,7 @@
             self._send(now_ms, exchange)
             return
         response = HttpResponse(answer.status, answer.headers, answer.body)
+        self._record_duration(now_ms, exchange)
         self._close(exchange)
         self._effects.answer(exchange.caller, exchange, response)
 
@@ -444,7 +463,12 @@
         )
 
     def _has_time_left(self, now_ms: Millis, exchange: Exchange) -> bool:
-        return exchange.deadline_at - now_ms >= _MIN_RETRY_TIME_MS
+        if exchange.deadline_at - now_ms < _MIN_RETRY_TIME_MS:
+            return False
+        return self._stop_plan.takes_request(now_ms, exchange.route.name, exchange.deadline_at)
+
+    def _record_duration(self, now_ms: Millis, exchange: Exchange) -> None:
+        self._stop_plan.requests.on_end(now_ms, exchange.route.name, now_ms - exchange.received_at)
 
     def _defer_or_refuse(self, now_ms: Millis, exchange: Exchange) -> None:
         """Defer a request without an available host if one may become reachable, else refuse it."""
@@ -470,7 +494,8 @@
             if exchange.is_done:
                 continue
             hosts = self._directory.hosts_of(exchange.service)
-            if self._host_selector.has_usable(now_ms, hosts):
+            is_in_time = self._has_time_left(now_ms, exchange)
+            if is_in_time and self._host_selector.has_usable(now_ms, hosts):
                 exchange.tried.clear()
                 exchange.refusals = 0
                 self._send(now_ms, exchange)
@@ -488,7 +513,7 @@
     def _retry_after(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> Millis:
         """Return the time after which a refused caller should retry."""
         wait_ms = self._shares.retry_after(now_ms, exchange.route)
-        if code is NODE_LEAVING and self._accepted_work is not AcceptedWork.ALL:
+        if code is NODE_LEAVING and self._stop_plan.ends_at is not None:
             # This node is shutting down: a caller on this host reaches it only after its restart.
             return max(wait_ms, _RESTART_MS)
         return wait_ms
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -12,7 +12,7 @@
 
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ACKNOWLEDGED
+from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ACKNOWLEDGED, WORK_CUT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
@@ -422,9 +422,13 @@
         self._controllers.budget.set_options(options.retry_budget)
         self._controllers.registration.set_drain_time(options.drain_ms)
 
-    def begin_stop(self) -> None:
-        """Report this node as leaving and not ready, so that no new work is sent to it."""
+    def begin_stop(self, ends_at: Millis) -> None:
+        """Report this node as leaving and not ready, so that no new work is sent to it.
+
+        What arrives nevertheless is taken only if it ends before ``ends_at``.
+        """
         self._is_stopping = True
+        self._controllers.stop_plan.begin(ends_at)
         self.publish()
 
     def stop_accepting_requests(self) -> None:
@@ -439,6 +443,29 @@
         """Reject all new work, including calls of the local target."""
         self._controllers.entry.set_accepted_work(AcceptedWork.NOTHING)
 
+    def log_cut_work(self) -> None:
+        """Log what is still in flight at the end of a stop."""
+        now_ms = self._clock.now_ms()
+        for exchange in self._controllers.entry.unanswered:
+            log(
+                WORK_CUT,
+                request=exchange.request_id,
+                route=exchange.route.name,
+                call_of_target=exchange.is_nested,
+                age_ms=round(now_ms - exchange.received_at),
+                left_ms=round(exchange.deadline_at - now_ms),
+            )
+        for run in self._target_dispatcher.runs:
+            ticket = run.ticket
+            log(
+                WORK_CUT,
+                request=ticket.request_id,
+                route=ticket.call.route,
+                run_has_started=ticket.has_started,
+                age_ms=round(now_ms - ticket.arrived_at),
+                left_ms=round(ticket.deadline_at - now_ms),
+            )
+
     def close_idle_caller_connections(self) -> None:
         """Close the caller connections that have no request in flight."""
         for connection in list(self._caller_connections):
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -47,15 +47,12 @@
 _FULL_GC_INTERVAL_CYCLES: Final = 30
 _STOP_LINGER_MS: Final[Millis] = 2_600.0
 """Time that a stopping node accepts new requests and, if its target is the last of a service, new
-calls. It covers two of the readiness checks that callers make once a second; later work might not
-finish in time."""
+calls, as far as they surely end in time. It covers two of the readiness checks that callers make
+once a second."""
 _STOP_MARGIN_MS: Final[Millis] = 500.0
 """Part of the stop grace that is reserved for the last log lines and store calls."""
 _CALLERS_END_MS: Final[Millis] = 1_500.0
 """Time for callers to close their connections once all requests are answered."""
-_STOP_CALLS_FRACTION: Final = 0.75
-"""Fraction of the stop grace after which calls of the local target are also rejected. They are
-short, but an interrupted call costs more than one that does not start."""
 _RELOAD_INTERVAL_MS: Final[Millis] = 1_000.0
 """Interval of checks for changed settings, which may change without a signal."""
 
@@ -235,22 +232,18 @@
 
     async def _shut_down(self, node: MeshNode, sync: StoreSync) -> None:
         """Let callers and other nodes stop sending work, then wait for the work in flight."""
-        started_at = self._clock.now_ms()
         log(NODE_STOPPING, in_flight=node.in_flight)
-        node.begin_stop()
+        ends_at = self._clock.now_ms() + node.options.stop_grace_ms - _STOP_MARGIN_MS
+        node.begin_stop(ends_at)
         await trio.sleep(_STOP_LINGER_MS / MS_PER_SECOND)
         node.stop_accepting_requests()
         node.close_idle_caller_connections()
-        grace_ms = node.options.stop_grace_ms
-        calls_end_at = started_at + grace_ms * _STOP_CALLS_FRACTION
-        ends_at = started_at + grace_ms - _STOP_MARGIN_MS
         while node.in_flight and self._clock.now_ms() < ends_at:
             await trio.sleep(TICK_MS / MS_PER_SECOND)
             node.close_idle_caller_connections()
-            if self._clock.now_ms() >= calls_end_at:
-                node.stop_accepting_calls()
         # Requests that reach the entry before it closes are refused like those before them, and
         # their callers read the refusal to its end.
+        node.stop_accepting_calls()
         entry = self._listeners[self._options.entry_listen]
         entry.close()
         ends_at = min(ends_at, self._clock.now_ms() + _CALLERS_END_MS)
@@ -259,6 +252,7 @@
             await trio.sleep(TICK_MS / MS_PER_SECOND)
         if node.in_flight:
             log(STOP_TIMED_OUT, in_flight=node.in_flight)
+            node.log_cut_work()
         await sync.remove_record(_STOP_MARGIN_MS / 2)
 
 
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -102,6 +102,11 @@
         """Return the number of calls that run or wait."""
         return len(self._runs)
 
+    @property
+    def runs(self) -> list[Run]:
+        """Return the calls that run or wait."""
+        return list(self._runs.values())
+
     @property
     def sent(self) -> int:
         """Return the number of calls sent to the target so far."""
@@ -167,6 +172,9 @@
         registration = self._controllers.registration
         if not registration.accepts(now_ms, call.service):
             return NODE_LEAVING if registration.is_leaving else NO_TARGET
+        deadline_at = now_ms + call.remaining_ms
+        if not self._controllers.stop_plan.takes_run(now_ms, call.route, deadline_at):
+            return NODE_LEAVING
         return QUARANTINED if self._controllers.crash_watch.refuses(now_ms, call) else None
 
     def _refuse(self, link_id: str, call: RoutedCall, code: ErrorCode) -> None:
@@ -191,8 +199,11 @@
         call = run.ticket.call
         registration = self._controllers.registration
         self._controllers.call_graph.on_start(now_ms, call.route)
-        if not registration.accepts(now_ms, call.service):
-            # The target left while the call waited.
+        takes_run = self._controllers.stop_plan.takes_run(
+            now_ms, call.route, run.ticket.deadline_at
+        )
+        if not takes_run or not registration.accepts(now_ms, call.service):
+            # The target left, or the node began to stop, while the call waited.
             self._remove_run(run, has_completed=False)
             self._decision_log.on_call_refused(now_ms, run.ticket, NODE_LEAVING)
             self._refuse(run.ticket.link_id, call, NODE_LEAVING)
@@ -205,6 +216,12 @@
 
     def finish_run(self, run: Run, answer: RoutedAnswer) -> None:
         """Answer a run's call and start waiting calls."""
+        ticket = run.ticket
+        has_ended = answer.result is RunResult.ANSWERED or answer.code == TARGET_TIMEOUT.number
+        if has_ended and ticket.has_started:
+            now_ms = self._clock.now_ms()
+            duration_ms = now_ms - ticket.started_at
+            self._controllers.stop_plan.runs.on_end(now_ms, ticket.call.route, duration_ms)
         self._remove_run(run, has_completed=answer.result is RunResult.ANSWERED)
         answer.report = self._report(run.ticket.call.route)
         self._owner.answer_call(run.ticket.link_id, answer)
--- a/gooseberrydock/node_core.py
+++ b/gooseberrydock/node_core.py
@@ -31,6 +31,7 @@
     PathLimitFilter,
     QuarantineFilter,
     ShedThresholdFilter,
+    StopFilter,
 )
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.inbound import InboundController
@@ -43,6 +44,7 @@
 from gooseberrydock.routing import RoutingController, create_routing
 from gooseberrydock.shed_thresholds import ShedThresholds
 from gooseberrydock.stats import NodeStats
+from gooseberrydock.stop_plan import StopPlan
 
 _REQUEST_ID_BITS = 96
 _LOOPBACK_LINK_ID = "loopback"
@@ -67,6 +69,7 @@
     _inbound: InboundController
     _outbound: OutboundController
     _ownership: OwnershipController
+    _stop_plan: StopPlan
     _started_at: Millis
     _exchange_ids: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
@@ -100,6 +103,11 @@
         """Return the controller of the requests that start at this node."""
         return self._outbound
 
+    @property
+    def stop_plan(self) -> StopPlan:
+        """Return the plan of the work that a stop still takes."""
+        return self._stop_plan
+
     @property
     def ownership(self) -> OwnershipController:
         """Return the controller of key ownership."""
@@ -377,6 +385,7 @@
     stats, shed_thresholds, quarantine = NodeStats(), ShedThresholds(), QuarantineController()
     path_limits = PathLimits()
     ownership = create_ownership(identity_of(local_member))
+    stop_plan = StopPlan()
     inbound = InboundController(
         effects=loopback,
         on_run_cancelled=lambda run_id: core_holder[0].outbound.on_run_cancelled(run_id),
@@ -388,12 +397,14 @@
         node_id=local_member.node_id,
         deduplication=DeduplicationController(ownership, clock.wall_ms),
         is_live=lambda identity: core_holder[0].is_member_live(identity),
+        stop_plan=stop_plan,
     )
     entry_chain = FilterChain(
         (
             ClassFilter(configuration, lambda: f"{generator.getrandbits(_REQUEST_ID_BITS):024x}"),
             KeyFilter(lambda: keys.create_key(clock.wall_ms(), generator)),
             DeadlineFilter(),
+            StopFilter(stop_plan),
             CallerLimitFilter(CallerLimits()),
             QuarantineFilter(quarantine),
             ShedThresholdFilter(shed_thresholds, generator),
@@ -404,12 +415,13 @@
         (
             ContextFilter(configuration, inbound.find_run),
             DeadlineFilter(),
+            StopFilter(stop_plan),
             QuarantineFilter(quarantine),
             ShedThresholdFilter(shed_thresholds, generator),
         )
     )
     outbound = OutboundController(
-        loopback, entry_chain, local_chain, routing, shed_thresholds, stats
+        loopback, entry_chain, local_chain, routing, shed_thresholds, stats, stop_plan
     )
     core = NodeCore(
         effects=effects,
@@ -425,6 +437,7 @@
         inbound=inbound,
         outbound=outbound,
         ownership=ownership,
+        stop_plan=stop_plan,
         started_at=clock.now_ms(),
     )
     core_holder.append(core)
--- a/gooseberrydock/node_stop.py
+++ b/gooseberrydock/node_stop.py
@@ -72,6 +72,7 @@
                 await trio.sleep(_CHECK_INTERVAL_MS / MS_PER_SECOND)
 
     async def _wait_until_idle(self) -> None:
+        self._core.stop_plan.begin(self._clock.now_ms() + self._timeout_ms)
         with trio.move_on_after(self._timeout_ms / MS_PER_SECOND) as scope:
             # A connection without a request is closed only now: until then, a caller's next request
             # is answered, and the answer tells it to open a connection to another node.
--- a/gooseberrydock/outbound.py
+++ b/gooseberrydock/outbound.py
@@ -59,6 +59,7 @@
 from gooseberrydock.routing import RoutingController
 from gooseberrydock.shed_thresholds import ShedThresholds
 from gooseberrydock.stats import NodeStats
+from gooseberrydock.stop_plan import StopPlan
 
 _MAX_REROUTES_AFTER_SHED: Final = 1
 
@@ -73,6 +74,7 @@
     _routing: RoutingController
     _shed_thresholds: ShedThresholds
     _stats: NodeStats
+    _stop_plan: StopPlan
     _exchanges: dict[int, Exchange] = attrs.field(factory=dict)
     _by_call: dict[int, Exchange] = attrs.field(factory=dict)
     _by_key: dict[tuple[str, str], Exchange] = attrs.field(factory=dict)
@@ -131,7 +133,7 @@
         elif answer.outcome is Outcome.UNKNOWN and answer.code in RETRYABLE_CODES:
             self._handle_unknown_outcome(now_ms, exchange, attempt.terms, failure_of(answer))
         else:
-            self._answer_from_target(exchange, answer)
+            self._answer_from_target(now_ms, exchange, answer)
 
     def on_calls_lost(self, now_ms: Millis, call_ids: list[int], code: ErrorCode) -> None:
         """Handle calls that were not sent, or whose link closed before the answer arrived."""
@@ -410,8 +412,10 @@
         response = problem_response(code, outcome, step, peer, detail)
         self._finish(exchange, response, outcome, code.number)
 
-    def _answer_from_target(self, exchange: Exchange, answer: Answer) -> None:
+    def _answer_from_target(self, now_ms: Millis, exchange: Exchange, answer: Answer) -> None:
         """Answer with the target's response, or with the problem that its node reports."""
+        duration_ms = now_ms - exchange.received_at
+        self._stop_plan.requests.on_end(now_ms, exchange.class_name, duration_ms)
         if answer.code:
             code = error_code(answer.code)
             self._answer_problem(exchange, code, answer.step, answer.peer, is_decided_by_owner=True)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -7,7 +7,7 @@
 import json
 import urllib.parse
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -231,6 +231,7 @@
     misbehaviour: Callable[[HttpRequest], str] | None = None
     rate_limit: float | None = None
     states_leaving: bool = False
+    make_call: Callable[[HttpRequest], Awaitable[None]] | None = None
     run_times_s: list[float] = attrs.field(factory=list)
 
     @property
@@ -261,6 +262,8 @@
 
     async def _run(self, connection: HttpConnection, request: HttpRequest) -> None:
         await trio.sleep(self.response_delay_s)
+        if self.make_call is not None:
+            await self.make_call(request)
         response = self.behaviour(request) if self.behaviour else None
         response = response or self.default_response(request)
         misbehaviour = self.misbehaviour(request) if self.misbehaviour else ""
--- a/tests/test_mesh_entry.py
+++ b/tests/test_mesh_entry.py
@@ -215,6 +215,7 @@
 
     def test_caller_refused_by_a_stopping_node_retries_after_its_restart(self) -> None:
         fixture = make_entry(_TABLE)
+        fixture.entry.stop_plan.begin(5_000.0)
         fixture.entry.set_accepted_work(AcceptedWork.CALLS_OF_TARGET)
         _submit(fixture, "/booking/1")
         code, retry_after_ms = fixture.effects.refusals[0]
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -32,19 +32,19 @@
 from gooseberrydock.messages import Cancel, RoutedAnswer, RoutedCall, RunResult
 from tests.mesh_helpers import make_call, make_member
 
-_ADDRESS = Address("10.0.0.1", 80)
+TARGET_ADDRESS = Address("10.0.0.1", 80)
 _OPTIONS = MeshOptions(
     node_id="me",
     failure_domain="d1",
     service="shop",
-    target_address=_ADDRESS,
-    entry_listen=_ADDRESS,
-    peer_listen=_ADDRESS,
-    peer_advertised=_ADDRESS,
-    control_listen=_ADDRESS,
-    ready_listen=_ADDRESS,
+    target_address=TARGET_ADDRESS,
+    entry_listen=TARGET_ADDRESS,
+    peer_listen=TARGET_ADDRESS,
+    peer_advertised=TARGET_ADDRESS,
+    control_listen=TARGET_ADDRESS,
+    ready_listen=TARGET_ADDRESS,
     metrics_listen=None,
-    store=_ADDRESS,
+    store=TARGET_ADDRESS,
     headers=HeaderNames(),
     retry_budget=RetryBudgetOptions(),
     drain_ms=2_000.0,
@@ -61,7 +61,7 @@
         """Accept a task."""
 
 
-def _make_node(incarnation: int = 100) -> MeshNode:
+def make_node(incarnation: int = 100) -> MeshNode:
     controllers = create_controllers(
         _OPTIONS,
         StoreKeys("table", "nodes/"),
@@ -100,14 +100,14 @@
     """How a node handles store contents and events of its target."""
 
     def test_older_table_is_ignored(self) -> None:
-        node = _make_node()
+        node = make_node()
         for payload in (b"7", b"5", b"7"):
             node.fleet.on_store_items((StoreItem("table", payload, 1),), is_snapshot=False)
         self.assertEqual(7, node.table.version)
         self.assertIsNot(EMPTY_TABLE, node.table)
 
     def test_record_of_an_earlier_start_with_a_clock_ahead_is_superseded(self) -> None:
-        node = _make_node(incarnation=100)
+        node = make_node(incarnation=100)
         previous = attrs.evolve(make_member("me", "shop"), incarnation=5_000, version=9)
         node.fleet.on_store_items(
             (StoreItem("nodes/me", encode_member(previous), 3),), is_snapshot=True
@@ -116,7 +116,7 @@
 
     def test_only_the_record_of_a_live_node_may_reappear(self) -> None:
         """The record of a node that is leaving stays removed: no fast second read is needed."""
-        node = _make_node()
+        node = make_node()
         cases = {MemberState.ALIVE: True, MemberState.LEAVING: False}
         for number, (state, may_reappear) in enumerate(cases.items()):
             with self.subTest(state=state):
@@ -130,7 +130,7 @@
                 )
 
     def test_large_fleet_opens_few_links_before_calls_need_them(self) -> None:
-        node = _make_node()
+        node = make_node()
         for number in range(300):
             member = make_member(f"n{number}", domain=f"d{number % 3}")
             node.fleet.on_store_items(
@@ -141,7 +141,7 @@
         self.assertLessEqual(node.links.linked_node_count, 64)
 
     def test_node_that_reaches_no_other_is_not_ready(self) -> None:
-        node = _make_node()
+        node = make_node()
         node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_snapshot=False)
         self.assertTrue(node.is_ready)
         other = StoreItem("nodes/n2", encode_member(make_member("n2")), 2)
@@ -151,19 +151,23 @@
     def test_call_of_a_route_that_only_the_callers_table_has_is_run(self) -> None:
         for version in (b"", b"7"):
             with self.subTest(version=version):
-                node = _make_node()
+                node = make_node()
                 if version:
                     node.fleet.on_store_items((StoreItem("table", version, 1),), is_snapshot=False)
                 node.target_dispatcher.on_announcement(
-                    InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
+                    InstanceAnnouncement(
+                        "i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.READY, 10, 0.0
+                    )
                 )
                 node.target_dispatcher.on_call("", make_call())
                 self.assertEqual(1, node.target_dispatcher.in_flight)
 
     def test_announcement_of_an_unknown_service_is_rejected(self) -> None:
-        node = _make_node()
+        node = make_node()
         node.fleet.on_store_items((StoreItem("table", b"7", 1),), is_snapshot=False)
-        unknown = InstanceAnnouncement("i-1", "odd", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
+        unknown = InstanceAnnouncement(
+            "i-1", "odd", TARGET_ADDRESS, 1, 1, TargetState.READY, 10, 0.0
+        )
         self.assertFalse(node.target_dispatcher.on_announcement(unknown))
         self.assertEqual("", _own_record(node).service)
         self.assertTrue(
@@ -171,7 +175,7 @@
         )
 
     def test_call_without_a_target_is_logged_with_its_request(self) -> None:
-        node = _make_node()
+        node = make_node()
         headers = [(_OPTIONS.headers.request_id, b"r-7")]
         with self.assertLogs("gooseberrydock", "INFO") as logs:
             node.target_dispatcher.on_call("", make_call(headers=headers))
@@ -183,16 +187,18 @@
         """Its target becomes idle while other nodes take over its load."""
         for is_stopping in (False, True):
             with self.subTest(is_stopping=is_stopping):
-                node = _make_node()
+                node = make_node()
                 node.target_dispatcher.on_announcement(
-                    InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
+                    InstanceAnnouncement(
+                        "i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.READY, 10, 0.0
+                    )
                 )
                 node.controllers.share_notices.on_call(0.0, "look", "link-1")
                 node.controllers.call_graph._needs = {"look": {"inner": 1.0}}
                 node.controllers.nested_routes.on_report("inner", True)
                 node.controllers.shares.on_report(0.0, "inner", "n1", 0.3, 10)
                 if is_stopping:
-                    node.begin_stop()
+                    node.begin_stop(node.now_ms() + 5_000.0)
                 with mock.patch.object(MeshNode, "notify_shares") as notify_shares:
                     node.propagate_shares(100.0)
                 self.assertEqual(not is_stopping, notify_shares.called)
@@ -212,7 +218,7 @@
         self.assertEqual(
             {"service", "drain_ms", "stop_grace_ms", "retry_budget"}, set(change.applied)
         )
-        node = _make_node()
+        node = make_node()
         node.set_options(change.options)
         self.assertEqual(_OPTIONS.entry_listen, node.options.entry_listen)
         self.assertEqual(9_000.0, node.options.stop_grace_ms)
@@ -221,12 +227,13 @@
             budget.on_request("shop")
         self.assertFalse(budget.try_spend("shop"))
         registration.on_announcement(
-            0.0, InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.LEAVING, 2, 0.0)
+            0.0,
+            InstanceAnnouncement("i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.LEAVING, 2, 0.0),
         )
         self.assertFalse(registration.accepts(0.0, "shop"))
 
     def test_share_of_a_host_that_restarted_is_forgotten(self) -> None:
-        node = _make_node()
+        node = make_node()
         node.controllers.shares.on_report(0.0, "look", "other", 0.2, 10)
         self.assertLess(node.controllers.shares.share_of(0.0, "look"), 1.0)
         for incarnation in (1, 2):
@@ -236,10 +243,10 @@
         self.assertEqual(1.0, node.controllers.shares.share_of(0.0, "look"))
 
     def test_waiting_calls_are_refused_at_once_when_the_target_leaves(self) -> None:
-        node = _make_node()
+        node = make_node()
         dispatcher = node.target_dispatcher
         dispatcher.on_announcement(
-            InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 2, 0.0)
+            InstanceAnnouncement("i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.READY, 2, 0.0)
         )
         answers: list[RoutedAnswer] = []
         calls = [attrs.evolve(make_call(), call_id=number) for number in range(1, 4)]
@@ -259,10 +266,10 @@
         self.assertEqual(0, dispatcher.in_flight)
 
     def test_lost_link_breaks_off_only_runs_that_may_be_repeated(self) -> None:
-        node = _make_node()
+        node = make_node()
         dispatcher = node.target_dispatcher
         dispatcher.on_announcement(
-            InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 9, 0.0)
+            InstanceAnnouncement("i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.READY, 9, 0.0)
         )
         pending = [PendingRun(), PendingRun()]
         with (
@@ -277,8 +284,10 @@
         self.assertEqual(1, dispatcher.in_flight)
 
     def test_unreachable_target_is_withdrawn_until_its_next_announcement(self) -> None:
-        node = _make_node()
-        announced = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1, 1, TargetState.READY, 10, 0.0)
+        node = make_node()
+        announced = InstanceAnnouncement(
+            "i-1", "shop", TARGET_ADDRESS, 1, 1, TargetState.READY, 10, 0.0
+        )
         node.target_dispatcher.on_announcement(announced)
         self.assertEqual("shop", _own_record(node).service)
         call = make_call()
@@ -319,6 +328,6 @@
         self.assertFalse(watch.refuses(60_000.0, call))
 
     def test_malformed_record_is_ignored(self) -> None:
-        node = _make_node()
+        node = make_node()
         node.fleet.on_store_items((StoreItem("nodes/x", b"\xff\x00", 3),), is_snapshot=True)
         self.assertEqual(1, node.controllers.directory.node_count)
