Let a stopping node deliver ready answers to slow readers

A caller that read two answers of 8 MB at 2.5 MB/s lost the rest of them when its node stopped: the node ended with grace time left.

Cause: once no request was in flight, callers had 1.5 s to close their connections, whether or not the sockets had taken the answers. A connection whose caller had sent its end was not counted, although bytes were still to be sent.

Now the 1.5 s count from when the sockets have taken all answers, and the wait lasts to the end of the grace time at most. The listener counts connections with unsent bytes also if no task serves them.

Measured: test_slow_reader_gets_answers_that_were_ready fails on the code before and passes.

--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -52,7 +52,8 @@
 _STOP_MARGIN_MS: Final[Millis] = 500.0
 """Part of the stop grace that is reserved for the last log lines and store calls."""
 _CALLERS_END_MS: Final[Millis] = 1_500.0
-"""Time for callers to close their connections once all requests are answered."""
+"""Time for callers to close their connections once all requests are answered and all answers have
+been taken by the sockets."""
 _RELOAD_INTERVAL_MS: Final[Millis] = 1_000.0
 """Interval of checks for changed settings, which may change without a signal."""
 
@@ -246,15 +247,24 @@
         node.stop_accepting_calls()
         entry = self._listeners[self._options.entry_listen]
         entry.close()
-        ends_at = min(ends_at, self._clock.now_ms() + _CALLERS_END_MS)
-        while entry.has_open_connections and self._clock.now_ms() < ends_at:
-            node.close_idle_caller_connections()
-            await trio.sleep(TICK_MS / MS_PER_SECOND)
+        await self._wait_for_callers(node, entry, ends_at)
         if node.in_flight:
             log(STOP_TIMED_OUT, in_flight=node.in_flight)
             node.log_cut_work()
         await sync.remove_record(_STOP_MARGIN_MS / 2)
 
+    async def _wait_for_callers(self, node: MeshNode, entry: Listener, ends_at: Millis) -> None:
+        """Wait until callers have taken their answers and closed their connections."""
+        idle_since = self._clock.now_ms()
+        while (now_ms := self._clock.now_ms()) < ends_at:
+            if entry.has_unsent_bytes:
+                # A slow reader may use what is left of the grace.
+                idle_since = now_ms
+            elif not entry.has_open_connections or now_ms >= idle_since + _CALLERS_END_MS:
+                return
+            node.close_idle_caller_connections()
+            await trio.sleep(TICK_MS / MS_PER_SECOND)
+
 
 async def _write_first_record(node: MeshNode) -> None:
     """Write the record of a node whose target has not announced itself in time."""
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -67,6 +67,11 @@
         """Return the IP address of the other side."""
         return self._peer_host
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes wait until the socket accepts them."""
+        return bool(self._unsent_bytes) and not self.is_closed
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether bytes or the end of the stream have arrived and were not received yet."""
@@ -234,12 +239,21 @@
     _socket: socket.socket
     _is_local: bool = False
     _accept_pending: Callable[[], None] | None = None
-    _open_connections: int = 0
+    _open_streams: set[Stream] = attrs.field(factory=set)
+    _ending_streams: list[Stream] = attrs.field(factory=list)
 
     @property
     def has_open_connections(self) -> bool:
         """Return whether an accepted connection is open, also if no task serves it yet."""
-        return self._open_connections > 0
+        return bool(self._open_streams)
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a connection has bytes to send, also if no task serves it any more."""
+        self._drop_ended_streams()
+        return bool(self._ending_streams) or any(
+            stream.has_unsent_bytes for stream in self._open_streams
+        )
 
     @property
     def address(self) -> Address:
@@ -268,7 +282,7 @@
         accepted, peer_address = self._socket.accept()
         _configure(accepted, self._is_local)
         stream = Stream(accepted, nursery, str(peer_address[0]))
-        self._open_connections += 1
+        self._open_streams.add(stream)
         nursery.start_soon(self._handle, handler, stream)
 
     async def _handle(self, handler: StreamHandler, stream: Stream) -> None:
@@ -276,8 +290,13 @@
             with log_and_suppress_errors(stream.peer_host):
                 await handler(stream)
         finally:
-            self._open_connections -= 1
+            self._open_streams.discard(stream)
             stream.close_when_sent()
+            self._ending_streams.append(stream)
+            self._drop_ended_streams()
+
+    def _drop_ended_streams(self) -> None:
+        self._ending_streams = [item for item in self._ending_streams if item.has_unsent_bytes]
 
     def _accept_all(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
         """Accept the connections that the kernel has established already."""
--- a/tests/test_stop_plan.py
+++ b/tests/test_stop_plan.py
@@ -1,7 +1,10 @@
-"""Test that a stopping node takes no work that it would cut off."""
+"""Test that a stopping node takes no work that it would cut off, and delivers what is ready."""
 
 import signal
+import socket
+import subprocess
 import tempfile
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -30,7 +33,7 @@
     make_route,
     make_table,
 )
-from tests.platform_fleet import PlatformFleet, make_route_fields, running_platform_fleet
+from tests.platform_fleet import FleetNode, PlatformFleet, make_route_fields, running_platform_fleet
 from tests.test_calls import code_of, create_cluster
 from tests.test_mesh_node import TARGET_ADDRESS, make_node
 
@@ -219,6 +222,8 @@
 _CALL_WORK_S = 2.2
 _WARM_UP_S = 6.0
 _REQUEST_INTERVAL_S = 0.2
+_ANSWER_BYTES = 8_000_000
+_READ_BYTES_PER_S = 2_500_000
 
 
 class StopPathCases(unittest.TestCase):
@@ -289,3 +294,38 @@
             self.assertGreater(statuses.count(200), _WARM_UP_S / _REQUEST_INTERVAL_S / 2)
 
         self._run(scenario)
+
+    def test_slow_reader_gets_answers_that_were_ready(self) -> None:
+        """Guard against answers that are dropped while grace time is left."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            stopping, back, _ = fleet.nodes
+            back.target.behaviour = lambda request: HttpResponse(
+                200, back.target.default_response(request).headers, b"x" * _ANSWER_BYTES
+            )
+            process = stopping.process
+            assert process is not None
+            received = await trio.to_thread.run_sync(_read_slowly, stopping, process)
+            self.assertGreaterEqual(received, 2 * _ANSWER_BYTES)
+
+        self._run(scenario)
+
+
+def _read_slowly(node: FleetNode, process: "subprocess.Popen[bytes]") -> int:
+    """Request two large answers, stop the node, and read slowly; return the bytes received."""
+    received = 0
+    with socket.socket() as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        connection.settimeout(10.0)
+        connection.connect((node.entry.host, node.entry.port))
+        request = f"GET /plan/1 HTTP/1.1\r\nhost: {node.entry.host}\r\ndeadline-ms: 4000\r\n\r\n"
+        connection.sendall(request.encode() * 2)
+        received += len(connection.recv(65_536))
+        process.send_signal(signal.SIGTERM)
+        started_at = time.monotonic()
+        while data := connection.recv(65_536):
+            received += len(data)
+            ahead_s = received / _READ_BYTES_PER_S - (time.monotonic() - started_at)
+            if ahead_s > 0:
+                time.sleep(ahead_s)
+    return received
