--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import signal
+from collections.abc import AsyncIterator
 from typing import Final, Protocol
 
 import attrs
@@ -96,12 +97,18 @@
     async def run(self) -> None:
         """Run until a signal requests the stop."""
         gc.disable()
+        # The signals are handled before a connection is accepted, which a signal would break off.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            await self._run_until_stopped(signals)
+        log(NODE_STOPPED, node=self._options.node_id)
+
+    async def _run_until_stopped(self, signals: AsyncIterator[int]) -> None:
         async with trio.open_nursery() as nursery:
             node = self._create_node(nursery)
             sync = self._create_sync(node, nursery)
             node.fleet.attach_store(sync)
             self._listen(nursery, node)
-            nursery.start_soon(self._handle_signals, node)
+            nursery.start_soon(self._handle_signals, node, signals)
             nursery.start_soon(sync.watch_table, self._environment.keys.table)
             nursery.start_soon(sync.watch_records)
             nursery.start_soon(_write_first_record, node)
@@ -114,7 +121,6 @@
             await self._stop_requested.wait()
             await self._shut_down(node, sync)
             nursery.cancel_scope.cancel()
-        log(NODE_STOPPED, node=self._options.node_id)
 
     def _create_node(self, nursery: trio.Nursery) -> MeshNode:
         options, environment = self._options, self._environment
@@ -181,13 +187,12 @@
                 self._listeners[address] = listener
                 nursery.start_soon(listener.serve, handler)
 
-    async def _handle_signals(self, node: MeshNode) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self._reload(node)
-                else:
-                    self._stop_requested.set()
+    async def _handle_signals(self, node: MeshNode, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self._reload(node)
+            else:
+                self._stop_requested.set()
 
     async def _watch_settings(self, node: MeshNode) -> None:
         while True:
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -20,7 +20,7 @@
 from gooseberrydock.mesh.target_registration import TargetRegistration
 from gooseberrydock.messages import ConfigurationPush, StoreStatus
 from gooseberrydock.peer_links import PeerLink
-from gooseberrydock.platform.__main__ import main
+from gooseberrydock.platform.command import main
 
 
 def _retry_non_idempotent() -> None:
--- a/tests/test_stop_plan.py
+++ b/tests/test_stop_plan.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -310,6 +311,28 @@
 
         self._run(scenario)
 
+    def test_reload_signals_during_the_start_do_not_end_the_process(self) -> None:
+        """Guard against a process that ends because it does not handle the signal yet."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            node = fleet.nodes[2]
+            node.kill()
+            node.start(fleet.log)
+            assert node.process is not None
+            with trio.fail_after(10):
+                while not _handles_reload(node.process.pid):
+                    self.assertIsNone(node.process.poll())
+                    await trio.sleep(0.001)
+            for _ in range(200):
+                node.process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.002)
+            await fleet.wait_until_served(node, "/plan/2")
+            self.assertIsNone(node.process.poll())
+
+        self._run(scenario)
+        program = "import sys, gooseberrydock.platform.__main__; sys.exit('trio' in sys.modules)"
+        subprocess.run([sys.executable, "-c", program], check=True)
+
 
 def _read_slowly(node: FleetNode, process: "subprocess.Popen[bytes]") -> int:
     """Request two large answers, stop the node, and read slowly; return the bytes received."""
@@ -329,3 +352,12 @@
             if ahead_s > 0:
                 time.sleep(ahead_s)
     return received
+
+
+def _handles_reload(pid: int) -> bool:
+    """Return whether a process ignores or catches the signal."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    masks = [
+        line.split()[1] for line in status.splitlines() if line.startswith(("SigIgn", "SigCgt"))
+    ]
+    return any(int(mask, 16) & (1 << (signal.SIGHUP - 1)) for mask in masks)
