Do not acknowledge a leaving that no other node keeps

Until now a leaving was acknowledged after 0.4 s also if no other node had confirmed that it keeps it, so that a restart of the node alone could break the promise. Now one confirmation is needed after 0.6 s, and the answer is 503 without any; a node that knows no other one acknowledges at once. The node stops using its target in each case. A target without an acknowledgement repeats its call, or ends some seconds later. Event 1111 is renamed for both answers.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -98,15 +98,15 @@
     _INFO,
     "Another node reported what the local target had stated before this node's start",
 )
-TARGET_LEAVING_ACKNOWLEDGED: Final = _register(
-    1111,
-    "target-leaving-acknowledged",
-    _INFO,
-    "The local target's leaving was acknowledged to it, and is kept by this number of other nodes",
-)
 STATEMENT_REFUSED: Final = _register(
     1109, "statement-refused", _WARNING, "An answer's statement is invalid and is ignored"
 )
+TARGET_LEAVING_ANSWERED: Final = _register(
+    1111,
+    "target-leaving-answered",
+    _INFO,
+    "The local target's leaving was acknowledged to it, or not because no other node keeps it",
+)
 MEMBER_CHANGED: Final = _register(
     1200, "member-changed", _INFO, "The record of a member changed or was removed"
 )
--- a/gooseberrydock/mesh/leaving_receipts.py
+++ b/gooseberrydock/mesh/leaving_receipts.py
@@ -1,9 +1,10 @@
-"""Decide when a target's leaving is acknowledged to it.
+"""Decide when, and whether, a target's leaving is acknowledged to it.
 
 An acknowledgement binds beyond the process that gives it: after a restart, the node must not use
 the target again because of an announcement from before. It is therefore sent only once other nodes
-have confirmed that they keep it for this node (``statement_memory.py``). A target waits for it
-before it ends, so that it is sent without confirmations after a short time. Performs no I/O.
+have confirmed that they keep it for this node (``statement_memory.py``). If none does in time, the
+leaving is not acknowledged; this node stops using the target all the same, and the target repeats
+its call or ends without an acknowledgement. Performs no I/O.
 """
 
 from collections.abc import Callable
@@ -15,60 +16,67 @@
 
 _WANTED_RECEIPTS: Final = 2
 """Nodes that keep a leaving before it is acknowledged; one of them may fail with this node."""
-_MAX_WAIT_MS: Final[Millis] = 400.0
-"""Longest time for which an acknowledgement is held back; targets wait for a second."""
+_MAX_WAIT_MS: Final[Millis] = 600.0
+"""Longest time for which an answer is held back; targets wait for a second."""
 
-Acknowledge = Callable[[], None]
+LeavingAnswer = Callable[[bool], None]
+"""Answers a call of the target: whether its leaving is acknowledged."""
 
 
 @attrs.define
 class _PendingLeaving:
-    """A leaving that is not acknowledged yet."""
+    """A leaving that is not answered yet."""
 
     since: Millis
     wanted_receipts: int
-    acknowledge: list[Acknowledge] = attrs.field(factory=list)
-    holders: set[str] = attrs.field(factory=set)
+    answers: list[LeavingAnswer] = attrs.field(factory=list)
+    keepers: set[str] = attrs.field(factory=set)
 
 
 @attrs.frozen
-class AcknowledgedLeaving:
-    """A leaving that may be acknowledged now, and the nodes that keep it."""
+class DecidedLeaving:
+    """A leaving to be answered now; ``kept_by`` is the number of other nodes that keep it."""
 
     start_id: str
-    holders: int
+    is_acknowledged: bool
+    kept_by: int
     waited_ms: Millis
-    acknowledge: tuple[Acknowledge, ...]
+    answers: tuple[LeavingAnswer, ...]
 
 
 @attrs.define
 class LeavingReceipts:
-    """Hold acknowledgements of leaving back until other nodes keep them."""
+    """Hold the answers to leaving targets back until other nodes keep their leaving."""
 
     _pending: dict[str, _PendingLeaving] = attrs.field(factory=dict)
 
     def hold(
-        self, now_ms: Millis, start_id: str, asked_nodes: int, acknowledge: Acknowledge
+        self, now_ms: Millis, start_id: str, asked_nodes: int, is_alone: bool, answer: LeavingAnswer
     ) -> None:
-        """Hold an acknowledgement back until some of the asked nodes have confirmed."""
-        wanted = min(asked_nodes, _WANTED_RECEIPTS)
+        """Hold an answer back until some nodes have confirmed; no other node is known if alone."""
+        # A link that opens in the meantime brings a receipt too.
+        wanted = 0 if is_alone else max(1, min(asked_nodes, _WANTED_RECEIPTS))
         pending = self._pending.setdefault(start_id, _PendingLeaving(now_ms, wanted))
         pending.wanted_receipts = wanted
-        pending.acknowledge.append(acknowledge)
+        pending.answers.append(answer)
 
     def on_receipt(self, start_id: str, node_id: str) -> None:
         """Record that a node keeps the leaving of a start."""
         pending = self._pending.get(start_id)
         if pending is not None:
-            pending.holders.add(node_id)
+            pending.keepers.add(node_id)
 
-    def take_due(self, now_ms: Millis) -> list[AcknowledgedLeaving]:
-        """Return the leavings to acknowledge now: confirmed ones and those that waited enough."""
-        due = []
+    def take_decided(self, now_ms: Millis) -> list[DecidedLeaving]:
+        """Return the leavings to be answered now: confirmed ones and those that waited enough."""
+        decided = []
         for start_id, pending in list(self._pending.items()):
-            waited_ms, holders = now_ms - pending.since, len(pending.holders)
-            if holders >= pending.wanted_receipts or waited_ms >= _MAX_WAIT_MS:
+            waited_ms, kept_by = now_ms - pending.since, len(pending.keepers)
+            is_confirmed = kept_by >= pending.wanted_receipts
+            if is_confirmed or waited_ms >= _MAX_WAIT_MS:
                 del self._pending[start_id]
-                acknowledge = tuple(pending.acknowledge)
-                due.append(AcknowledgedLeaving(start_id, holders, waited_ms, acknowledge))
-        return due
+                is_acknowledged = is_confirmed or kept_by > 0
+                answers = tuple(pending.answers)
+                decided.append(
+                    DecidedLeaving(start_id, is_acknowledged, kept_by, waited_ms, answers)
+                )
+        return decided
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -12,7 +12,7 @@
 
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ACKNOWLEDGED, WORK_CUT
+from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ANSWERED, WORK_CUT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
@@ -27,7 +27,7 @@
 from gooseberrydock.mesh.entry import Entry
 from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
-from gooseberrydock.mesh.leaving_receipts import Acknowledge, LeavingReceipts
+from gooseberrydock.mesh.leaving_receipts import LeavingAnswer, LeavingReceipts
 from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import AcceptedWork, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
@@ -230,18 +230,19 @@
 
     # The leaving of targets, which other nodes keep for the node beside the target.
 
-    def acknowledge_leaving(self, start_id: str, acknowledge: Acknowledge) -> None:
+    def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
         """Acknowledge the leaving of a start of the local target once other nodes keep it."""
         now_ms = self._clock.now_ms()
         notice = self._controllers.registration.leaving_notice(now_ms)
         if notice is None or notice.start_id != start_id:
             # A later start has taken its place, so that it cannot be used again.
-            acknowledge()
+            answer(True)
             return
         self._links.broadcast(notice)
         asked_nodes = {link.node_id for link in self._links.open_links}
-        self._leaving_receipts.hold(now_ms, start_id, len(asked_nodes), acknowledge)
-        self._acknowledge_due(now_ms)
+        is_alone = not self._controllers.directory.others
+        self._leaving_receipts.hold(now_ms, start_id, len(asked_nodes), is_alone, answer)
+        self._answer_decided_leavings(now_ms)
 
     def on_leaving_notice(self, notice: LeavingNotice, link: PeerLink) -> None:
         """Keep that another node's target is leaving."""
@@ -252,18 +253,19 @@
     def on_leaving_receipt(self, receipt: LeavingReceipt, link: PeerLink) -> None:
         """Record that another node keeps the leaving of the local target."""
         self._leaving_receipts.on_receipt(receipt.start_id, link.node_id)
-        self._acknowledge_due(self._clock.now_ms())
+        self._answer_decided_leavings(self._clock.now_ms())
 
-    def _acknowledge_due(self, now_ms: Millis) -> None:
-        for leaving in self._leaving_receipts.take_due(now_ms):
+    def _answer_decided_leavings(self, now_ms: Millis) -> None:
+        for leaving in self._leaving_receipts.take_decided(now_ms):
             log(
-                TARGET_LEAVING_ACKNOWLEDGED,
+                TARGET_LEAVING_ANSWERED,
                 start=leaving.start_id,
-                kept_by=leaving.holders,
+                is_acknowledged=leaving.is_acknowledged,
+                kept_by=leaving.kept_by,
                 waited_ms=round(leaving.waited_ms, 1),
             )
-            for acknowledge in leaving.acknowledge:
-                acknowledge()
+            for answer in leaving.answers:
+                answer(leaving.is_acknowledged)
 
     def _open_links_to_restarted_nodes(self, now_ms: Millis) -> None:
         """Open missing links to nodes that may have forgotten that their target is leaving."""
@@ -362,7 +364,7 @@
         """Run the timers of requests and calls."""
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
-        self._acknowledge_due(now_ms)
+        self._answer_decided_leavings(now_ms)
 
     def tick_links(self, now_ms: Millis) -> None:
         """Probe links with answers due, close silent ones, and report calls that got no link."""
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -8,7 +8,7 @@
 import urllib.parse
 from typing import Any, Final
 
-from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, NOT_FOUND
+from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, NOT_FOUND, PEER_UNREACHABLE
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, json_response
 from gooseberrydock.http_server import HttpConnection, serve_http
@@ -81,7 +81,7 @@
     elif is_known_path and request.method == "DELETE":
         started_wall_ms = _decode_start_time(request.body)
         start_id = node.target_dispatcher.on_target_leaving(instance_id, started_wall_ms)
-        _acknowledge_leaving(node, connection, start_id)
+        _answer_leaving(node, connection, start_id)
     else:
         connection.respond(_create_empty_response(NOT_FOUND.status))
 
@@ -97,14 +97,18 @@
         return
     is_accepted = node.target_dispatcher.on_announcement(announcement)
     if is_accepted and announcement.state is TargetState.LEAVING:
-        _acknowledge_leaving(node, connection, announcement.start_id)
+        _answer_leaving(node, connection, announcement.start_id)
     else:
         status = 200 if is_accepted else INVALID_ANNOUNCEMENT.status
         connection.respond(_create_empty_response(status))
 
 
-def _acknowledge_leaving(node: MeshNode, connection: HttpConnection, start_id: str) -> None:
-    node.acknowledge_leaving(start_id, lambda: connection.respond(_create_empty_response(200)))
+def _answer_leaving(node: MeshNode, connection: HttpConnection, start_id: str) -> None:
+    def answer(is_acknowledged: bool) -> None:
+        status = 200 if is_acknowledged else PEER_UNREACHABLE.status
+        connection.respond(_create_empty_response(status))
+
+    node.answer_leaving(start_id, answer)
 
 
 def _decode_start_time(body: bytes) -> int | None:
--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -175,50 +175,59 @@
 
 
 class LeavingReceiptsCases(unittest.TestCase):
-    """When the leaving is acknowledged to the target."""
+    """When the leaving is acknowledged to the target, and when it is not."""
 
     def setUp(self) -> None:
         self._receipts = LeavingReceipts()
-        self._acknowledged: list[int] = []
+        self._answers: list[bool] = []
 
-    def _hold(self, now_ms: float, asked_nodes: int) -> None:
-        self._receipts.hold(now_ms, "a@9", asked_nodes, lambda: self._acknowledged.append(1))
+    def _hold(self, now_ms: float, asked_nodes: int, is_alone: bool = False) -> None:
+        self._receipts.hold(now_ms, "a@9", asked_nodes, is_alone, self._answers.append)
 
-    def _acknowledge_due(self, now_ms: float) -> int:
-        for leaving in self._receipts.take_due(now_ms):
-            for acknowledge in leaving.acknowledge:
-                acknowledge()
-        return len(self._acknowledged)
+    def _answers_at(self, now_ms: float) -> list[bool]:
+        for leaving in self._receipts.take_decided(now_ms):
+            for answer in leaving.answers:
+                answer(leaving.is_acknowledged)
+        return self._answers
 
     def test_two_other_nodes_keep_it_first(self) -> None:
         self._hold(0.0, asked_nodes=5)
-        for node_id, expected in (("n1", 0), ("n1", 0), ("n2", 1)):
+        for node_id, expected in (("n1", []), ("n1", []), ("n2", [True])):
             self._receipts.on_receipt("a@9", node_id)
-            self.assertEqual(expected, self._acknowledge_due(1.0))
+            self.assertEqual(expected, self._answers_at(1.0))
 
     def test_only_nodes_that_were_asked_are_waited_for(self) -> None:
         self._hold(0.0, asked_nodes=1)
         self._receipts.on_receipt("a@8", "n1")
-        self.assertEqual(0, self._acknowledge_due(1.0))
+        self.assertEqual([], self._answers_at(1.0))
         self._receipts.on_receipt("a@9", "n1")
-        self.assertEqual(1, self._acknowledge_due(2.0))
+        self.assertEqual([True], self._answers_at(2.0))
 
-    def test_node_without_others_acknowledges_at_once(self) -> None:
-        self._hold(0.0, asked_nodes=0)
-        self.assertEqual(1, self._acknowledge_due(0.0))
+    def test_node_that_knows_no_other_acknowledges_at_once(self) -> None:
+        self._hold(0.0, asked_nodes=0, is_alone=True)
+        self.assertEqual([True], self._answers_at(0.0))
 
-    def test_silent_nodes_do_not_keep_the_target_waiting_for_a_second(self) -> None:
+    def test_leaving_that_nobody_keeps_is_answered_in_time_and_not_acknowledged(self) -> None:
+        for asked_nodes in (0, 2):
+            with self.subTest(asked_nodes=asked_nodes):
+                self.setUp()
+                self._hold(0.0, asked_nodes)
+                self.assertEqual([], self._answers_at(100.0))
+                self.assertEqual([False], self._answers_at(900.0))
+
+    def test_one_keeper_is_enough_when_the_other_is_silent(self) -> None:
         self._hold(0.0, asked_nodes=2)
-        self.assertEqual(0, self._acknowledge_due(100.0))
-        self.assertEqual(1, self._acknowledge_due(800.0))
+        self._receipts.on_receipt("a@9", "n1")
+        self.assertEqual([], self._answers_at(100.0))
+        self.assertEqual([True], self._answers_at(900.0))
 
     def test_repeated_calls_are_all_answered(self) -> None:
         self._hold(0.0, asked_nodes=2)
         self._hold(50.0, asked_nodes=2)
         self._receipts.on_receipt("a@9", "n1")
         self._receipts.on_receipt("a@9", "n2")
-        self.assertEqual(2, self._acknowledge_due(60.0))
-        self.assertEqual(2, self._acknowledge_due(900.0))
+        self.assertEqual([True, True], self._answers_at(60.0))
+        self.assertEqual([True, True], self._answers_at(900.0))
 
 
 _DRAIN_TIME_S = 2.0
