--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -1,7 +1,9 @@
 """A loopback TCP proxy that injects faults into the connections through it."""
 
 import enum
-from typing import Final
+import socket
+import struct
+from typing import Any, Final
 
 import attrs
 import trio
@@ -19,7 +21,7 @@
     NONE = "none"
     DELAY = "delay"
     RESET = "reset"
-    """Open connections are closed at once; new connections work."""
+    """Open connections are reset at once; new connections work."""
     BLOCK_TO_TARGET = "cut-to"
     """Bytes to the target are held back until the fault ends."""
     BLOCK_FROM_TARGET = "cut-from"
@@ -74,15 +76,22 @@
             target = await trio.open_tcp_stream(self._target.host, self._target.port)
         except OSError:
             return
-        async with target, trio.open_nursery() as nursery:
-            self._scopes.add(nursery.cancel_scope)
-            nursery.start_soon(
-                self._relay, nursery, number, caller, target, LinkFault.BLOCK_TO_TARGET
-            )
-            nursery.start_soon(
-                self._relay, nursery, number, target, caller, LinkFault.BLOCK_FROM_TARGET
-            )
-        self._scopes.discard(nursery.cancel_scope)
+        async with target:
+            orderly_ends: list[trio.SocketStream] = []
+            async with trio.open_nursery() as nursery:
+                self._scopes.add(nursery.cancel_scope)
+                for source, sink, blocking_fault in (
+                    (caller, target, LinkFault.BLOCK_TO_TARGET),
+                    (target, caller, LinkFault.BLOCK_FROM_TARGET),
+                ):
+                    nursery.start_soon(
+                        self._relay, nursery, number, source, sink, blocking_fault, orderly_ends
+                    )
+            self._scopes.discard(nursery.cancel_scope)
+            if not orderly_ends:
+                # A reset of one side, or of the proxy, must not look like an orderly end.
+                for stream in (caller, target):
+                    reset_on_close(stream.socket)
 
     async def _relay(
         self,
@@ -91,6 +100,7 @@
         source: trio.SocketStream,
         sink: trio.SocketStream,
         blocking_fault: LinkFault,
+        orderly_ends: list[trio.SocketStream],
     ) -> None:
         try:
             while data := await source.receive_some(_CHUNK_BYTES):
@@ -99,11 +109,17 @@
                 if self._fault is LinkFault.DELAY:
                     await trio.sleep(_POLL_INTERVAL_S * 3)
                 await sink.send_all(data)
+            orderly_ends.append(source)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         nursery.cancel_scope.cancel()
 
 
+def reset_on_close(connection: Any) -> None:
+    """Let the close of a socket reset its connection."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def create_fault_proxy(target: Address) -> FaultProxy:
     """Create a proxy on a free port."""
     return FaultProxy(target, listen(Address("127.0.0.1", 0)))
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -19,6 +19,7 @@
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import Address
 from gooseberrydock.stream import Listener, Stream, listen
+from tests.fault_proxy import reset_on_close
 
 _ANY_LOCAL_PORT = Address("127.0.0.1", 0)
 
@@ -202,6 +203,8 @@
 Behaviour = Callable[[HttpRequest], HttpResponse | None]
 LATE_COPY = "late copy"
 """Misbehaviour of a target: it sends a second copy of an answer some time after the first."""
+BROKEN_OFF = "broken-off"
+"""Misbehaviour of a target: it resets its connection halfway through an answer without a length."""
 ENDLESS = "endless"
 """Misbehaviour of a target: it sends chunks of a body until its caller closes."""
 _LATE_COPY_DELAY_S = 0.03
@@ -270,6 +273,9 @@
         if misbehaviour == ENDLESS:
             await self._send_without_end(connection._stream)
             return
+        if misbehaviour == BROKEN_OFF:
+            _break_off(connection._stream, response)
+            return
         connection.respond(response)
         if misbehaviour == LATE_COPY:
             await trio.sleep(_LATE_COPY_DELAY_S)
@@ -321,3 +327,11 @@
         request = HttpRequest(method, f"/-/instances/{self.instance_id}", [], body)
         response = await fetch_on_new_connection(self.control, self.nursery, request, 1.0)
         return response.status if response is not None else 0
+
+
+def _break_off(stream: Stream, response: HttpResponse) -> None:
+    head = b"".join(b"%s: %s\r\n" % pair for pair in response.headers)
+    stream.send(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + response.body[: len(response.body) // 2])
+    if not stream.is_closed:
+        reset_on_close(stream._socket)
+    stream.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,7 +34,7 @@
     make_route_fields,
     running_platform_fleet,
 )
-from tests.platform_standins import ENDLESS, LATE_COPY
+from tests.platform_standins import BROKEN_OFF, ENDLESS, LATE_COPY
 from tests.soak_statements import Origin, StatementSoak
 
 _REQUEST_RATE_PER_S: Final = 30.0
@@ -72,8 +72,12 @@
 """Age of old reads while all nodes start; an exact read must bring them a configuration."""
 _UPLOAD_SIZE_RANGE: Final = (20_000, 300_000)
 _UPLOAD_SHARE: Final = 0.15
+_LEAVING_BEFORE_KILL_INTERVAL_S: Final = 4.0
+_KILL_AFTER_LEAVING_RANGE_S: Final = (0.0, 0.3)
 _PIPELINE_INTERVAL_S: Final = 0.4
 _MAX_PIPELINED: Final = 4
+_BROKEN_OFF_SHARE: Final = 0.02
+"""Share of the other runs whose server breaks its answer off."""
 _MISBEHAVING_SHARE: Final = 0.03
 """Share of the runs whose server sends a second, late copy of its answer or bytes without end."""
 
@@ -99,6 +103,8 @@
     """Decides on uploads, pipelines and misbehaviour apart, so that a seed keeps its faults."""
     _statements_random: random.Random
     """Decides on what servers state, and on restores of the store."""
+    _leavings_random: random.Random
+    """Decides on servers that leave just before their node is killed, and on answers broken off."""
     _sent_requests: dict[str, SentRequest] = attrs.field(factory=dict)
     _runs: Counter[str] = attrs.field(factory=Counter)
     _violations: list[str] = attrs.field(factory=list)
@@ -155,9 +161,9 @@
         server.misbehaviour = self._choose_misbehaviour
 
     def _choose_misbehaviour(self, request: HttpRequest) -> str:
-        if self._callers_random.random() >= _MISBEHAVING_SHARE:
-            return ""
-        return self._callers_random.choice((LATE_COPY, ENDLESS))
+        if self._callers_random.random() < _MISBEHAVING_SHARE:
+            return self._callers_random.choice((LATE_COPY, ENDLESS))
+        return BROKEN_OFF if self._leavings_random.random() < _BROKEN_OFF_SHARE else ""
 
     async def send_load(self, until: float) -> None:
         """Send requests at a constant mean rate, each from its own task."""
@@ -334,6 +340,42 @@
         server.sequence = 0
         node.sends_heartbeats = True
 
+    async def inject_leavings(self, until: float) -> None:
+        """Let servers leave just before their nodes are killed."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                await trio.sleep(
+                    self._leavings_random.uniform(0.5, 1.5) * _LEAVING_BEFORE_KILL_INTERVAL_S
+                )
+                nursery.start_soon(self._leave_before_kill)
+
+    async def _leave_before_kill(self) -> None:
+        """Kill a node after it acknowledged a leaving; an earlier announcement arrives late."""
+        generator = self._leavings_random
+        node = generator.choice(self._fleet.nodes)
+        server = node.target
+        if node.node_id in self._drained_at or server.state != "ready":
+            return
+        node.sends_heartbeats = False
+        late_sequence = server.sequence + 1
+        server.sequence += 1
+        if await server.leave() == 200:
+            acknowledged_at = self._drained_at[node.node_id] = trio.current_time()
+            self._record_event("its server has left", node.node_id)
+            await trio.sleep(generator.uniform(*_KILL_AFTER_LEAVING_RANGE_S))
+            node.kill()
+            await trio.sleep(generator.uniform(0.1, 1.0))
+            self._restart(node)
+            await trio.sleep(generator.uniform(0.2, 2.0))
+            server.sequence = late_sequence - 1
+            self._record_event(f"late heartbeat: {await server.announce()}", node.node_id)
+            ends_at = acknowledged_at + _DRAIN_TIME_S + _WATCH_AFTER_DRAIN_S
+            await trio.sleep(max(0.0, ends_at - trio.current_time()))
+            del self._drained_at[node.node_id]
+        server.born += 1
+        server.sequence = 0
+        node.sends_heartbeats = True
+
     async def _configure(self) -> None:
         self._newest_configuration += 1
         self._record_event(f"configuration {self._newest_configuration}", "store")
@@ -530,7 +572,11 @@
             fleet.configure(_routes(0), ["shop", "web"])
             await fleet.wait_until_known()
             soak = Soak(
-                fleet, rng, random.Random(options.seed + 1), random.Random(options.seed + 2)
+                fleet,
+                rng,
+                random.Random(options.seed + 1),
+                random.Random(options.seed + 2),
+                random.Random(options.seed + 3),
             )
             for node in fleet.nodes:
                 soak.watch_server(node)
@@ -541,6 +587,7 @@
                 nursery.start_soon(soak.inject_faults, until)
                 nursery.start_soon(soak.probe_configurations, until)
                 nursery.start_soon(soak.inject_statements, until)
+                nursery.start_soon(soak.inject_leavings, until)
             await soak.check_recovery()
             await soak.check_store()
             await soak.check_start_of_all()
