Do not take a node that has forgotten the others for the only one

A node is alone now only if it has read the records of the store and no other one has been known since its start. Until then a leaving needs a node that keeps it.

Measured: two new tests, of which the one of the forgotten nodes fails on the commit before; 35 tests of the leaving and of the node pass.

--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -98,6 +98,8 @@
     _table_payload: bytes = b""
     _refused_payload: bytes = b""
     _is_store_unavailable: bool = False
+    _has_read_records: bool = False
+    _has_known_others: bool = False
     _round: int = 0
     _requested_version: int = 0
     _requested_at: Millis = 0.0
@@ -120,6 +122,14 @@
         """Return whether other nodes are known but none is reachable."""
         return bool(self._directory.others) and not self._links.open_links
 
+    @property
+    def is_alone(self) -> bool:
+        """Return whether no other node has been known since the start, also not to the store.
+
+        A node that was cut off or paused forgets the others, which still run.
+        """
+        return self._has_read_records and not self._has_known_others
+
     @property
     def table_age_ms(self) -> Millis | None:
         """Return the time since the route table was confirmed to be the newest, if it ever was."""
@@ -263,6 +273,7 @@
             self._on_member_changed(member, before)
 
     def _on_member_changed(self, member: Member, before: Member | None) -> None:
+        self._has_known_others = True
         is_new_incarnation = before is None or before.incarnation != member.incarnation
         self._owner.on_node_changed(member.node_id, is_new_incarnation)
         if is_new_incarnation:
@@ -304,6 +315,7 @@
                     members.append(member)
         before = {member.node_id: self._directory.find(member.node_id) for member in members}
         if is_snapshot:
+            self._has_read_records = True
             changed = self._directory.on_snapshot(now_ms, members)
         else:
             changed = [member for member in members if self._directory.on_store_record(member)]
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -240,8 +240,9 @@
             return
         self._links.broadcast(notice)
         asked_nodes = {link.node_id for link in self._links.open_links}
-        is_alone = not self._controllers.directory.others
-        self._leaving_receipts.hold(now_ms, start_id, len(asked_nodes), is_alone, answer)
+        self._leaving_receipts.hold(
+            now_ms, start_id, len(asked_nodes), self._fleet.is_alone, answer
+        )
         self._answer_decided_leavings(now_ms)
 
     def on_leaving_notice(self, notice: LeavingNotice, link: PeerLink) -> None:
--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -10,9 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberrydock.members import Address
+from gooseberrydock.members import Address, encode_member
 from gooseberrydock.mesh.leaving_receipts import LeavingReceipts
+from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.statement_memory import StatementMemory
+from gooseberrydock.mesh.store import StoreItem
 from gooseberrydock.mesh.target_registration import (
     InstanceAnnouncement,
     TargetRegistration,
@@ -20,7 +22,9 @@
     create_target_registration,
 )
 from gooseberrydock.messages import LeavingNotice, TargetNotice, TargetReport
+from tests.mesh_helpers import make_member
 from tests.platform_fleet import FleetNode, PlatformFleet, make_route_fields, running_platform_fleet
+from tests.test_mesh_node import make_node
 
 _ADDRESS = Address("10.0.0.1", 80)
 _DRAIN_MS = 2_000.0
@@ -230,6 +234,34 @@
         self.assertEqual([True, True], self._answers_at(900.0))
 
 
+class LeavingWithoutOthersCases(unittest.TestCase):
+    """Guard against an acknowledgement by a node that has only lost sight of the others."""
+
+    def _answers(self, node: MeshNode) -> list[bool]:
+        answers: list[bool] = []
+        node.controllers.registration.on_leave(node.now_ms(), "a@9")
+        node.answer_leaving("a@9", answers.append)
+        return answers
+
+    def test_node_that_no_store_has_told_of_others_acknowledges(self) -> None:
+        node = make_node()
+        self.assertEqual([], self._answers(node))
+        node.fleet.on_store_items((), is_snapshot=True)
+        self.assertEqual([True], self._answers(node))
+
+    def test_node_that_has_forgotten_the_others_does_not(self) -> None:
+        node = make_node()
+        node.fleet.on_store_items((), is_snapshot=True)
+        member = make_member("other")
+        item = StoreItem("nodes/other", encode_member(member), 1)
+        node.fleet.on_store_items((item,), is_snapshot=True)
+        node.fleet.on_store_items((), is_snapshot=True)
+        for second in range(60):
+            node.fleet.tick_maintenance(node.now_ms() + second * 1_000.0)
+        self.assertEqual([], node.controllers.directory.others)
+        self.assertEqual([], self._answers(node))
+
+
 _DRAIN_TIME_S = 2.0
 _RUNS_AFTER_S = 2.0
 
