--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -625,6 +625,14 @@
             await asyncio.sleep(0.2)
         raise CouldNotRun("the nodes did not become ready")
 
+    async def wait_until_served(self, node, path, timeout_s=20.0):
+        ends_at = time.monotonic() + timeout_s
+        while time.monotonic() < ends_at:
+            if (await self.request(node, path))[0] == 200:
+                return
+            await asyncio.sleep(0.2)
+        raise CouldNotRun(f"{path} is not served")
+
     async def request(
         self,
         node,
