--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,20 +15,27 @@
 RETRIES = 12
 RETRY_INTERVAL_S = 4.0
 CRASHING_PATH = "/orders/crash"
-ORDINARY_INTERVAL_S = 2.0
+BOOKING_INTERVAL_S = 2.0
+BOOKING_WORK_S = 1.5
 
 
 async def play(deployment):
     await deployment.start(["orders", "orders", "orders", "shop"])
-    deployment.configure({"r-orders": route("orders", "/orders/")})
+    deployment.configure(
+        {
+            "r-orders": route("orders", "/orders/"),
+            "r-bookings": route("orders", "/bookings/", kind="non_idempotent"),
+        }
+    )
     await deployment.wait_until_ready()
     shop = deployment.nodes[3]
     for number in range(30):
         await deployment.wait_until_served(shop, f"/orders/{number}")
     for server in deployment.servers:
+        server.work_s = BOOKING_WORK_S
         server.crashes_on = lambda path: HAS_TROUBLE and path == CRASHING_PATH
         deployment.run(restart_crashed(server))
-    deployment.run(send_ordinary_requests(deployment, shop))
+    deployment.run(send_bookings(deployment, shop))
     for _ in range(RETRIES):
         await deployment.request(shop, CRASHING_PATH, "POST", b"the same body")
         await asyncio.sleep(RETRY_INTERVAL_S)
@@ -37,7 +44,13 @@
     if not HAS_TROUBLE:
         crashes = []
     later = [at for at in crashes[3:] if at > crashes[2] + STABLE_WINDOW_S]
-    deployment.record.add("verdict", crashes=len(crashes), retries_after_the_third=len(later))
+    broken_off = [run for run in runs if run["path"].startswith("/bookings/") and run["is_dropped"]]
+    deployment.record.add(
+        "verdict",
+        crashes=len(crashes),
+        retries_after_the_third=len(later),
+        bookings_broken_off=len(broken_off),
+    )
     return len(later) > 3
 
 
@@ -50,12 +63,12 @@
             await server.restart()
 
 
-async def send_ordinary_requests(deployment, shop):
+async def send_bookings(deployment, shop):
     number = 0
     while True:
-        await asyncio.sleep(ORDINARY_INTERVAL_S)
+        await asyncio.sleep(BOOKING_INTERVAL_S)
         number += 1
-        deployment.run(deployment.request(shop, f"/orders/ordinary-{number}"))
+        deployment.run(deployment.request(shop, f"/bookings/{number}", "POST", b"one"))
 
 
 main(play)
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -255,6 +255,10 @@
         self.runs = []
         """Runs so far, each as a dictionary with request id, path and times."""
         self.crashes_on = lambda path: False
+        self.sheds = lambda: False
+        self.repeats = lambda: False
+        """Whether the answer to a request that it sheds is sent a second time, somewhat later."""
+        self.second_answer_delay_s = 0.0
         self.is_up = False
         self._slots = slots
         self._control = control
@@ -347,6 +351,15 @@
             answer = {"Instance-Id": self.instance_id, "Request-Id": request_id}
             writer.write(message_bytes("HTTP/1.1 421 Misdirected Request", answer))
             return True
+        if self.sheds():
+            self._record.add("shed", server=self.instance_id, request=request_id)
+            answer = message_bytes("HTTP/1.1 503 Service Unavailable", {"Not-Executed": "1"})
+            writer.write(answer)
+            if self.repeats():
+                self._record.add("second_answer", server=self.instance_id, request=request_id)
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.second_answer_delay_s, writer.write, answer)
+            return True
         run = {
             "id": request_id,
             "path": path,
@@ -725,7 +738,8 @@
         async with asyncio.timeout(110):
             is_broken = await play(deployment)
         result = BROKEN if is_broken else HELD
-    except (CouldNotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever ends the case early, it says nothing about the rule.
         deployment.record.add("could_not_run", reason=repr(error))
         print(f"could not run: {error!r}")
         result = NOT_RUN
