--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import urllib.parse
+from functools import partial
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -63,7 +64,7 @@
         if name:
             headers[name.strip().lower()] = value.strip()
     if on_head is not None:
-        on_head(lines[0], headers)
+        await on_head(lines[0], headers)
     try:
         if "chunked" in headers.get("transfer-encoding", ""):
             body = b""
@@ -255,6 +256,11 @@
         self.runs = []
         """Runs so far, each as a dictionary with request id, path and times."""
         self.crashes_on = lambda path: False
+        self.answers_early = lambda path: False
+        """Whether a request is answered once its head is read; its body is read later."""
+        self.read_on_after_s = 0.0
+        self.early_answers = []
+        """When each of these requests reached the server, and its id."""
         self.sheds = lambda: False
         self.repeats = lambda: False
         """Whether the answer to a request that it sheds is sent a second time, somewhat later."""
@@ -268,7 +274,7 @@
 
     async def start(self):
         self._server = await asyncio.start_server(
-            self._serve, self.host, self.port, limit=1 << 26, reuse_address=True
+            self._serve, self.host, self.port, limit=1 << 16, reuse_address=True
         )
         self.is_up = True
         self._task = asyncio.create_task(self._heartbeats())
@@ -286,7 +292,7 @@
         self.born = int(time.time() * 1_000)
         self.sequence = 0
         self._server = await asyncio.start_server(
-            self._serve, self.host, self.port, limit=1 << 26, reuse_address=True
+            self._serve, self.host, self.port, limit=1 << 16, reuse_address=True
         )
         self.is_up = True
         self._record.add("server_started", server=self.instance_id, service=self.service)
@@ -333,8 +339,10 @@
     async def _serve(self, reader, writer):
         self._connections.add(writer)
         try:
-            while message := await read_message(reader):
-                if not await self._handle(reader, writer, message):
+            while message := await read_message(reader, partial(self._answer_early, writer)):
+                if self.answers_early(message[0].split()[1]):
+                    self._record.add("body_read", server=self.instance_id, bytes=len(message[2]))
+                elif not await self._handle(reader, writer, message):
                     break
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -342,6 +350,17 @@
             self._connections.discard(writer)
             writer.close()
 
+    async def _answer_early(self, writer, start_line, headers):
+        """Reject a long request before its body is read, and read on after some time."""
+        if not self.answers_early(start_line.split()[1]):
+            return
+        request_id = headers.get("request-id", "")
+        self.early_answers.append((self._record.now(), request_id))
+        self._record.add("answered_early", server=self.instance_id, request=request_id)
+        answer = {"Request-Id": request_id, "Server-Seal": f"seal-{request_id}"}
+        writer.write(message_bytes("HTTP/1.1 422 Unprocessable Content", answer))
+        await asyncio.sleep(self.read_on_after_s)
+
     async def _handle(self, reader, writer, message):
         start_line, headers, body = message
         path = start_line.split()[1]
@@ -396,7 +415,8 @@
         answer = {"Request-Id": request_id, "Server-Seal": f"seal-{request_id}"}
         if self.is_leaving:
             answer["Server-Leaving"] = "1"
-        writer.write(message_bytes("HTTP/1.1 200 OK", answer, b"answer " + request_id.encode()))
+        content = b"answer " + request_id.encode()
+        writer.write(message_bytes("HTTP/1.1 200 OK", answer, content))
         await writer.drain()
         return True
 
