--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -261,10 +261,6 @@
         self.read_on_after_s = 0.0
         self.early_answers = []
         """When each of these requests reached the server, and its id."""
-        self.sheds = lambda: False
-        self.repeats = lambda: False
-        """Whether the answer to a request that it sheds is sent a second time, somewhat later."""
-        self.second_answer_delay_s = 0.0
         self.is_up = False
         self._slots = slots
         self._control = control
@@ -370,15 +366,6 @@
             answer = {"Instance-Id": self.instance_id, "Request-Id": request_id}
             writer.write(message_bytes("HTTP/1.1 421 Misdirected Request", answer))
             return True
-        if self.sheds():
-            self._record.add("shed", server=self.instance_id, request=request_id)
-            answer = message_bytes("HTTP/1.1 503 Service Unavailable", {"Not-Executed": "1"})
-            writer.write(answer)
-            if self.repeats():
-                self._record.add("second_answer", server=self.instance_id, request=request_id)
-                loop = asyncio.get_running_loop()
-                loop.call_later(self.second_answer_delay_s, writer.write, answer)
-            return True
         run = {
             "id": request_id,
             "path": path,
@@ -432,8 +419,6 @@
         self.addresses = {key: f"{host}:{port}" for key, port in ports.items()}
         self.process = None
         self.ends_by_itself = 0
-        self.kills_over_memory = 0
-        self.restarts = True
         self._deployment = deployment
         self._max_fds = max_fds
         self._memory_mb = memory_mb
@@ -555,31 +540,6 @@
             await asyncio.sleep(RESTART_DELAY_S)
             await self.start()
 
-    async def limit_memory(self):
-        """Kill the process when its memory exceeds the limit, as the platform does."""
-        while True:
-            await asyncio.sleep(0.005)
-            resident_kb = self.resident_kb()
-            if resident_kb > self._memory_mb * 1024:
-                self.kills_over_memory += 1
-                self.ends_by_itself += 1
-                self._deployment.record.add(
-                    "node_over_memory", node=self.name, resident_mb=resident_kb // 1024
-                )
-                self._is_killed = True
-                process = self.process
-                process.kill()
-                await process.wait()
-                while self.process is process:
-                    await asyncio.sleep(0.02)
-
-    def resident_kb(self):
-        with contextlib.suppress(OSError, ValueError):
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1])
-        return 0
-
 
 class Deployment:
     """The machines of one case, with their store and servers."""
