--- a/review/9/case.py
+++ b/review/9/case.py
@@ -40,10 +40,14 @@
         await deployment.request(shop, CRASHING_PATH, "POST", b"the same body")
         await asyncio.sleep(RETRY_INTERVAL_S)
     runs = [run for server in deployment.servers for run in server.runs]
-    crashes = sorted(run["at"] for run in runs if run["path"] == CRASHING_PATH)
-    if not HAS_TROUBLE:
-        crashes = []
-    later = [at for at in crashes[3:] if at > crashes[2] + STABLE_WINDOW_S]
+    crashing = [run for run in runs if HAS_TROUBLE and run["path"] == CRASHING_PATH]
+    crashes = sorted(run["at"] for run in crashing)
+    # A retry counts once, also where the node sends it to a second server.
+    later = (
+        {run["id"] for run in crashing if run["at"] > crashes[2] + STABLE_WINDOW_S}
+        if len(crashes) > 2
+        else set()
+    )
     broken_off = [run for run in runs if run["path"].startswith("/bookings/") and run["is_dropped"]]
     deployment.record.add(
         "verdict",
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -354,6 +354,8 @@
         self.early_answers.append((self._record.now(), request_id))
         self._record.add("answered_early", server=self.instance_id, request=request_id)
         answer = {"Request-Id": request_id, "Server-Seal": f"seal-{request_id}"}
+        if self.is_leaving:
+            answer["Server-Leaving"] = "1"
         writer.write(message_bytes("HTTP/1.1 422 Unprocessable Content", answer))
         await asyncio.sleep(self.read_on_after_s)
 
@@ -518,7 +520,9 @@
         import resource
 
         # The platform limits the descriptors of each process.
-        resource.setrlimit(resource.RLIMIT_NOFILE, (self._max_fds, self._max_fds))
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limit = self._max_fds if most == resource.RLIM_INFINITY else min(self._max_fds, most)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
     def kill(self):
         """Kill the process, as the platform does in an impairment."""
