--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -7,9 +7,10 @@
 import json
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Final
 
 import attrs
 import trio
@@ -25,6 +26,8 @@
 _HOST = "127.0.0.1"
 _START_TIMEOUT_S = 10.0
 _HEARTBEAT_PERIOD_S = 0.4
+USUAL_MACHINE: Final = {"memoryMb": 300, "maxFds": 4_100}
+"""Limits of a node's machine, as its settings name them."""
 
 
 def settings_text(
@@ -34,9 +37,11 @@
     target_address: Address,
     store: Address,
     ports: list[int],
+    machine: Mapping[str, int] = USUAL_MACHINE,
 ) -> str:
     """Return the text of a settings file as the platform writes it."""
     outbound, inbound, control, ready, metrics = ports
+    limits = "\n".join(f"{name} = {value}" for name, value in machine.items())
     return f"""
 [self]
 nodeName = "{node_id}"
@@ -45,6 +50,8 @@
 firstStart = true
 appAddr = "{target_address}"
 service = "{service}"
+[self.limits]
+{limits}
 [network]
 portRange = [{metrics - 1}, {metrics + 1}]
 seedNodes = []
@@ -110,6 +117,15 @@
     version: int = 0
     configuration: bytes = b""
     program: tuple[str, ...] = ("gooseberrydock.platform",)
+    machine: Mapping[str, int] = USUAL_MACHINE
+    limits: dict[str, int] = attrs.field(
+        factory=lambda: {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeoutMs": 1_000,
+            "idleTimeoutMs": 5_000,
+        }
+    )
 
     def _start_proxy(self, address: Address) -> FaultProxy:
         proxy = create_fault_proxy(address)
@@ -135,7 +151,9 @@
             store, node.advertised = to_store.address, to_node.address
             target.announced_address = to_target.address
         path.write_text(
-            settings_text(node_id, service, failure_domain, target.address, store, ports)
+            settings_text(
+                node_id, service, failure_domain, target.address, store, ports, self.machine
+            )
         )
         self.nodes.append(node)
         node.program = self.program
@@ -161,12 +179,7 @@
             "version": f"{self.version:08x}",
             "routes": routes,
             "services": {name: {"healthPath": "/healthz"} for name in services},
-            "limits": {
-                "maxHeaderBytes": 16_384,
-                "maxBodyBytes": 1_000_000,
-                "headerTimeoutMs": 1_000,
-                "idleTimeoutMs": 5_000,
-            },
+            "limits": self.limits,
         }
         self.configuration = json.dumps(fields).encode()
         self.write_configuration()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,6 +14,7 @@
 import attrs
 import trio
 
+from gooseberrydock import defaults
 from gooseberrydock.http_client import fetch_on_new_connection
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, header_value
 from gooseberrydock.http_server import HttpConnection, serve_http
@@ -236,6 +237,7 @@
     states_leaving: bool = False
     make_call: Callable[[HttpRequest], Awaitable[None]] | None = None
     run_times_s: list[float] = attrs.field(factory=list)
+    max_body_bytes: int = defaults.MAX_BODY_BYTES
 
     @property
     def address(self) -> Address:
@@ -247,7 +249,12 @@
         await self.listener.serve(self._serve)
 
     async def _serve(self, stream: Stream) -> None:
-        await serve_http(stream, self._on_request, on_disconnect=self._on_disconnect)
+        await serve_http(
+            stream,
+            self._on_request,
+            on_disconnect=self._on_disconnect,
+            max_body_bytes=self.max_body_bytes,
+        )
 
     def _on_disconnect(self, connection: HttpConnection) -> None:
         self.aborted += 1
