Read bodies of callers only as far as the process has memory for them

Callers saw the whole node end: 24 bodies of 8 MiB at once, whole or short of their end, took it over a memory of 150 MB within half a second, and with it the requests of all others.

Cause: a connection bounded what it had queued for itself alone, and only complete requests; nothing counted over all connections, and nothing knew the memory of the machine.

One account for the process (memory_account.py, no I/O) is sized from memoryMb of the settings. An announced body reserves its size before it is read, one without a length as it grows; what has no room waits in the socket, whose buffer is bounded and counted, for 0.9 s and is then refused as not run. While something waits, the body that holds most and advances least goes first; complete requests never. A quarter is kept for short requests and answers. A body that is announced above the limit, or can never have room, is refused at its head. Bodies are kept in blocks of 64 KiB, so that freed ones are used again. Unsent answers are charged too; a caller that does not read gets no further request started. A head must arrive in its time whatever its bytes' pace, a whole request within 60 s.

Why it works: the sum of all reservations is bounded by construction, whatever the connections do.

--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -8,6 +8,8 @@
 MAX_DATAGRAM_BYTES: Final = 1400
 MAX_PEER_MESSAGE_BYTES: Final = 8 * 1024 * 1024
 RECEIVE_BYTES: Final = 64 * 1024
+MEMORY_MB: Final = 300
+"""Memory of a node process, in millions of bytes."""
 
 # Timeouts and tick periods of the I/O layer, in milliseconds.
 REQUEST_READ_TIMEOUT_MS: Final = 5_000.0
--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -137,6 +137,9 @@
 NOT_DISPATCHED: Final = _register(
     220, "not-dispatched", 503, _NOT_RUN, "The deadline passed before the call reached a target"
 )
+MEMORY_SHORT: Final = _register(
+    221, "memory-short", 503, _NOT_RUN, "The node has no memory for the request now"
+)
 
 PEER_LOST: Final = _register(
     300, "peer-lost", 502, _UNKNOWN, "The link to the target's node closed during the call"
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -198,6 +198,15 @@
     _INFO,
     "The load of the local target, and the route shares that it and the services it calls allow",
 )
+MEMORY_PRESSURE: Final = _register(
+    1506,
+    "memory-pressure",
+    _WARNING,
+    "Requests wait for memory; those that advance least, or wait for too long, are refused",
+)
+MEMORY_PRESSURE_ENDED: Final = _register(
+    1507, "memory-pressure-ended", _INFO, "No request has waited for memory for some seconds"
+)
 LINES_SUPPRESSED: Final = _register(
     1599, "lines-suppressed", _INFO, "Lines of an event were suppressed to bound the log volume"
 )
--- a/gooseberrydock/http_messages.py
+++ b/gooseberrydock/http_messages.py
@@ -8,6 +8,7 @@
 
 from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.long_body import LongBody
 from gooseberrydock.outcomes import Outcome
 
 Headers = list[tuple[bytes, bytes]]
@@ -59,21 +60,48 @@
 
 @attrs.frozen
 class HttpRequest:
-    """One complete request; the path includes the query."""
+    """One complete request; the path includes the query.
+
+    A body above the size of a block is in ``long_body``, and ``body`` is empty. ``head_bytes`` is
+    the size of the request line and headers as received.
+    """
 
     method: str
     path: str
     headers: Headers
     body: bytes
+    long_body: LongBody | None = None
+    head_bytes: int = attrs.field(default=0, eq=False)
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of the body."""
+        return self.long_body.size if self.long_body is not None else len(self.body)
+
+    @property
+    def joined_body(self) -> bytes:
+        """Return the body in one piece."""
+        return b"".join(self.long_body.blocks) if self.long_body is not None else self.body
 
 
 @attrs.frozen
 class HttpResponse:
-    """One complete response."""
+    """One complete response; a body above the size of a block is in ``long_body``."""
 
     status: int
     headers: Headers
     body: bytes
+    long_body: LongBody | None = None
+
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of the body."""
+        return self.long_body.size if self.long_body is not None else len(self.body)
+
+    @property
+    def joined_body(self) -> bytes:
+        """Return the body in one piece."""
+        return b"".join(self.long_body.blocks) if self.long_body is not None else self.body
 
 
 def header_value(headers: Headers, name: bytes) -> str:
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -25,6 +25,7 @@
 )
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import BODILESS_STATUSES, Headers, HttpRequest, HttpResponse
+from gooseberrydock.long_body import BLOCK_BYTES, BodyBuffer, LongBody
 
 _CONTENT_LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
@@ -40,8 +41,10 @@
     _max_body_bytes: int
     _parser: Any = None
     _headers: Headers = attrs.field(factory=list)
-    _body: bytes | bytearray = b""
+    _body: bytes = b""
+    _buffer: BodyBuffer | None = None
     _body_size: int = 0
+    _announced_size: int | None = None
     _header_size: int = 0
     _in_head: bool = False
     _in_body: bool = False
@@ -65,6 +68,16 @@
         """Return the size of the body of the message in progress, as far as it has arrived."""
         return self._body_size if self._in_body else 0
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the size above which a body is refused."""
+        return self._max_body_bytes
+
+    @property
+    def announced_body_bytes(self) -> int | None:
+        """Return the size of the body that the head announces, None if it is sent in chunks."""
+        return self._announced_size
+
     @property
     def is_in_head(self) -> bool:
         """Return whether a message has begun and its headers are incomplete."""
@@ -97,6 +110,7 @@
         """Reset the state for a new message."""
         self._headers = []
         self._body = b""
+        self._buffer = None
         self._parts.clear()
         self._body_size = 0
         self._header_size = 0
@@ -129,24 +143,29 @@
         self._body_size += len(data)
         if self._body_size > self._max_body_bytes:
             raise self._oversize_body()
-        if not self._body:
+        if not self._body and self._buffer is None and len(data) <= BLOCK_BYTES:
             self._body = data
             return
-        if isinstance(self._body, bytes):
-            # Not a list of parts: many small ones would take several times their size.
-            self._body = bytearray(self._body)
-        self._body += data
+        if self._buffer is None:
+            self._buffer = BodyBuffer()
+            self._buffer.append(self._body)
+            self._body = b""
+        self._buffer.append(data)
 
     def discard(self) -> None:
         """Release what has arrived of the message in progress."""
         self._headers = []
         self._parts.clear()
         self._body = b""
+        self._buffer = None
 
-    def _take_body(self) -> bytes:
+    def _take_body(self) -> tuple[bytes, LongBody | None]:
         self._collect_body()
+        if self._buffer is not None:
+            buffer, self._buffer = self._buffer, None
+            return buffer.take()
         body, self._body = self._body, b""
-        return bytes(body)
+        return body, None
 
     def _malformed(self, detail: str) -> GooseberrydockError:
         raise NotImplementedError
@@ -207,9 +226,19 @@
         self._request_target = self._request_target + part if self._request_target else part
 
     def on_headers_complete(self) -> None:
-        """Record the end of the headers and whether the caller expects ``100 Continue``."""
+        """Record the end of the headers and what they state of the body."""
         _MessageReader.on_headers_complete(self)
-        self._expects_continue = any(name == b"expect" for name, _ in self._headers)
+        self._expects_continue = False
+        self._announced_size = 0
+        for name, value in self._headers:
+            if name == _CONTENT_LENGTH:
+                self._announced_size = int(value)
+            elif name == _TRANSFER_ENCODING:
+                self._announced_size = None
+            elif name == b"expect":
+                self._expects_continue = True
+        if self._announced_size is not None and self._announced_size > self._max_body_bytes:
+            raise self._oversize_body()
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that ``feed`` returns."""
@@ -218,8 +247,10 @@
         self._is_closing = not self._parser.should_keep_alive()
         request_target, self._request_target = self._request_target, b""
         method = self._parser.get_method().decode("ascii")
+        body, long_body = self._take_body()
+        path = request_target.decode("latin-1")
         self._complete_messages.append(
-            HttpRequest(method, request_target.decode("latin-1"), self._headers, self._take_body())
+            HttpRequest(method, path, self._headers, body, long_body, self._header_size)
         )
 
     def _malformed(self, detail: str) -> GooseberrydockError:
@@ -294,7 +325,7 @@
 
     def _take_response(self) -> HttpResponse:
         self._in_body = False
-        return HttpResponse(self._status, self._headers, self._take_body())
+        return HttpResponse(self._status, self._headers, *self._take_body())
 
     def _malformed(self, detail: str) -> GooseberrydockError:
         return _response_error(TARGET_PROTOCOL, detail)
--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -16,7 +16,7 @@
 import trio
 
 from gooseberrydock.clock import Clock, Millis
-from gooseberrydock.errorcodes import SLOW_REQUEST
+from gooseberrydock.errorcodes import MEMORY_SHORT, SLOW_REQUEST
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import (
     BODILESS_STATUSES,
@@ -27,6 +27,13 @@
     status_line,
 )
 from gooseberrydock.http_parsing import RequestReader
+from gooseberrydock.memory_account import (
+    RECEIVE_BUFFER_BYTES,
+    Claim,
+    ClaimKind,
+    MemoryAccount,
+    Shortage,
+)
 from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.model import CallerLimits
 from gooseberrydock.stream import Stream
@@ -37,7 +44,13 @@
 _MAX_QUEUED_REQUESTS: Final = 64
 """Unanswered requests of one connection above which it is not read."""
 _MAX_QUEUED_BYTES: Final = 1024 * 1024
-"""Bytes of the bodies of these requests above which the connection is not read."""
+"""Bytes of these requests above which the connection is not read."""
+_MAX_UNREAD_BYTES: Final = 256 * 1024
+"""Bytes of answers that the caller has not read above which no further request is started."""
+_REQUEST_BYTES: Final = 4 * 1024
+"""Memory of a request besides its head and body."""
+_BODY_TIMEOUT_MS: Final[Millis] = 60_000.0
+"""Time in which a request has to arrive whole."""
 
 
 class RequestSink(Protocol):
@@ -59,6 +72,7 @@
 
     _connection: "CallerConnection"
     _request: HttpRequest
+    _held_bytes: int
     _is_started: bool = False
     _exchange: Exchange | None = None
     _response: HttpResponse | None = None
@@ -68,6 +82,11 @@
         """Return the request."""
         return self._request
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the request and its response are charged with."""
+        return self._held_bytes
+
     @property
     def is_started(self) -> bool:
         """Return whether the request was passed to the node."""
@@ -92,8 +111,13 @@
         """Set the response, which is sent after those of all earlier requests."""
         if self._response is None:
             self._response = response
+            self._held_bytes += self._connection.charge(response)
             self._connection.advance()
 
+    def detach(self) -> None:
+        """Release the exchange, which refers to this request."""
+        self._exchange = None
+
 
 @attrs.define(eq=False)
 class CallerConnection:
@@ -103,13 +127,19 @@
     _sink: RequestSink
     _reader: RequestReader
     _clock: Clock
+    _account: MemoryAccount
     _is_stopping: Callable[[], bool]
+    _claim: Claim | None = None
     _requests: deque[CallerRequest] = attrs.field(factory=deque)
     _queued_bytes: int = 0
     _rejection: HttpResponse | None = None
     _is_advancing: bool = False
     _has_room: trio.Event = attrs.field(factory=trio.Event)
     _last_active_at: Millis = 0.0
+    _message_began_at: Millis = 0.0
+    _is_message_timed: bool = False
+    _unread_bytes: int = 0
+    _unread_since: Millis = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -119,18 +149,32 @@
     async def run(self) -> None:
         """Read until the caller or this node closes the connection."""
         stream = self._stream
+        stream.on_drained = self.advance
         self._last_active_at = self._clock.now_ms()
         try:
             while data := await stream.receive():
                 self._last_active_at = self._clock.now_ms()
                 if not self._feed(data):
                     return
-                while self._is_full and not stream.is_closed:
-                    self._has_room = trio.Event()
-                    await self._has_room.wait()
+                if self._must_wait:
+                    await self._wait_until_read()
         finally:
+            stream.on_drained = None
+            self._release_incomplete()
             self._cancel_requests()
 
+    async def _wait_until_read(self) -> None:
+        """Wait while the connection must not be read; what arrives is left to its socket."""
+        self._account.charge(RECEIVE_BUFFER_BYTES)
+        self._pause_claim(True)
+        try:
+            while self._must_wait and not self._stream.is_closed:
+                self._has_room = trio.Event()
+                await self._has_room.wait()
+        finally:
+            self._pause_claim(False)
+            self._account.charge(-RECEIVE_BUFFER_BYTES)
+
     def advance(self) -> None:
         """Send the responses that are due, and start the requests that may run now."""
         if self._is_advancing:
@@ -144,15 +188,35 @@
                 self._send_due_responses()
         finally:
             self._is_advancing = False
-        if not self._is_full:
-            self._has_room.set()
+        self._has_room.set()
+
+    def charge(self, response: HttpResponse) -> int:
+        """Charge the memory of a response until it is written; return its size."""
+        self._account.charge(response.body_bytes)
+        return response.body_bytes
+
+    def unread_answers(self, now_ms: Millis) -> tuple[int, Millis]:
+        """Return the bytes of answers that wait for the caller, and for how long it reads none."""
+        unread_bytes = self._stream.unsent_bytes
+        if unread_bytes != self._unread_bytes or not unread_bytes:
+            self._unread_bytes, self._unread_since = unread_bytes, now_ms
+        return unread_bytes, now_ms - self._unread_since
+
+    def close(self) -> None:
+        """Close the connection, which cancels its requests."""
+        self._stream.close()
+        self._has_room.set()
 
     def close_if_timed_out(self, now_ms: Millis, limits: CallerLimits) -> None:
         """Close the connection if its caller is too slow or has been idle for too long."""
+        if self.unread_answers(now_ms)[1] > limits.idle_timeout_ms:
+            self.close()
         if self._requests:
             return
         idle_ms = now_ms - self._last_active_at
-        if self._reader.is_in_head and idle_ms > limits.header_timeout_ms:
+        message_ms = now_ms - self._message_began_at if self._is_message_timed else 0.0
+        is_head_late = self._reader.is_in_head and message_ms > limits.header_timeout_ms
+        if (is_head_late or message_ms > _BODY_TIMEOUT_MS) and self._rejection is None:
             self._reject(GooseberrydockError(SLOW_REQUEST, Step.ENTRY, self._stream.peer_host))
         elif idle_ms > limits.idle_timeout_ms:
             if self.is_idle and not self._stream.is_finishing:
@@ -168,7 +232,19 @@
 
     @property
     def _is_full(self) -> bool:
-        return len(self._requests) >= _MAX_QUEUED_REQUESTS or self._queued_bytes > _MAX_QUEUED_BYTES
+        if len(self._requests) < 2:
+            # The connection is read beside a single request, to detect that its caller leaves.
+            return False
+        return (
+            len(self._requests) >= _MAX_QUEUED_REQUESTS
+            or self._queued_bytes > _MAX_QUEUED_BYTES
+            or self._account.is_short
+        )
+
+    @property
+    def _must_wait(self) -> bool:
+        is_waiting = self._claim is not None and self._claim.is_waiting
+        return (self._is_full or is_waiting) and self._rejection is None
 
     def _feed(self, data: bytes) -> bool:
         """Parse received bytes; return whether the connection stays open."""
@@ -181,20 +257,82 @@
             self._reject(error)
             return not self._stream.is_closed
         for request in complete:
-            self._queued_bytes += len(request.body)
-            self._requests.append(CallerRequest(self, request))
+            self._enqueue(request)
         if self._reader.error is not None:
             self._reject(self._reader.error)
+        if self._reader.is_between_messages:
+            self._is_message_timed = False
+        elif self._rejection is None:
+            self._track_incomplete(bool(complete))
         if complete:
             self.advance()
-        if self._reader.wants_continue:
-            self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return not self._stream.is_closed
 
+    def _enqueue(self, request: HttpRequest) -> None:
+        held_bytes = _memory_of(request)
+        self._queued_bytes += held_bytes
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            claim.complete(held_bytes)
+        else:
+            self._account.charge(held_bytes)
+        self._requests.append(CallerRequest(self, request, held_bytes))
+
+    def _track_incomplete(self, is_new: bool) -> None:
+        """Note when the message in progress began, and reserve the memory of its body."""
+        now_ms = self._last_active_at
+        if is_new or not self._is_message_timed:
+            self._message_began_at = now_ms
+            self._is_message_timed = True
+        if self._reader.is_in_head:
+            return
+        if self._claim is None:
+            self._claim = self._account.open_claim(
+                now_ms, ClaimKind.REQUEST, self._resume, self._refuse_incomplete
+            )
+        received, announced = self._reader.pending_body_bytes, self._reader.announced_body_bytes
+        self._claim.on_progress(now_ms, received)
+        if announced is not None:
+            self._claim.reserve(now_ms, announced)
+        else:
+            self._claim.reserve_growth(now_ms, received, self._reader.max_body_bytes)
+        self._allow_body()
+
+    def _allow_body(self) -> None:
+        """Ask a caller that waits for it to send the body, once there is memory for it."""
+        is_waiting = self._claim is not None and self._claim.is_waiting
+        if not is_waiting and self._reader.wants_continue:
+            self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _resume(self) -> None:
+        """Read on after memory was granted."""
+        self._allow_body()
+        self._has_room.set()
+
+    def _refuse_incomplete(self, reason: Shortage) -> None:
+        """Refuse the request in progress, which was not passed to the node."""
+        self._claim = None
+        peer = self._stream.peer_host
+        self._reject(GooseberrydockError(MEMORY_SHORT, Step.ENTRY, peer, reason.value))
+
+    def _pause_claim(self, is_paused: bool) -> None:
+        if self._claim is not None:
+            self._claim.pause(self._clock.now_ms(), is_paused)
+
+    def _release_incomplete(self) -> None:
+        """Give up what has arrived of the message in progress."""
+        self._reader.discard()
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            claim.release()
+
     def _next_to_start(self) -> CallerRequest | None:
         """Return the next request that may run beside the unanswered ones before it."""
         if self._stream.is_closed or self._stream.is_finishing:
             return None
+        if self._stream.unsent_bytes > _MAX_UNREAD_BYTES:
+            # The caller does not read what it has asked for.
+            return None
         for position, item in enumerate(islice(self._requests, _MAX_CONCURRENT_REQUESTS)):
             if not item.is_started:
                 may_start = position == 0 or self._sink.may_repeat(item.request)
@@ -211,7 +349,7 @@
             if response is None:
                 return
             self._requests.popleft()
-            self._queued_bytes -= len(item.request.body)
+            self._drop(item)
             self._last_active_at = self._clock.now_ms()
             is_last = not self._requests and self._rejection is None
             has_caller_ended = is_last and self._reader.is_closing
@@ -223,6 +361,12 @@
                 self._stream.finish()
         self._send_rejection()
 
+    def _drop(self, item: CallerRequest) -> None:
+        """Give back the memory of a request that is answered or cancelled."""
+        item.detach()
+        self._queued_bytes -= _memory_of(item.request)
+        self._account.charge(-item.held_bytes)
+
     def _send_rejection(self) -> None:
         """Respond to an invalid request, once the requests before it are answered."""
         if self._rejection is not None and not self._stream.is_finishing:
@@ -235,21 +379,26 @@
             if name not in CONNECTION_HEADERS:
                 parts += (name, b": ", value, b"\r\n")
         if response.status not in BODILESS_STATUSES:
-            parts.append(b"content-length: %d\r\n" % len(response.body))
+            parts.append(b"content-length: %d\r\n" % response.body_bytes)
         if is_closing:
             parts.append(_CLOSE_HEADER)
         parts.append(b"\r\n")
         if method != "HEAD":
             parts.append(response.body)
         self._stream.send(b"".join(parts))
+        if method != "HEAD" and response.long_body is not None:
+            for block in response.long_body.blocks:
+                self._stream.send(block)
 
     def _reject(self, error: GooseberrydockError) -> None:
         """Respond to an invalid or incomplete request after all others, and close."""
         code = error.code
+        self._release_incomplete()
         self._rejection = problem_response(
             code, code.outcome, error.step.value, error.peer, error.detail
         )
         self._send_due_responses()
+        self._has_room.set()
 
     def _cancel_requests(self) -> None:
         """Cancel the requests that have no response, since their caller has disconnected."""
@@ -257,6 +406,7 @@
         for item in requests:
             if item.exchange is not None:
                 self._sink.on_caller_disconnected(item.exchange)
+            self._drop(item)
 
 
 def create_caller_connection(
@@ -265,7 +415,14 @@
     clock: Clock,
     limits: CallerLimits,
     is_stopping: Callable[[], bool],
+    account: MemoryAccount,
 ) -> CallerConnection:
     """Create the connection of one caller."""
-    reader = RequestReader(limits.max_header_bytes, limits.max_body_bytes)
-    return CallerConnection(stream, sink, reader, clock, is_stopping)
+    # A body that can never have room is refused like one above the limit.
+    max_body_bytes = min(limits.max_body_bytes, account.long_body_limit)
+    reader = RequestReader(limits.max_header_bytes, max_body_bytes)
+    return CallerConnection(stream, sink, reader, clock, account, is_stopping)
+
+
+def _memory_of(request: HttpRequest) -> int:
+    return request.body_bytes + request.head_bytes + _REQUEST_BYTES
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -335,7 +335,7 @@
                 method=request.method,
                 request_target=request.path,
                 headers=exchange.headers,
-                body=request.body,
+                body=request.joined_body,
                 remaining_ms=max(0.0, exchange.deadline_at - now_ms),
                 priority=route.priority,
                 has_alternative=self._has_alternative(exchange, hosts),
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -40,6 +40,13 @@
             "Connections opened to the target",
         ),
     }
+    account = node.account
+    values["memory_waits"] = (account.waits, "Requests that waited for memory")
+    given_up = Counter(
+        _PREFIX + "memory_refused", "Incomplete requests given up for memory", registry=registry
+    )
+    for reason, count in account.refusals.items():
+        given_up.set({"reason": reason.name.lower()}, count)
     for name, (value, text) in values.items():
         Counter(_PREFIX + name, text, registry=registry).set({}, value)
 
@@ -79,6 +86,11 @@
             "Open connections to the target",
         ),
     }
+    account = node.account
+    values["memory_limit_bytes"] = (account.limit, "Memory for requests and answers")
+    values["memory_held_bytes"] = (account.held, "Memory held or reserved for them")
+    values["memory_peak_bytes"] = (account.peak, "Most that was held or reserved")
+    values["incomplete_bodies"] = (account.incomplete, "Bodies that have begun to arrive")
     if node.fleet.table_age_ms is not None:
         values["table_age_ms"] = (
             node.fleet.table_age_ms,
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -16,6 +16,8 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
+from gooseberrydock.memory_account import MemoryAccount, create_memory_account
+from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
@@ -53,6 +55,8 @@
 
 _LOCAL_LINK_ID: Final = ""
 """The link ID of calls that originate on this node."""
+_UNREAD_MS: Final[Millis] = 500.0
+"""Time for which a caller reads nothing of its answers before they are given up, if need be."""
 
 
 @attrs.define(eq=False)
@@ -65,6 +69,8 @@
     _controllers: NodeControllers
     _first_record: Member
     _decision_log: DecisionLog
+    _account: MemoryAccount = attrs.field(init=False)
+    _pressure_log: PressureLog = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
     _target_dispatcher: TargetDispatcher = attrs.field(init=False)
     _fleet: FleetView = attrs.field(init=False)
@@ -72,6 +78,14 @@
     _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
     _is_stopping: bool = False
 
+    @_account.default
+    def _create_account(self) -> MemoryAccount:
+        return create_memory_account(self._options.memory_bytes)
+
+    @_pressure_log.default
+    def _create_pressure_log(self) -> PressureLog:
+        return PressureLog(self._account)
+
     def __attrs_post_init__(self) -> None:
         self._links = PeerLinks(
             clock=self._clock,
@@ -124,6 +138,11 @@
         """Return the view of the fleet: node records and the route table."""
         return self._fleet
 
+    @property
+    def account(self) -> MemoryAccount:
+        """Return the account of the memory for requests and answers."""
+        return self._account
+
     @property
     def entry(self) -> Entry:
         """Return the entry, which handles the requests of callers."""
@@ -168,7 +187,7 @@
     async def serve_caller(self, stream: Stream) -> None:
         """Serve the connection of one caller."""
         connection = create_caller_connection(
-            stream, self, self._clock, self.table.limits, lambda: self._is_stopping
+            stream, self, self._clock, self.table.limits, lambda: self._is_stopping, self._account
         )
         self._caller_connections.add(connection)
         try:
@@ -362,7 +381,9 @@
     # Timers and shutdown.
 
     def tick(self, now_ms: Millis) -> None:
-        """Run the timers of requests and calls."""
+        """Run the timers of requests, calls and memory."""
+        self._account.tick(now_ms)
+        self._pressure_log.update(now_ms)
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
         self._answer_decided_leavings(now_ms)
@@ -382,12 +403,23 @@
         """Run the timers of connections and node records."""
         for connection in list(self._caller_connections):
             connection.close_if_timed_out(now_ms, self.table.limits)
+        self._close_unread(now_ms)
         self._target_dispatcher.tick_maintenance(now_ms)
         self._fleet.tick_maintenance(now_ms)
         self._open_links_to_restarted_nodes(now_ms)
         if self._fleet.record.is_cold and not self._controllers.registration.is_cold(now_ms):
             self.publish(write_to_store=False)
 
+    def _close_unread(self, now_ms: Millis) -> None:
+        """Close connections whose callers read no answers, while memory is short."""
+        unread = [(item, *item.unread_answers(now_ms)) for item in self._caller_connections]
+        unread.sort(key=lambda item: item[1], reverse=True)
+        for connection, size, unread_ms in unread:
+            if not self._account.is_short or not size:
+                return
+            if unread_ms >= _UNREAD_MS:
+                connection.close()
+
     def send_load_notice(self) -> None:
         """Send the load of the local target to the nodes of the failure domain if it has any."""
         notice = self._controllers.admission_queue.take_load_notice(self._clock.now_ms())
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from gooseberrydock import defaults
 from gooseberrydock.clock import Millis
 from gooseberrydock.http_messages import DEADLINE_HEADER
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import BYTES_PER_MB
 
 
 @attrs.frozen
@@ -50,6 +52,7 @@
     ``drain_ms`` is how long a leaving target may still receive requests.
     ``stop_grace_ms`` is the time within which a stopping node must end.
     ``lease_min_ms`` is the minimum TTL of a lease in the store.
+    ``memory_bytes`` is the memory that this process may use in all.
     """
 
     node_id: str
@@ -69,6 +72,7 @@
     stop_grace_ms: Millis
     lease_min_ms: Millis
     store_reads_per_s: float
+    memory_bytes: int = defaults.MEMORY_MB * BYTES_PER_MB
 
 
 _LIVE_SETTINGS: Final = frozenset(("service", "retry_budget", "drain_ms", "stop_grace_ms"))
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -183,7 +183,12 @@
         ]
         for address, handler in served:
             if address is not None:
-                listener = listen(address, is_local=address != options.peer_listen)
+                listener = listen(
+                    address,
+                    is_local=address != options.peer_listen,
+                    account=node.account,
+                    is_read_with_room=address == options.entry_listen,
+                )
                 self._listeners[address] = listener
                 nursery.start_soon(listener.serve, handler)
 
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -76,7 +76,7 @@
             self._owner.on_answer_headers(self, response.headers, is_intact)
         if classification.result is RunResult.ANSWERED:
             headers = [item for item in response.headers if item[0] not in CONNECTION_HEADERS]
-            self._finish(classification.result, 0, response.status, headers, response.body)
+            self._finish(classification.result, 0, response.status, headers, response.joined_body)
             return
         self._owner.on_call_failed(self.ticket, classification.code, response.status)
         self._finish(
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -3,10 +3,12 @@
 import tomllib
 from typing import Any, Final
 
+from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND
 from gooseberrydock.errorcodes import OPTION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.members import Address, parse_address
+from gooseberrydock.memory_account import BYTES_PER_MB
 from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
 from gooseberrydock.platform.decoding import MALFORMED_INPUT, describe_error, require_string
 
@@ -41,6 +43,7 @@
     store = fields["platform"]["platform"]
     bounds = fields["terms"]["bounds"]
     listen = network["listen"]
+    limits = host.get("limits", {})
     last_port = int(network["portRange"][1])
     return MeshOptions(
         node_id=require_string(host["nodeName"]),
@@ -64,8 +67,15 @@
         stop_grace_ms=float(bounds["graceS"]) * MS_PER_SECOND,
         lease_min_ms=float(store["ttlMinMs"]),
         store_reads_per_s=max(1.0, float(store["readsPerS"])),
+        memory_bytes=_decode_positive(limits.get("memoryMb", defaults.MEMORY_MB)) * BYTES_PER_MB,
     )
 
 
+def _decode_positive(value: Any) -> int:
+    if type(value) is not int or value <= 0:
+        raise ValueError(f"{value!r} is not a positive whole number")
+    return value
+
+
 def _invalid(detail: str) -> GooseberrydockError:
     return GooseberrydockError(OPTION_INVALID, Step.SETTINGS, detail=detail)
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -8,6 +8,7 @@
 import contextlib
 import errno
 import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
@@ -19,6 +20,7 @@
 from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import RECEIVE_BUFFER_BYTES, MemoryAccount
 
 _BACKLOG: Final = 1024
 _ACCEPT_RETRY_DELAY_S: Final = 0.1
@@ -26,6 +28,7 @@
 _KEEPALIVE_INTERVAL_S: Final = 1
 _KEEPALIVE_PROBES: Final = 3
 _USER_TIMEOUT_MS: Final = 5_000
+_UNSENT_BLOCK_BYTES: Final = 64 * 1024
 _MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 """Buffered bytes above which a connection is closed, because its peer does not read."""
 _FINISH_TIMEOUT_MS: Final[Millis] = 1_000.0
@@ -34,12 +37,21 @@
 
 @attrs.define(eq=False)
 class Stream:
-    """One non-blocking TCP connection."""
+    """One non-blocking TCP connection.
+
+    What it holds unsent is charged to the account. If ``is_read_with_room`` is set, it is not read
+    while the account is full. ``on_drained`` is called when the socket has accepted all bytes.
+    """
 
     _socket: socket.socket
     _nursery: trio.Nursery
     _peer_host: str
-    _unsent_bytes: bytearray = attrs.field(factory=bytearray)
+    _account: MemoryAccount | None = None
+    _is_read_with_room: bool = False
+    on_drained: Callable[[], None] | None = None
+    _unsent: deque[bytearray | bytes | memoryview] = attrs.field(factory=deque)
+    _unsent_bytes: int = 0
+    _room: trio.Event | None = None
     _is_closed: bool = False
     _is_flushing: bool = False
     _closes_when_flushed: bool = False
@@ -72,6 +84,11 @@
         """Return whether bytes wait until the socket accepts them."""
         return bool(self._unsent_bytes) and not self.is_closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that wait until the socket accepts them."""
+        return self._unsent_bytes
+
     @property
     def has_unread_bytes(self) -> bool:
         """Return whether bytes or the end of the stream have arrived and were not received yet."""
@@ -91,6 +108,8 @@
         while not self._is_closed:
             try:
                 await trio.lowlevel.wait_readable(self._socket)
+                if self._is_read_with_room and not self._is_finishing:
+                    await self._wait_for_room()
                 data = self._socket.recv(defaults.RECEIVE_BYTES)
                 if data and self._is_finishing:
                     continue
@@ -106,6 +125,14 @@
                 return b""
         return b""
 
+    async def _wait_for_room(self) -> None:
+        """Wait until the account has room for what arrives."""
+        account = self._account
+        while account is not None and account.is_full and not self._is_closed:
+            self._room = trio.Event()
+            account.call_when_room(self._room.set)
+            await self._room.wait()
+
     def send(self, data: bytes) -> None:
         """Send bytes now or once the socket accepts them."""
         if self.is_closed or self._is_finishing or not data:
@@ -128,6 +155,9 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._drop_unsent()
+        if self._room is not None:
+            self._room.set()
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
@@ -160,7 +190,7 @@
         The kernel reports a reset to one call only, and an orderly end to all later ones.
         """
         self._has_failed = True
-        self._unsent_bytes.clear()
+        self._drop_unsent()
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
@@ -173,8 +203,16 @@
         self.close()
 
     def _buffer(self, data: bytes) -> None:
-        self._unsent_bytes += data
-        if len(self._unsent_bytes) > _MAX_UNSENT_BYTES:
+        self._count_unsent(len(data))
+        last = self._unsent[-1] if self._unsent else b""
+        if isinstance(last, bytearray) and len(last) + len(data) <= _UNSENT_BLOCK_BYTES:
+            last += data
+        elif len(data) < _UNSENT_BLOCK_BYTES // 2:
+            # Small pieces are joined, since each one costs a call of the socket.
+            self._unsent.append(bytearray(data))
+        else:
+            self._unsent.append(data)
+        if self._unsent_bytes > _MAX_UNSENT_BYTES:
             self._has_failed = True
             self.close()
             return
@@ -182,13 +220,33 @@
             self._is_flushing = True
             self._nursery.start_soon(self._flush)
 
+    def _count_unsent(self, change: int) -> None:
+        self._unsent_bytes += change
+        if self._account is not None:
+            self._account.charge(change)
+
+    def _drop_unsent(self) -> None:
+        self._unsent.clear()
+        self._count_unsent(-self._unsent_bytes)
+
+    def _send_first(self) -> None:
+        """Send the first unsent piece, or as much of it as the socket accepts."""
+        piece = self._unsent.popleft()
+        try:
+            sent = self._socket.send(piece)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(piece):
+            self._unsent.appendleft(memoryview(piece)[sent:])
+        self._count_unsent(-sent)
+
     async def _flush(self) -> None:
         """Send the buffered bytes as the socket accepts them."""
         try:
-            while self._unsent_bytes and not self._is_closed:
+            while self._unsent and not self._is_closed:
                 await trio.lowlevel.wait_writable(self._socket)
-                sent = self._socket.send(self._unsent_bytes)
-                del self._unsent_bytes[:sent]
+                if self._unsent:
+                    self._send_first()
         except trio.ClosedResourceError:
             return
         except OSError:
@@ -197,6 +255,10 @@
             self._is_flushing = False
         if self.is_closed:
             return
+        if self.on_drained is not None:
+            self.on_drained()
+        if self._unsent:
+            return
         if self._closes_when_flushed:
             self.close_when_sent()
         elif self._is_finishing:
@@ -208,7 +270,11 @@
 
 
 async def connect(
-    address: Address, nursery: trio.Nursery, timeout_ms: Millis, is_local: bool = False
+    address: Address,
+    nursery: trio.Nursery,
+    timeout_ms: Millis,
+    is_local: bool = False,
+    account: MemoryAccount | None = None,
 ) -> Stream | None:
     """Open a connection; return None if that fails or times out."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
@@ -221,7 +287,7 @@
     finally:
         if not is_connected:
             new_socket.close()
-    return Stream(new_socket, nursery, address.host) if is_connected else None
+    return Stream(new_socket, nursery, address.host, account) if is_connected else None
 
 
 async def _connect_socket(new_socket: socket.socket, address: Address) -> bool:
@@ -238,6 +304,8 @@
 
     _socket: socket.socket
     _is_local: bool = False
+    _account: MemoryAccount | None = None
+    _is_read_with_room: bool = False
     _accept_pending: Callable[[], None] | None = None
     _open_streams: set[Stream] = attrs.field(factory=set)
     _ending_streams: list[Stream] = attrs.field(factory=list)
@@ -281,7 +349,9 @@
     def _accept_one(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
         accepted, peer_address = self._socket.accept()
         _configure(accepted, self._is_local)
-        stream = Stream(accepted, nursery, str(peer_address[0]))
+        stream = Stream(
+            accepted, nursery, str(peer_address[0]), self._account, self._is_read_with_room
+        )
         self._open_streams.add(stream)
         nursery.start_soon(self._handle, handler, stream)
 
@@ -329,17 +399,27 @@
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
-def listen(address: Address, is_open: bool = True, is_local: bool = False) -> Listener:
+def listen(
+    address: Address,
+    is_open: bool = True,
+    is_local: bool = False,
+    account: MemoryAccount | None = None,
+    is_read_with_room: bool = False,
+) -> Listener:
     """Bind a TCP listener; port 0 selects any free port.
 
     With ``is_open`` false, connections are refused until ``serve`` is called. With ``is_local``
-    true, the listener is for processes on the same host.
+    true, the listener is for processes on the same host. The connections charge what they hold to
+    ``account``; with ``is_read_with_room`` true, they are not read while it is full.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     new_socket = socket.socket(family, socket.SOCK_STREAM)
     new_socket.setblocking(False)
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if is_read_with_room:
+        # Accepted connections inherit the size. What arrives while they are not read stays there.
+        new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     new_socket.bind((address.host, address.port))
     if is_open:
         new_socket.listen(_BACKLOG)
-    return Listener(new_socket, is_local)
+    return Listener(new_socket, is_local, account, is_read_with_room)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,6 +2,7 @@
 
 import re
 import unittest
+from collections.abc import Callable
 from typing import cast
 
 import attrs
@@ -12,6 +13,7 @@
 
 from gooseberrydock.clock import ManualTime, manual_clock
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.memory_account import create_memory_account
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
     CallerRequest,
@@ -32,6 +34,8 @@
     is_finishing: bool = False
     has_unread_bytes: bool = False
     peer_host: str = "caller"
+    unsent_bytes: int = 0
+    on_drained: Callable[[], None] | None = None
 
     async def receive(self) -> bytes:
         """Return the next bytes, or none at the end."""
@@ -126,6 +130,7 @@
         manual_clock(ManualTime()),
         DEFAULT_LIMITS,
         lambda: fixture.is_stopping,
+        create_memory_account(300_000_000),
     )
     fixture = _Fixture(connection, stream, sink, to_node)
     return fixture
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -16,6 +16,7 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.http_server import HttpConnection
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import create_memory_account
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
     CallerRequest,
@@ -80,6 +81,7 @@
                 system_clock(),
                 DEFAULT_LIMITS,
                 lambda: self.is_stopping,
+                create_memory_account(300_000_000),
             )
         return HttpConnection(
             stream,
