Send long bodies between nodes in parts, and pass them on to the target as they arrive

Callers saw 502 for one body of 9 MiB in calm, also beside its service, and a node that exceeded its memory by bodies for other hosts: a call above 8 MiB ended its link with all calls on it, and a body was held as the parser's buffer and its copy, the call, the message, the frame and the bytes unsent, at both nodes.

A long body stays in the blocks in which it was read. A call states its size and hash; the target's node asks for a window of 256 KiB when the run starts, hands each part to the target and asks for more when the target has taken it, so that it holds no more than the window. The parts of several bodies take turns and are written only while little is unsent on the link, so that short calls pass. Long answers come the same way, after the caller's node has reserved their memory. A run whose body is cut off is abandoned. Connections to the target and their tasks do not keep the last request.

--- a/gooseberrydock/http_messages.py
+++ b/gooseberrydock/http_messages.py
@@ -78,11 +78,6 @@
         """Return the size of the body."""
         return self.long_body.size if self.long_body is not None else len(self.body)
 
-    @property
-    def joined_body(self) -> bytes:
-        """Return the body in one piece."""
-        return b"".join(self.long_body.blocks) if self.long_body is not None else self.body
-
 
 @attrs.frozen
 class HttpResponse:
@@ -98,11 +93,6 @@
         """Return the size of the body."""
         return self.long_body.size if self.long_body is not None else len(self.body)
 
-    @property
-    def joined_body(self) -> bytes:
-        """Return the body in one piece."""
-        return b"".join(self.long_body.blocks) if self.long_body is not None else self.body
-
 
 def header_value(headers: Headers, name: bytes) -> str:
     """Return the first value of a header, or an empty string."""
--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -90,6 +90,11 @@
         """Return the time at which the body began."""
         return self._opened_at
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Return whether the body may be given up; an answer waits until its request ends."""
+        return self._kind is ClaimKind.REQUEST
+
     @property
     def is_waiting(self) -> bool:
         """Return whether more memory is wanted than is reserved."""
@@ -265,15 +270,17 @@
             if victim is not None:
                 self._refuse(victim, Shortage.STALLED)
         for claim in list(self._waiting):
-            if claim.is_waiting and now_ms - claim.waiting_since >= _MAX_WAIT_MS:
+            has_waited_ms = now_ms - claim.waiting_since
+            if claim.is_waiting and claim.may_be_refused and has_waited_ms >= _MAX_WAIT_MS:
                 self._refuse(claim, Shortage.NO_ROOM)
 
     def _choose_victim(self, now_ms: Millis) -> Claim | None:
         """Return the stalled body that holds most, or the youngest of those that block others."""
-        stalled = [claim for claim in self._claims if claim.size and claim.is_stalled(now_ms)]
+        requests = [claim for claim in self._claims if claim.size and claim.may_be_refused]
+        stalled = [claim for claim in requests if claim.is_stalled(now_ms)]
         if stalled:
             return max(stalled, key=lambda claim: claim.size)
-        growing = [claim for claim in self._waiting if claim.size]
+        growing = [claim for claim in requests if claim.is_waiting]
         return max(growing, key=lambda claim: claim.opened_at) if len(growing) > 1 else None
 
     def _refuse(self, claim: Claim, reason: Shortage) -> None:
--- a/gooseberrydock/mesh/crash_watch.py
+++ b/gooseberrydock/mesh/crash_watch.py
@@ -18,6 +18,7 @@
 
 _DEATH_CONFIRMATION_MS: Final[Millis] = 1_500.0
 """Time after the last lost run within which a refused connection means a dead target."""
+_HASH_BYTES: Final = 8
 
 
 @attrs.define
@@ -68,7 +69,9 @@
 
 
 def _fingerprint(call: RoutedCall) -> int:
-    return request_fingerprint(call.service, call.method, call.request_target, call.body)
+    # A long body is not at this node as a whole.
+    body = call.body_hash.to_bytes(_HASH_BYTES) if call.body_bytes else call.body
+    return request_fingerprint(call.service, call.method, call.request_target, body)
 
 
 def create_crash_watch() -> CrashWatch:
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -271,6 +271,10 @@
         self.on_calls_lost(now_ms, node_id, [], given_up, PEER_SILENT)
         return awaited
 
+    def awaits(self, call_id: int) -> bool:
+        """Return whether the answer to a call is still needed."""
+        return call_id in self._calls
+
     def on_caller_disconnected(self, exchange: Exchange) -> None:
         """Cancel a request whose caller disconnected."""
         if not exchange.is_done:
@@ -325,6 +329,7 @@
         self._host_selector.on_sent(host.node_id)
         self._schedule_response_timeout(now_ms, exchange)
         request, route = exchange.request, exchange.route
+        long_body = request.long_body
         self._effects.send_call(
             host.node_id,
             RoutedCall(
@@ -335,10 +340,13 @@
                 method=request.method,
                 request_target=request.path,
                 headers=exchange.headers,
-                body=request.joined_body,
+                body=request.body,
                 remaining_ms=max(0.0, exchange.deadline_at - now_ms),
                 priority=route.priority,
                 has_alternative=self._has_alternative(exchange, hosts),
+                body_bytes=long_body.size if long_body is not None else 0,
+                body_hash=long_body.content_hash() if long_body is not None else 0,
+                long_body=long_body,
             ),
         )
 
@@ -357,7 +365,7 @@
             exchange.may_have_run = True
             self._send(now_ms, exchange)
             return
-        response = HttpResponse(answer.status, answer.headers, answer.body)
+        response = HttpResponse(answer.status, answer.headers, answer.body, answer.long_body)
         self._record_duration(now_ms, exchange)
         self._close(exchange)
         self._effects.answer(exchange.caller, exchange, response)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -4,6 +4,7 @@
 performs the effects that they decide on.
 """
 
+import itertools
 from functools import singledispatch
 from typing import Final
 
@@ -19,6 +20,7 @@
 from gooseberrydock.memory_account import MemoryAccount, create_memory_account
 from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
+from gooseberrydock.mesh.body_transfer import IncomingAnswers, OutgoingBodies
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
     CallerRequest,
@@ -36,6 +38,8 @@
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_dispatcher import TargetDispatcher
 from gooseberrydock.messages import (
+    BodyCredit,
+    BodyPart,
     Cancel,
     ConfigurationPush,
     CrashNotice,
@@ -72,6 +76,8 @@
     _account: MemoryAccount = attrs.field(init=False)
     _pressure_log: PressureLog = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
+    _outgoing_bodies: OutgoingBodies = attrs.field(init=False)
+    _incoming_answers: IncomingAnswers = attrs.field(init=False)
     _target_dispatcher: TargetDispatcher = attrs.field(init=False)
     _fleet: FleetView = attrs.field(init=False)
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
@@ -98,14 +104,21 @@
             key=b"",
             on_opened=self._on_link_opened,
             on_silent=self._on_link_silent,
+            account=self._account,
+            on_drained=lambda link: self._outgoing_bodies.pump(link.link_id),
         )
+        self._outgoing_bodies = OutgoingBodies(self, self._account)
+        self._incoming_answers = IncomingAnswers(self._account, self._clock)
         self._target_dispatcher = TargetDispatcher(
             owner=self,
             clock=self._clock,
             controllers=self._controllers,
-            pool=TargetPool(self._options.target_address, self._nursery, self._clock),
+            pool=TargetPool(
+                self._options.target_address, self._nursery, self._clock, self._account
+            ),
             header_names=self._options.headers,
             decision_log=self._decision_log,
+            account=self._account,
         )
         self._fleet = FleetView(
             owner=self,
@@ -179,8 +192,9 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests and runs in flight."""
-        return self._controllers.entry.in_flight + self._target_dispatcher.in_flight
+        """Return the number of requests, runs and answers in flight."""
+        runs = self._target_dispatcher.in_flight + self._outgoing_bodies.open_answers
+        return self._controllers.entry.in_flight + runs
 
     # Caller connections.
 
@@ -235,6 +249,8 @@
 
     def send_call(self, node_id: str, call: RoutedCall) -> None:
         """Send a call to the node of a target, which may be this node."""
+        if call.long_body is not None:
+            self._outgoing_bodies.open_call(call.call_id, call.long_body)
         if node_id == self._options.node_id:
             self._target_dispatcher.on_call(_LOCAL_LINK_ID, call)
         else:
@@ -242,11 +258,64 @@
 
     def send_cancel(self, node_id: str, cancel: Cancel) -> None:
         """Cancel a call."""
+        self._drop_bodies_of_call(cancel.call_id)
         if node_id == self._options.node_id:
             self._target_dispatcher.on_cancel(_LOCAL_LINK_ID, cancel)
         else:
             self._links.send(node_id, cancel)
 
+    # Long bodies.
+
+    def request_body(self, link_id: str, credit: BodyCredit) -> None:
+        """Ask for the next bytes of a call's body."""
+        if link_id == _LOCAL_LINK_ID:
+            self._outgoing_bodies.on_credit(link_id, credit)
+        else:
+            self._links.send_on_link(link_id, credit)
+
+    def send_part(self, link_id: str, part: BodyPart) -> None:
+        """Send a part of a body."""
+        if link_id == _LOCAL_LINK_ID:
+            self._target_dispatcher.on_body_part(link_id, part)
+        else:
+            self._links.send_on_link(link_id, part)
+
+    def unsent_bytes(self, link_id: str) -> int:
+        """Return the bytes that a link has not sent yet."""
+        return self._links.unsent_bytes(link_id)
+
+    def on_body_part(self, part: BodyPart, link: PeerLink) -> None:
+        """Handle a part of a body from another node."""
+        if not part.of_answer:
+            self._target_dispatcher.on_body_part(link.link_id, part)
+            return
+        answer = self._incoming_answers.on_part(part)
+        if answer is not None:
+            self._controllers.entry.on_answer(self._clock.now_ms(), answer)
+
+    def on_body_credit(self, credit: BodyCredit, link: PeerLink) -> None:
+        """Send more of a body that another node asks for."""
+        self._outgoing_bodies.on_credit(link.link_id, credit)
+
+    def on_routed_answer(self, answer: RoutedAnswer, link: PeerLink) -> None:
+        """Handle an answer, once its body has arrived if it is long."""
+        self._outgoing_bodies.drop_call(answer.call_id)
+        if not answer.body_bytes:
+            self._controllers.entry.on_answer(self._clock.now_ms(), answer)
+        elif self._controllers.entry.awaits(answer.call_id):
+            self._incoming_answers.open(link, answer)
+        else:
+            link.send(Cancel(answer.call_id))
+
+    def on_cancel(self, cancel: Cancel, link: PeerLink) -> None:
+        """Cancel a call of another node, or the rest of its answer."""
+        self._outgoing_bodies.drop_answer(link.link_id, cancel.call_id)
+        self._target_dispatcher.on_cancel(link.link_id, cancel)
+
+    def _drop_bodies_of_call(self, call_id: int) -> None:
+        self._outgoing_bodies.drop_call(call_id)
+        self._incoming_answers.drop(call_id)
+
     # The leaving of targets, which other nodes keep for the node beside the target.
 
     def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
@@ -298,9 +367,12 @@
     def answer_call(self, link_id: str, answer: RoutedAnswer) -> None:
         """Send the answer to a call on the link that the call arrived on."""
         if link_id == _LOCAL_LINK_ID:
+            self._outgoing_bodies.drop_call(answer.call_id)
             self._controllers.entry.on_answer(self._clock.now_ms(), answer)
-        else:
-            self._links.send_answer(link_id, answer)
+            return
+        if answer.long_body is not None and self._links.has_open_link(link_id):
+            self._outgoing_bodies.open_answer(link_id, answer.call_id, answer.long_body)
+        self._links.send_answer(link_id, answer)
 
     def publish(self, write_to_store: bool = True) -> None:
         """Publish the changed state of this node or its target to other nodes."""
@@ -370,11 +442,19 @@
         self._fleet.on_link_opened(link)
 
     def _on_link_silent(self, link: PeerLink, call_ids: list[int]) -> list[int]:
-        return self._controllers.entry.on_calls_silent(self._clock.now_ms(), link.node_id, call_ids)
+        now_ms = self._clock.now_ms()
+        awaited = self._controllers.entry.on_calls_silent(now_ms, link.node_id, call_ids)
+        for call_id in set(call_ids).difference(awaited):
+            self._drop_bodies_of_call(call_id)
+        return awaited
 
     def _on_link_lost(
         self, link: PeerLink, unsent: list[int], sent: list[int], code: ErrorCode
     ) -> None:
+        if not self._links.has_open_link(link.link_id):
+            self._outgoing_bodies.drop_link(link.link_id)
+        for call_id in itertools.chain(unsent, sent):
+            self._drop_bodies_of_call(call_id)
         self._target_dispatcher.on_link_lost(link.link_id)
         self._controllers.entry.on_calls_lost(self._clock.now_ms(), link.node_id, unsent, sent)
 
@@ -519,7 +599,17 @@
 
 @handle_message.register
 def _(message: RoutedAnswer, node: MeshNode, link: PeerLink) -> None:
-    node.answer_call(_LOCAL_LINK_ID, message)
+    node.on_routed_answer(message, link)
+
+
+@handle_message.register
+def _(message: BodyPart, node: MeshNode, link: PeerLink) -> None:
+    node.on_body_part(message, link)
+
+
+@handle_message.register
+def _(message: BodyCredit, node: MeshNode, link: PeerLink) -> None:
+    node.on_body_credit(message, link)
 
 
 @handle_message.register
@@ -529,7 +619,7 @@
 
 @handle_message.register
 def _(message: Cancel, node: MeshNode, link: PeerLink) -> None:
-    node.target_dispatcher.on_cancel(link.link_id, message)
+    node.on_cancel(message, link)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -1,7 +1,7 @@
 """Manage the connections to the target on this node's host, with one request at a time on each.
 
-A connection is reused only after exactly one complete answer with no unread data after it, and
-only within the keep-alive timeout that the target states.
+A connection is reused only after the whole request was sent and exactly one complete answer
+arrived with no unread data after it, and only within the keep-alive timeout that the target states.
 """
 
 import re
@@ -24,6 +24,8 @@
 from gooseberrydock.http_parsing import ResponseReader
 from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import MemoryAccount
+from gooseberrydock.mesh.body_transfer import RelayedBody
 from gooseberrydock.stream import Stream, connect
 
 _MAX_HEADER_BYTES: Final = 64 * 1024
@@ -39,6 +41,7 @@
 """Longest idle time after which a connection is reused for a request that must not be retried."""
 _CONNECT_TIMEOUT_MS: Final[Millis] = 1_000.0
 """The target is on this host, so a connection that takes longer will not be established."""
+_FIRST_ERROR: Final = 400
 _KEEP_ALIVE_TIMEOUT_PATTERN: Final = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -79,6 +82,7 @@
         factory=lambda: ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
     )
     _observer: RunObserver | None = None
+    _body: RelayedBody | None = None
     _is_reusable: bool = True
     _usable_until: Millis = 0.0
     _used_at: Millis = 0.0
@@ -104,10 +108,13 @@
         """Return the time of the last answer."""
         return self._used_at
 
-    def start(self, data: bytes, observer: RunObserver) -> None:
-        """Send a request."""
+    def start(self, data: bytes, observer: RunObserver, body: RelayedBody | None = None) -> None:
+        """Send a request; a body given apart is sent as it arrives."""
         self._observer = observer
+        self._body = body
         self._stream.send(data)
+        if body is not None:
+            body.start(self._stream)
 
     def abort(self) -> None:
         """Close the connection and abort its current request without notifying the observer."""
@@ -154,6 +161,16 @@
                 self._is_reusable = False
         return self._observer is not None or self._is_reusable
 
+    def _has_read_request(self, response: HttpResponse) -> bool:
+        """Return whether the target has read the whole request.
+
+        It may reject a long one before that, and the next request would wait behind the rest, which
+        may lie in the buffers of the sockets.
+        """
+        if self._stream.has_unsent_bytes:
+            return False
+        return self._body is None or (self._body.is_complete and response.status < _FIRST_ERROR)
+
     def _finish(self, response: HttpResponse, is_only_answer: bool) -> None:
         observer, self._observer = self._observer, None
         now_ms = self._clock.now_ms()
@@ -162,12 +179,16 @@
             and is_only_answer
             and not self._reader.has_invalid_data
             and self._reader.is_between_messages
+            and self._has_read_request(response)
             and header_value(response.headers, b"connection").lower() != "close"
         )
         if self._is_reusable:
             self._used_at = now_ms
             self._usable_until = now_ms + _idle_timeout(response)
             self._on_idle(self)
+        if self._body is not None:
+            self._body.end()
+            self._body = None
         if observer is not None:
             observer.on_response(response)
 
@@ -217,6 +238,7 @@
     _address: Address
     _nursery: trio.Nursery
     _clock: Clock
+    _account: MemoryAccount
     _idle: list[TargetConnection] = attrs.field(factory=list)
     _pending_bytes: PendingBytes = attrs.field(factory=PendingBytes)
     _open: int = 0
@@ -237,15 +259,21 @@
         """Return the number of connections opened so far."""
         return self._opened
 
-    def start(self, data: bytes, observer: RunObserver, is_idempotent: bool) -> PendingRun:
+    def start(
+        self,
+        data: bytes,
+        observer: RunObserver,
+        is_idempotent: bool,
+        body: RelayedBody | None = None,
+    ) -> PendingRun:
         """Send a request on the most recently used idle connection, or on a new one."""
         pending = PendingRun()
         connection = self._take_idle(is_idempotent)
         if connection is not None:
             pending.connection = connection
-            connection.start(data, observer)
+            connection.start(data, observer, body)
         else:
-            self._nursery.start_soon(self._start_on_new_connection, pending, data, observer)
+            self._nursery.start_soon(self._start_on_new_connection, pending, data, observer, body)
         return pending
 
     def _return_to_idle(self, connection: TargetConnection) -> None:
@@ -285,10 +313,12 @@
         return None
 
     async def _start_on_new_connection(
-        self, pending: PendingRun, data: bytes, observer: RunObserver
+        self, pending: PendingRun, data: bytes, observer: RunObserver, body: RelayedBody | None
     ) -> None:
         """Open a connection, send the request on it, and read from it until it closes."""
-        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True)
+        stream = await connect(
+            self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True, account=self._account
+        )
         if pending.is_aborted:
             if stream is not None:
                 stream.close()
@@ -304,7 +334,9 @@
         self._opened += 1
         try:
             with log_and_suppress_errors(str(self._address)):
-                connection.start(data, observer)
+                connection.start(data, observer, body)
+                # This task must not keep the request for as long as the connection is open.
+                del pending, data, observer, body
                 await connection.run()
         finally:
             self._open -= 1
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -11,6 +11,7 @@
 
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.errorcodes import (
+    MEMORY_SHORT,
     NO_TARGET,
     NODE_LEAVING,
     NOT_DISPATCHED,
@@ -31,7 +32,9 @@
 )
 from gooseberrydock.http_messages import Headers, header_value
 from gooseberrydock.logs import log
+from gooseberrydock.memory_account import MemoryAccount
 from gooseberrydock.mesh.admission_queue import Ticket
+from gooseberrydock.mesh.body_transfer import WINDOW_BYTES, RelayedBody
 from gooseberrydock.mesh.controllers import NodeControllers
 from gooseberrydock.mesh.decision_log import DecisionLog
 from gooseberrydock.mesh.model import AcceptedWork
@@ -41,6 +44,8 @@
 from gooseberrydock.mesh.target_run import Run, request_bytes
 from gooseberrydock.mesh.target_statements import read_statement
 from gooseberrydock.messages import (
+    BodyCredit,
+    BodyPart,
     Cancel,
     CrashNotice,
     RoutedAnswer,
@@ -61,6 +66,9 @@
     def answer_call(self, link_id: str, answer: RoutedAnswer) -> None:
         """Send the answer to a call on the link that the call arrived on."""
 
+    def request_body(self, link_id: str, credit: BodyCredit) -> None:
+        """Ask for the next bytes of a call's body."""
+
     def publish(self, write_to_store: bool = True) -> None:
         """Notify other nodes of a change of the target's state."""
 
@@ -87,6 +95,7 @@
     _pool: TargetPool
     _header_names: HeaderNames
     _decision_log: DecisionLog
+    _account: MemoryAccount
     _runs: dict[int, Run] = attrs.field(factory=dict)
     _run_ids_by_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
@@ -143,6 +152,13 @@
         if ticket.has_started:
             self._start_run(run)
 
+    def on_body_part(self, link_id: str, part: BodyPart) -> None:
+        """Pass a part of a call's body on to the target."""
+        run_id = self._run_ids_by_call.get((link_id, part.call_id))
+        run = self._runs.get(run_id) if run_id is not None else None
+        if run is not None and run.body is not None:
+            run.body.on_part(part.data)
+
     def on_cancel(self, link_id: str, cancel: Cancel) -> None:
         """Cancel a call whose answer is no longer needed."""
         run_id = self._run_ids_by_call.get((link_id, cancel.call_id))
@@ -155,12 +171,14 @@
         """Abandon the calls that arrived on a lost link, except running ones that end only once.
 
         A request that must not be repeated is not broken off in the middle, although nobody gets
-        its answer.
+        its answer; one whose body has not arrived whole cannot go on.
         """
         self._controllers.share_notices.on_link_lost(link_id)
         lost = [run for run in self._runs.values() if run.ticket.link_id == link_id]
         for run in lost:
-            if not run.ticket.has_started or self._owner.is_idempotent(run.ticket.call.route):
+            has_whole_body = run.body is None or run.body.is_complete
+            is_idempotent = self._owner.is_idempotent(run.ticket.call.route)
+            if not run.ticket.has_started or is_idempotent or not has_whole_body:
                 self._abandon_run(run)
         if lost:
             self._start_waiting_calls()
@@ -208,11 +226,28 @@
             self._decision_log.on_call_refused(now_ms, run.ticket, NODE_LEAVING)
             self._refuse(run.ticket.link_id, call, NODE_LEAVING)
             return
+        if call.body_bytes and self._account.is_full:
+            self._remove_run(run, has_completed=False)
+            self._decision_log.on_call_refused(now_ms, run.ticket, MEMORY_SHORT)
+            self._refuse(run.ticket.link_id, call, MEMORY_SHORT)
+            return
         remaining_ms = run.ticket.deadline_at - now_ms
         run.start_id = registration.start_id
+        if call.body_bytes:
+            run.body = self._create_body(run.ticket)
+            self._account.charge(WINDOW_BYTES)
         self._sent += 1
         data = request_bytes(call, self._header_names, registration.instance_id, remaining_ms)
-        run.pending = self._pool.start(data, run, self._owner.is_idempotent(call.route))
+        is_idempotent = self._owner.is_idempotent(call.route)
+        run.pending = self._pool.start(data, run, is_idempotent, run.body)
+
+    def _create_body(self, ticket: Ticket) -> RelayedBody:
+        link_id, call_id = ticket.link_id, ticket.call.call_id
+
+        def request_more(size: int) -> None:
+            self._owner.request_body(link_id, BodyCredit(call_id, False, size))
+
+        return RelayedBody(ticket.call.body_bytes, request_more)
 
     def finish_run(self, run: Run, answer: RoutedAnswer) -> None:
         """Answer a run's call and start waiting calls."""
@@ -243,6 +278,10 @@
         ticket = run.ticket
         if ticket.has_started:
             self._controllers.call_graph.on_end(now_ms, ticket.call.route)
+        if run.body is not None:
+            run.body.end()
+            run.body = None
+            self._account.charge(-WINDOW_BYTES)
         self._runs.pop(ticket.run_id, None)
         self._run_ids_by_call.pop((ticket.link_id, ticket.call.call_id), None)
         self._controllers.admission_queue.finish(now_ms, ticket, has_completed)
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -12,7 +12,9 @@
     HttpResponse,
     header_value,
 )
+from gooseberrydock.long_body import LongBody
 from gooseberrydock.mesh.admission_queue import Ticket
+from gooseberrydock.mesh.body_transfer import RelayedBody
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.target_answers import classify_answer
 from gooseberrydock.mesh.target_connections import PendingRun
@@ -49,7 +51,8 @@
 class Run:
     """State of one call from the admission queue to its answer.
 
-    ``start_id`` is the start of the target to which the call was sent.
+    ``start_id`` is the start of the target to which the call was sent. ``body`` is a long body,
+    which is passed on as it arrives.
     """
 
     ticket: Ticket
@@ -57,6 +60,7 @@
     _header_names: HeaderNames
     pending: PendingRun | None = None
     start_id: str = ""
+    body: RelayedBody | None = None
 
     def accepts(self, response: HttpResponse) -> bool:
         """Return whether a response belongs to this call, by the request ID that targets echo."""
@@ -76,7 +80,14 @@
             self._owner.on_answer_headers(self, response.headers, is_intact)
         if classification.result is RunResult.ANSWERED:
             headers = [item for item in response.headers if item[0] not in CONNECTION_HEADERS]
-            self._finish(classification.result, 0, response.status, headers, response.joined_body)
+            self._finish(
+                classification.result,
+                0,
+                response.status,
+                headers,
+                response.body,
+                long_body=response.long_body,
+            )
             return
         self._owner.on_call_failed(self.ticket, classification.code, response.status)
         self._finish(
@@ -101,10 +112,19 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         was_sent_to_target: bool = True,
+        long_body: LongBody | None = None,
     ) -> None:
-        call_id = self.ticket.call.call_id
         answer = RoutedAnswer(
-            call_id, result, code, status, headers, body, was_sent_to_target, _NO_REPORT
+            call_id=self.ticket.call.call_id,
+            result=result,
+            code=code,
+            status=status,
+            headers=headers,
+            body=body,
+            was_sent_to_target=was_sent_to_target,
+            report=_NO_REPORT,
+            body_bytes=long_body.size if long_body is not None else 0,
+            long_body=long_body,
         )
         self._owner.finish_run(self, answer)
 
@@ -112,7 +132,7 @@
 def request_bytes(
     call: RoutedCall, header_names: HeaderNames, instance_id: str, remaining_ms: Millis
 ) -> bytes:
-    """Return the serialized request to the target."""
+    """Return the serialized request to the target, without a body that is sent in parts."""
     parts = [
         call.method.encode("ascii"),
         b" ",
@@ -124,7 +144,8 @@
     parts += (header_names.deadline_ms, b": %d\r\n" % max(0, int(remaining_ms)))
     parts += (header_names.expected_instance, b": ", instance_id.encode("latin-1"), b"\r\n")
     parts += (header_names.caller_service, b": ", call.caller_service.encode("latin-1"), b"\r\n")
-    if call.body or call.method not in _BODILESS_METHODS:
-        parts.append(b"content-length: %d\r\n" % len(call.body))
+    body_bytes = call.body_bytes or len(call.body)
+    if body_bytes or call.method not in _BODILESS_METHODS:
+        parts.append(b"content-length: %d\r\n" % body_bytes)
     parts += (b"\r\n", call.body)
     return b"".join(parts)
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -10,6 +10,7 @@
 
 from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.http_messages import Headers
+from gooseberrydock.long_body import LongBody
 from gooseberrydock.outcomes import Outcome
 
 
@@ -198,6 +199,8 @@
     """Request to a target's node to run one request of a route.
 
     ``has_alternative`` is true if the caller's node sends it to another host if this one is busy.
+    A body that is sent in parts has its size in ``body_bytes`` and a hash of its content in
+    ``body_hash``; the caller's node keeps it in ``long_body``, which is not encoded.
     """
 
     call_id: int
@@ -211,6 +214,9 @@
     remaining_ms: Millis
     priority: int
     has_alternative: bool = False
+    body_bytes: int = 0
+    body_hash: int = 0
+    long_body: LongBody | None = None
 
 
 class RunResult(enum.IntEnum):
@@ -258,7 +264,7 @@
     """Answer to a routed call.
 
     ``was_sent_to_target`` is true where the call was sent to the target, even if the target refused
-    it.
+    it. A body that is sent in parts has its size in ``body_bytes``; ``long_body`` is not encoded.
     """
 
     call_id: int
@@ -269,6 +275,26 @@
     body: bytes
     was_sent_to_target: bool
     report: TargetReport
+    body_bytes: int = 0
+    long_body: LongBody | None = None
+
+
+@attrs.frozen
+class BodyPart:
+    """Part of the body of a routed call, or of the answer to one."""
+
+    call_id: int
+    of_answer: bool
+    data: bytes
+
+
+@attrs.frozen
+class BodyCredit:
+    """Request for the next bytes of the body of a routed call, or of the answer to one."""
+
+    call_id: int
+    of_answer: bool
+    size: int
 
 
 @attrs.define
@@ -383,4 +409,6 @@
     | LeavingReceipt
     | LoadNotice
     | StoreStatus
+    | BodyPart
+    | BodyCredit
 )
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -12,6 +12,7 @@
 import math
 import os
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Final
 
 import attrs
@@ -37,6 +38,7 @@
 from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
 from gooseberrydock.logs import log, log_and_suppress_errors
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import MemoryAccount
 from gooseberrydock.messages import (
     Answer,
     Call,
@@ -109,6 +111,15 @@
         """Return whether a call was sent on this link and not yet answered."""
         return call_id in self._unanswered_calls
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that the socket has not accepted yet."""
+        return self._stream.unsent_bytes if self._stream is not None else 0
+
+    def finish_call(self, call_id: int) -> None:
+        """Record that the whole answer to a call has arrived."""
+        self._unanswered_calls.discard(call_id)
+
     def retire(self, awaited_calls: list[int]) -> None:
         """Keep the link only for the answers to some calls, in case the peer speaks again."""
         self._is_retired = True
@@ -200,20 +211,31 @@
         protocol = ClientProtocol(
             parse_uri(f"ws://{address}/"), max_size=defaults.MAX_PEER_MESSAGE_BYTES
         )
-        stream = await connect(address, self._links.nursery, defaults.CONNECT_TIMEOUT_MS)
+        stream = await connect(
+            address,
+            self._links.nursery,
+            defaults.CONNECT_TIMEOUT_MS,
+            account=self._links.account,
+        )
         if stream is None or self._is_closed:
             return
-        self._stream, self._protocol = stream, protocol
+        self._use_stream(stream)
+        self._protocol = protocol
         protocol.send_request(protocol.connect())
         self._flush()
         await self._read()
 
     async def run_server(self, stream: Stream) -> None:
         """Accept an opened connection and read until the link ends."""
-        self._stream = stream
+        self._use_stream(stream)
         self._protocol = ServerProtocol(max_size=defaults.MAX_PEER_MESSAGE_BYTES)
         await self._read()
 
+    def _use_stream(self, stream: Stream) -> None:
+        self._stream = stream
+        if self._links.on_drained is not None:
+            stream.on_drained = partial(self._links.on_drained, self)
+
     async def _read(self) -> None:
         """Read messages until the connection ends or the handshake takes too long."""
         deadline = trio.current_time() + _HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND
@@ -285,7 +307,8 @@
 
     def _on_message(self, message: PeerMessage) -> None:
         if isinstance(message, _ANSWER_TYPES):
-            self._unanswered_calls.discard(message.call_id)
+            if not (isinstance(message, RoutedAnswer) and message.body_bytes):
+                self._unanswered_calls.discard(message.call_id)
         elif isinstance(message, KeepAlive):
             if not message.is_reply:
                 self._write(KeepAlive(message.token, is_reply=True))
@@ -394,6 +417,8 @@
     _key: bytes
     _on_opened: Callable[[PeerLink], None] | None = None
     _on_silent: SilenceHandler | None = None
+    account: MemoryAccount | None = None
+    on_drained: Callable[[PeerLink], None] | None = None
     _links_by_node: dict[str, PeerLink] = attrs.field(factory=dict)
     _links_by_id: dict[str, PeerLink] = attrs.field(factory=dict)
     _retired_links: list[PeerLink] = attrs.field(factory=list)
@@ -433,9 +458,22 @@
 
     def send_answer(self, link_id: str, answer: Answer | RoutedAnswer | ShareNotice) -> None:
         """Send an answer on the link on which the calls arrived, if it is still open."""
+        self.send_on_link(link_id, answer)
+
+    def send_on_link(self, link_id: str, message: PeerMessage) -> None:
+        """Send a message on one link, if it is still open."""
         link = self._links_by_id.get(link_id)
         if link is not None:
-            link.send(answer)
+            link.send(message)
+
+    def has_open_link(self, link_id: str) -> bool:
+        """Return whether a link is open."""
+        return link_id in self._links_by_id
+
+    def unsent_bytes(self, link_id: str) -> int:
+        """Return the number of bytes that the socket of a link has not accepted yet."""
+        link = self._links_by_id.get(link_id)
+        return link.unsent_bytes if link is not None else 0
 
     def broadcast(self, message: PeerMessage) -> None:
         """Send a message on every open link."""
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -42,9 +42,12 @@
 TAG_STORE_STATUS: Final = 20
 TAG_LEAVING_NOTICE: Final = 21
 TAG_LEAVING_RECEIPT: Final = 22
+TAG_BODY_PART: Final = 23
+TAG_BODY_CREDIT: Final = 24
 
 
 _MAX_STATUS: Final = 599
+_MAX_HASH: Final = 2**64 - 1
 _START_ID_PATTERN: Final = re.compile(r".+@[0-9]{1,20}", re.ASCII | re.DOTALL)
 
 
@@ -266,6 +269,8 @@
         message.remaining_ms,
         message.priority,
         message.has_alternative,
+        message.body_bytes,
+        message.body_hash,
     ]
 
 
@@ -291,9 +296,20 @@
         report.rate_used,
         report.is_leaving,
         report.start_id,
+        message.body_bytes,
     ]
 
 
+@_to_array.register
+def _body_part_to_array(message: messages.BodyPart) -> list[Any]:
+    return [TAG_BODY_PART, message.call_id, message.of_answer, message.data]
+
+
+@_to_array.register
+def _body_credit_to_array(message: messages.BodyCredit) -> list[Any]:
+    return [TAG_BODY_CREDIT, message.call_id, message.of_answer, message.size]
+
+
 def _check_field_types(array: list[Any], field_types: tuple[type, ...]) -> None:
     """Check that the fields after the tag have exactly the given types."""
     if len(array) != len(field_types) + 1:
@@ -518,13 +534,29 @@
     return messages.OwnerRegister(*array[1:])
 
 
-_ROUTED_CALL_FIELD_TYPES: Final = (int, str, str, str, str, str, list, bytes, float, int, bool)
+_ROUTED_CALL_FIELD_TYPES: Final = (
+    int,
+    str,
+    str,
+    str,
+    str,
+    str,
+    list,
+    bytes,
+    float,
+    int,
+    bool,
+    int,
+    int,
+)
 
 
 def _to_routed_call(array: list[Any]) -> messages.RoutedCall:
     _check_field_types(array, _ROUTED_CALL_FIELD_TYPES)
-    # The call id, remaining time and priority.
-    _check_finite_not_negative(array[1], array[9], array[10])
+    # The call id, remaining time, priority and size of a long body.
+    _check_finite_not_negative(array[1], array[9], array[10], array[12])
+    if not 0 <= array[13] <= _MAX_HASH:
+        raise _FieldError(f"{array[13]} is not a hash")
     array[7] = _to_headers(array[7])
     return messages.RoutedCall(*array[1:])
 
@@ -547,13 +579,14 @@
     float,
     bool,
     str,
+    int,
 )
 
 
 def _to_routed_answer(array: list[Any]) -> messages.RoutedAnswer:
     _check_field_types(array, _ROUTED_ANSWER_FIELD_TYPES)
-    # The call id, requests in flight, limit, mean run time, admitted share and rate limit.
-    _check_finite_not_negative(array[1], *array[8:12], *array[14:16])
+    # The call id, requests in flight, limit, mean run time, admitted share, rate limit and size.
+    _check_finite_not_negative(array[1], *array[8:12], *array[14:16], array[18])
     try:
         result = messages.RunResult(array[2])
     except ValueError as error:
@@ -562,10 +595,22 @@
     report = messages.TargetReport(*array[8:18])
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
-        array[1], result, array[3], array[4], headers, array[6], array[7], report
+        array[1], result, array[3], array[4], headers, array[6], array[7], report, array[18]
     )
 
 
+def _to_body_part(array: list[Any]) -> messages.BodyPart:
+    _check_field_types(array, (int, bool, bytes))
+    _check_finite_not_negative(array[1])
+    return messages.BodyPart(*array[1:])
+
+
+def _to_body_credit(array: list[Any]) -> messages.BodyCredit:
+    _check_field_types(array, (int, bool, int))
+    _check_finite_not_negative(array[1], array[3])
+    return messages.BodyCredit(*array[1:])
+
+
 def _check_status(status: int) -> None:
     if not 0 <= status <= _MAX_STATUS:
         raise _FieldError(f"{status} is not an HTTP status")
@@ -600,4 +645,6 @@
     TAG_LEAVING_NOTICE: _to_leaving_notice,
     TAG_LEAVING_RECEIPT: _to_leaving_receipt,
     TAG_STORE_STATUS: _to_store_status,
+    TAG_BODY_PART: _to_body_part,
+    TAG_BODY_CREDIT: _to_body_credit,
 }
