Keep descriptors and memory for the node's own connections beside any number of callers

Callers saw the node end by itself: 500 connections that stop inside a head, or stay open idle, took all descriptors of a machine with maxFds 400. A connect of the node's own (target, store, link) then raised OSError in a task of the main nursery, which ended the process.

Accepting was bounded by nothing but the descriptors. A connect that finds no descriptor is a failed connect, with a line a second at most. Where not even the buffer of a socket has room, a body is refused instead of left waiting.

--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -10,6 +10,7 @@
 RECEIVE_BYTES: Final = 64 * 1024
 MEMORY_MB: Final = 300
 """Memory of a node process, in millions of bytes."""
+MAX_DESCRIPTORS: Final = 4_096
 
 # Timeouts and tick periods of the I/O layer, in milliseconds.
 REQUEST_READ_TIMEOUT_MS: Final = 5_000.0
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -207,6 +207,18 @@
 MEMORY_PRESSURE_ENDED: Final = _register(
     1507, "memory-pressure-ended", _INFO, "No request has waited for memory for some seconds"
 )
+CONNECTIONS_LIMITED: Final = _register(
+    1508,
+    "connections-limited",
+    _WARNING,
+    "Callers have more connections open than they may; those that wait longest are closed",
+)
+DESCRIPTORS_EXHAUSTED: Final = _register(
+    1509, "descriptors-exhausted", _ERROR, "The process could not open a connection"
+)
+CONNECT_FAILED: Final = _register(
+    1510, "connect-failed", _WARNING, "A connection could not be opened because of a local error"
+)
 LINES_SUPPRESSED: Final = _register(
     1599, "lines-suppressed", _INFO, "Lines of an event were suppressed to bound the log volume"
 )
--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -16,7 +16,8 @@
 import trio
 
 from gooseberrydock import defaults
-from gooseberrydock.clock import MS_PER_SECOND
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.connection_limit import Activity, ConnectionLimit
 from gooseberrydock.errorcodes import (
     MALFORMED_REQUEST,
     OVERSIZE_REQUEST,
@@ -24,7 +25,9 @@
     ErrorCode,
 )
 from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.events import CONNECTIONS_LIMITED
 from gooseberrydock.http_messages import Headers, HttpRequest, HttpResponse, problem_response
+from gooseberrydock.logs import log
 from gooseberrydock.stream import Stream
 
 _CONNECTION_IDS = itertools.count(1)
@@ -32,6 +35,10 @@
 """Status that ``h11`` suggests for a request head above its size limit."""
 
 
+def _now_ms() -> Millis:
+    return trio.current_time() * MS_PER_SECOND
+
+
 @attrs.define(eq=False)
 class HttpConnection:
     """Server side of one connection, which handles one request at a time."""
@@ -48,6 +55,7 @@
     _is_request_pending: bool = False
     _read_deadline: float = math.inf
     _request_tag: int = 0
+    _waiting_since: Millis = attrs.field(factory=_now_ms)
 
     @_h11.default
     def _create_h11(self) -> h11.Connection:
@@ -78,6 +86,29 @@
         has_begun = self._head is not None or bool(self._h11.trailing_data[0])
         return not self._is_request_pending and not has_begun
 
+    @property
+    def activity(self) -> Activity:
+        """Return what the connection does."""
+        if self._stream.is_finishing:
+            return Activity.CLOSING
+        if self._is_request_pending:
+            return Activity.SERVING
+        return Activity.READING_BODY if self._head is not None else Activity.WAITING_FOR_REQUEST
+
+    @property
+    def active_since(self) -> Millis:
+        """Return since when the connection waits for its caller."""
+        return self._waiting_since
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        return self._stream.has_unread_bytes
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in flight or has reached the socket."""
         if self.is_idle and not self._stream.has_unread_bytes:
@@ -169,6 +200,7 @@
         if not self._is_request_pending or self._stream.is_closed:
             return
         self._is_request_pending = False
+        self._waiting_since = _now_ms()
         self._head = None
         self._send(response)
         if self._h11.our_state is h11.MUST_CLOSE:
@@ -246,10 +278,25 @@
     on_disconnect: DisconnectHandler = ignore_disconnect,
     max_body_bytes: int = defaults.MAX_BODY_BYTES,
     is_closing: Callable[[], bool] = never_closing,
+    limit: ConnectionLimit | None = None,
 ) -> None:
     """Serve HTTP on one accepted stream until it ends.
 
     While ``is_closing`` returns true, each answer carries ``Connection: close``, so that the caller
     opens a new connection.
     """
-    await HttpConnection(stream, on_request, on_disconnect, max_body_bytes, is_closing).run()
+    connection = HttpConnection(stream, on_request, on_disconnect, max_body_bytes, is_closing)
+    await run_limited(connection, limit)
+
+
+async def run_limited(connection: HttpConnection, limit: ConnectionLimit | None) -> None:
+    """Serve a connection that counts towards a limit."""
+    if limit is None:
+        await connection.run()
+        return
+    if limit.add(_now_ms(), connection):
+        log(CONNECTIONS_LIMITED, open=limit.open, closed=limit.closed)
+    try:
+        await connection.run()
+    finally:
+        limit.remove(connection)
--- a/gooseberrydock/logs.py
+++ b/gooseberrydock/logs.py
@@ -11,6 +11,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from gooseberrydock.clock import MS_PER_SECOND, Millis
 from gooseberrydock.events import CONNECTION_FAULT, LogEvent
 
 _LOGGER_NAME: Final = "gooseberrydock"
@@ -100,6 +101,24 @@
         logger.log(event.level, event.text, extra=extra)
 
 
+class RepeatedEvent:
+    """Write a line of an event that may occur very often, at most once in an interval."""
+
+    def __init__(self, event: LogEvent, interval_ms: Millis = MS_PER_SECOND) -> None:
+        self._event = event
+        self._interval_ms = interval_ms
+        self._logged_at = -interval_ms
+        self._suppressed = 0
+
+    def log(self, now_ms: Millis, **fields: object) -> None:
+        """Write a line with the number of those since the last one, or count it."""
+        if now_ms - self._logged_at < self._interval_ms:
+            self._suppressed += 1
+            return
+        log(self._event, suppressed=self._suppressed, **fields)
+        self._logged_at, self._suppressed = now_ms, 0
+
+
 @contextmanager
 def log_and_suppress_errors(peer: str) -> Iterator[None]:
     """Log an error in the handling of one connection instead of ending the whole process."""
--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -32,12 +32,12 @@
 """Memory of a process that holds no request: interpreter, modules, route table, records."""
 _MIN_REMAINDER: Final = 0.25
 """Share of the memory that requests may use where the process itself leaves less."""
-_ACCOUNT_SHARE: Final = 0.75
+_ACCOUNT_SHARE: Final = 0.65
 """Share of that memory for the account; the rest is for connections and fragmentation."""
-_LONG_BODY_SHARE: Final = 0.75
+_LONG_BODY_SHARE: Final = 0.8
 """Share of the account that long bodies of requests may use."""
-_CONNECTION_BYTES: Final = 32 * 1024
-"""Memory of one connection: its task, its parser and an incomplete head."""
+_CONNECTION_BYTES: Final = 48 * 1024
+"""Memory of one connection: its task, its parser, an incomplete head and a part of its socket."""
 _MAX_WAIT_MS: Final[Millis] = 900.0
 """Time that a body waits for memory. Callers give up a request that is not read for a second."""
 _PATIENCE_MS: Final[Millis] = 200.0
@@ -240,11 +240,16 @@
         if not must_queue and self._fits(claim):
             self._grant(claim)
             return True
-        if claim not in self._waiting:
-            self.waits += 1
-            claim.waiting_since = now_ms
-            self._waiting.append(claim)
-            self.held += RECEIVE_BUFFER_BYTES
+        if claim in self._waiting:
+            return False
+        if claim.may_be_refused and self.held + RECEIVE_BUFFER_BYTES > self.limit:
+            # Not even what lies in the socket has room.
+            self._refuse(claim, Shortage.NO_ROOM)
+            return False
+        self.waits += 1
+        claim.waiting_since = now_ms
+        self._waiting.append(claim)
+        self.held += RECEIVE_BUFFER_BYTES
         return False
 
     def complete(self, claim: Claim, size: int) -> None:
@@ -332,10 +337,10 @@
     return MemoryAccount(limit=int(_memory_for_requests(memory_bytes) * _ACCOUNT_SHARE))
 
 
-def max_connections(memory_bytes: int, descriptors: int) -> int:
-    """Return how many connections callers may have open, by memory and by their descriptors."""
+def max_connections(memory_bytes: int) -> int:
+    """Return for how many connections a process has memory besides the account."""
     memory = _memory_for_requests(memory_bytes) * (1.0 - _ACCOUNT_SHARE)
-    return max(1, min(descriptors, int(memory) // _CONNECTION_BYTES))
+    return max(1, int(memory) // _CONNECTION_BYTES)
 
 
 def _memory_for_requests(memory_bytes: int) -> float:
--- a/gooseberrydock/mesh/admin_http.py
+++ b/gooseberrydock/mesh/admin_http.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import NOT_FOUND
 from gooseberrydock.errors import Step
 from gooseberrydock.http_messages import (
@@ -38,7 +39,7 @@
     def on_request(connection: HttpConnection, request: HttpRequest) -> None:
         connection.respond(answer_admin_request(node, node.now_ms(), request.path))
 
-    await serve_http(stream, on_request)
+    await serve_http(stream, on_request, limit=node.connection_limits[Listening.ADMIN])
 
 
 def answer_admin_request(node: MeshNode, now_ms: Millis, request_target: str) -> HttpResponse:
--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -16,6 +16,7 @@
 import trio
 
 from gooseberrydock.clock import Clock, Millis
+from gooseberrydock.connection_limit import Activity
 from gooseberrydock.errorcodes import MEMORY_SHORT, SLOW_REQUEST
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import (
@@ -165,7 +166,9 @@
 
     async def _wait_until_read(self) -> None:
         """Wait while the connection must not be read; what arrives is left to its socket."""
-        self._account.charge(RECEIVE_BUFFER_BYTES)
+        # A body that waits for memory is charged with its buffer already.
+        buffer_bytes = RECEIVE_BUFFER_BYTES if self._is_full else 0
+        self._account.charge(buffer_bytes)
         self._pause_claim(True)
         try:
             while self._must_wait and not self._stream.is_closed:
@@ -173,7 +176,7 @@
                 await self._has_room.wait()
         finally:
             self._pause_claim(False)
-            self._account.charge(-RECEIVE_BUFFER_BYTES)
+            self._account.charge(-buffer_bytes)
 
     def advance(self) -> None:
         """Send the responses that are due, and start the requests that may run now."""
@@ -202,6 +205,26 @@
             self._unread_bytes, self._unread_since = unread_bytes, now_ms
         return unread_bytes, now_ms - self._unread_since
 
+    @property
+    def activity(self) -> Activity:
+        """Return what the connection does."""
+        if self._stream.is_finishing:
+            return Activity.CLOSING
+        if self._requests:
+            return Activity.SERVING
+        is_in_body = not self._reader.is_between_messages and not self._reader.is_in_head
+        return Activity.READING_BODY if is_in_body else Activity.WAITING_FOR_REQUEST
+
+    @property
+    def active_since(self) -> Millis:
+        """Return since when the connection waits for its caller."""
+        return self._message_began_at if self._is_message_timed else self._last_active_at
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        return self._stream.has_unread_bytes
+
     def close(self) -> None:
         """Close the connection, which cancels its requests."""
         self._stream.close()
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -42,6 +42,11 @@
     }
     account = node.account
     values["memory_waits"] = (account.waits, "Requests that waited for memory")
+    closed = Counter(
+        _PREFIX + "connections_closed", "Connections closed at the limit", registry=registry
+    )
+    for listening, limit in node.connection_limits.items():
+        closed.set({"listener": listening.value}, limit.closed)
     given_up = Counter(
         _PREFIX + "memory_refused", "Incomplete requests given up for memory", registry=registry
     )
@@ -91,6 +96,10 @@
     values["memory_held_bytes"] = (account.held, "Memory held or reserved for them")
     values["memory_peak_bytes"] = (account.peak, "Most that was held or reserved")
     values["incomplete_bodies"] = (account.incomplete, "Bodies that have begun to arrive")
+    for listening, limit in node.connection_limits.items():
+        name = f"{listening.value}_connections"
+        values[name] = (limit.open, f"Open connections at the listener for {listening.value}")
+        values[name + "_limit"] = (limit.max_connections, "Most of them that may be open")
     if node.fleet.table_age_ms is not None:
         values["table_age_ms"] = (
             node.fleet.table_age_ms,
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -12,12 +12,17 @@
 import trio
 
 from gooseberrydock.clock import Clock, Millis
+from gooseberrydock.connection_limit import (
+    ConnectionLimit,
+    Listening,
+    create_connection_limits,
+)
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import LOAD_STATE, TARGET_LEAVING_ANSWERED, WORK_CUT
+from gooseberrydock.events import CONNECTIONS_LIMITED, LOAD_STATE, TARGET_LEAVING_ANSWERED, WORK_CUT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
-from gooseberrydock.memory_account import MemoryAccount, create_memory_account
+from gooseberrydock.memory_account import MemoryAccount, create_memory_account, max_connections
 from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
 from gooseberrydock.mesh.body_transfer import IncomingAnswers, OutgoingBodies
@@ -75,6 +80,7 @@
     _decision_log: DecisionLog
     _account: MemoryAccount = attrs.field(init=False)
     _pressure_log: PressureLog = attrs.field(init=False)
+    _connection_limits: dict[Listening, ConnectionLimit] = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
     _outgoing_bodies: OutgoingBodies = attrs.field(init=False)
     _incoming_answers: IncomingAnswers = attrs.field(init=False)
@@ -92,6 +98,11 @@
     def _create_pressure_log(self) -> PressureLog:
         return PressureLog(self._account)
 
+    @_connection_limits.default
+    def _create_connection_limits(self) -> dict[Listening, ConnectionLimit]:
+        memory_connections = max_connections(self._options.memory_bytes)
+        return create_connection_limits(self._options.max_sockets, memory_connections)
+
     def __attrs_post_init__(self) -> None:
         self._links = PeerLinks(
             clock=self._clock,
@@ -156,6 +167,11 @@
         """Return the account of the memory for requests and answers."""
         return self._account
 
+    @property
+    def connection_limits(self) -> dict[Listening, ConnectionLimit]:
+        """Return the limits of the connections at each listener."""
+        return self._connection_limits
+
     @property
     def entry(self) -> Entry:
         """Return the entry, which handles the requests of callers."""
@@ -203,11 +219,15 @@
         connection = create_caller_connection(
             stream, self, self._clock, self.table.limits, lambda: self._is_stopping, self._account
         )
+        limit = self._connection_limits[Listening.CALLERS]
         self._caller_connections.add(connection)
+        if limit.add(self._clock.now_ms(), connection):
+            log(CONNECTIONS_LIMITED, open=limit.open, closed=limit.closed)
         try:
             await connection.run()
         finally:
             self._caller_connections.discard(connection)
+            limit.remove(connection)
 
     def on_request(self, caller: CallerRequest, request: HttpRequest) -> Exchange | None:
         """Handle a complete request."""
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -52,7 +52,8 @@
     ``drain_ms`` is how long a leaving target may still receive requests.
     ``stop_grace_ms`` is the time within which a stopping node must end.
     ``lease_min_ms`` is the minimum TTL of a lease in the store.
-    ``memory_bytes`` is the memory that this process may use in all.
+    ``memory_bytes`` is the memory that this process may use in all, ``max_sockets`` the number of
+    its sockets.
     """
 
     node_id: str
@@ -73,6 +74,7 @@
     lease_min_ms: Millis
     store_reads_per_s: float
     memory_bytes: int = defaults.MEMORY_MB * BYTES_PER_MB
+    max_sockets: int = defaults.MAX_DESCRIPTORS
 
 
 _LIVE_SETTINGS: Final = frozenset(("service", "retry_budget", "drain_ms", "stop_grace_ms"))
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -8,6 +8,7 @@
 import urllib.parse
 from typing import Any, Final
 
+from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, NOT_FOUND, PEER_UNREACHABLE
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, json_response
@@ -56,7 +57,7 @@
     def on_request(connection: HttpConnection, request: HttpRequest) -> None:
         _handle_target_request(node, connection, request)
 
-    await serve_http(stream, on_request)
+    await serve_http(stream, on_request, limit=node.connection_limits[Listening.TARGET])
 
 
 async def serve_readiness(node: MeshNode, stream: Stream) -> None:
@@ -68,7 +69,7 @@
         else:
             connection.respond(_create_empty_response(200 if node.is_ready else 503))
 
-    await serve_http(stream, on_request)
+    await serve_http(stream, on_request, limit=node.connection_limits[Listening.READINESS])
 
 
 def _handle_target_request(
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -16,6 +16,10 @@
 METRICS_PORT_OFFSET: Final = 1
 """Distance of the metrics port from the end of ``portRange``, the ports for the system's use."""
 
+_FILES: Final = 200
+"""Descriptors that the platform reserves for files; sockets share the others."""
+_DEFAULT_FDS: Final = defaults.MAX_DESCRIPTORS + _FILES
+
 HEADERS: Final = HeaderNames(
     request_id=b"request-id",
     deadline_ms=b"deadline-ms",
@@ -68,6 +72,7 @@
         lease_min_ms=float(store["ttlMinMs"]),
         store_reads_per_s=max(1.0, float(store["readsPerS"])),
         memory_bytes=_decode_positive(limits.get("memoryMb", defaults.MEMORY_MB)) * BYTES_PER_MB,
+        max_sockets=max(1, _decode_positive(limits.get("maxFds", _DEFAULT_FDS)) - _FILES),
     )
 
 
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -18,7 +18,8 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND, Millis
-from gooseberrydock.logs import log_and_suppress_errors
+from gooseberrydock.events import CONNECT_FAILED, DESCRIPTORS_EXHAUSTED
+from gooseberrydock.logs import RepeatedEvent, log_and_suppress_errors
 from gooseberrydock.members import Address
 from gooseberrydock.memory_account import RECEIVE_BUFFER_BYTES, MemoryAccount
 
@@ -35,6 +36,14 @@
 """Time after the end of the sent stream in which the peer has to close its side too."""
 
 
+_DESCRIPTORS_EXHAUSTED: Final = RepeatedEvent(DESCRIPTORS_EXHAUSTED)
+_CONNECT_FAILED: Final = RepeatedEvent(CONNECT_FAILED)
+
+
+def _now_ms() -> Millis:
+    return trio.current_time() * MS_PER_SECOND
+
+
 @attrs.define(eq=False)
 class Stream:
     """One non-blocking TCP connection.
@@ -278,12 +287,18 @@
 ) -> Stream | None:
     """Open a connection; return None if that fails or times out."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    new_socket = socket.socket(family, socket.SOCK_STREAM)
-    _configure(new_socket, is_local)
+    try:
+        new_socket = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        _DESCRIPTORS_EXHAUSTED.log(_now_ms(), peer=str(address), detail=str(error))
+        return None
     is_connected = False
     try:
+        _configure(new_socket, is_local)
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
             is_connected = await _connect_socket(new_socket, address)
+    except OSError as error:
+        _CONNECT_FAILED.log(_now_ms(), peer=str(address), detail=str(error))
     finally:
         if not is_connected:
             new_socket.close()
@@ -342,13 +357,19 @@
                     continue
                 except trio.ClosedResourceError:
                     return
-                except OSError:
+                except OSError as error:
                     # No file descriptor is left; connections that end release some.
+                    _DESCRIPTORS_EXHAUSTED.log(_now_ms(), peer="", detail=str(error))
                     await trio.sleep(_ACCEPT_RETRY_DELAY_S)
 
     def _accept_one(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
         accepted, peer_address = self._socket.accept()
-        _configure(accepted, self._is_local)
+        try:
+            _configure(accepted, self._is_local)
+        except OSError:
+            # The peer has closed the connection already.
+            accepted.close()
+            return
         stream = Stream(
             accepted, nursery, str(peer_address[0]), self._account, self._is_read_with_room
         )
@@ -417,8 +438,9 @@
     new_socket.setblocking(False)
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if is_read_with_room:
-        # Accepted connections inherit the size. What arrives while they are not read stays there.
-        new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Accepted connections inherit the size, which the kernel doubles. What arrives while they
+        # are not read stays there.
+        new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2)
     new_socket.bind((address.host, address.port))
     if is_open:
         new_socket.listen(_BACKLOG)
