Reserve memory for long answers instead of failing them above 16 MiB in all

Callers saw 502 for sound answers: ten of 4 MiB at a time, since all unfinished answers of a target together were bounded by 16 MiB and the one that crossed the bound failed. What callers had not read yet was not counted at all.

Answers now use the account of the process. One that announces its length is read on once its memory is reserved, the rest stays in the sockets; one without a length reserves as it grows and, like a growing request, may be given up for others that wait. A tenth of the account stays for short messages.

--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -303,9 +303,16 @@
     def on_headers_complete(self) -> None:
         """Record the end of the headers and whether they delimit the body."""
         _MessageReader.on_headers_complete(self)
-        self._is_self_delimited = self._status in BODILESS_STATUSES or any(
-            name in (_CONTENT_LENGTH, _TRANSFER_ENCODING) for name, _ in self._headers
-        )
+        self._announced_size = 0 if self._status in BODILESS_STATUSES else None
+        self._is_self_delimited = self._status in BODILESS_STATUSES
+        for name, value in self._headers:
+            if name == _CONTENT_LENGTH:
+                self._announced_size = int(value)
+                self._is_self_delimited = True
+            elif name == _TRANSFER_ENCODING:
+                self._announced_size = None
+                self._is_self_delimited = True
+                break
 
     def on_message_complete(self) -> None:
         """Add the complete response to those that ``feed`` returns; skip informational ones."""
--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -36,6 +36,8 @@
 """Share of that memory for the account; the rest is for connections and fragmentation."""
 _LONG_BODY_SHARE: Final = 0.8
 """Share of the account that long bodies of requests may use."""
+_LONG_ANSWER_SHARE: Final = 0.9
+"""Share of the account that long bodies of answers may use beside them."""
 _CONNECTION_BYTES: Final = 48 * 1024
 """Memory of one connection: its task, its parser, an incomplete head and a part of its socket."""
 _MAX_WAIT_MS: Final[Millis] = 900.0
@@ -74,6 +76,7 @@
     _on_refused: Callable[[Shortage], None]
     _opened_at: Millis
     _progressed_at: Millis
+    _is_growing: bool = False
     size: int = 0
     wanted: int = 0
     waiting_since: Millis = 0.0
@@ -92,8 +95,8 @@
 
     @property
     def may_be_refused(self) -> bool:
-        """Return whether the body may be given up; an answer waits until its request ends."""
-        return self._kind is ClaimKind.REQUEST
+        """Return whether the body may be given up; a sound answer waits until its request ends."""
+        return self._kind is ClaimKind.REQUEST or self._is_growing
 
     @property
     def is_waiting(self) -> bool:
@@ -130,6 +133,7 @@
 
         The steps grow with the body, so that a long one does not ask often.
         """
+        self._is_growing = True
         if received < self.size or self.size >= max_size:
             return True
         step = max(_GROWTH_BYTES, self.size // 4)
@@ -172,6 +176,11 @@
         """Return the size of the longest body of a request that can ever have room."""
         return int(self.limit * _LONG_BODY_SHARE)
 
+    @property
+    def long_answer_limit(self) -> int:
+        """Return the size of the longest answer that can ever have room."""
+        return int(self.limit * _LONG_ANSWER_SHARE)
+
     @property
     def is_full(self) -> bool:
         """Return whether nothing more should be read or accepted."""
@@ -300,8 +309,14 @@
     def _has_long_waiting(self) -> bool:
         return any(self._is_long(claim) for claim in self._waiting)
 
+    def _limit_of(self, claim: Claim) -> int:
+        if claim.wanted <= SHORT_BODY_BYTES:
+            return self.limit
+        is_request = claim.kind is ClaimKind.REQUEST
+        return self.long_body_limit if is_request else self.long_answer_limit
+
     def _fits(self, claim: Claim) -> bool:
-        limit = self.long_body_limit if self._is_long(claim) else self.limit
+        limit = self._limit_of(claim)
         unread = RECEIVE_BUFFER_BYTES if claim in self._waiting else 0
         return self.held - unread + claim.wanted - claim.size <= limit
 
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -24,15 +24,19 @@
 from gooseberrydock.http_parsing import ResponseReader
 from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.members import Address
-from gooseberrydock.memory_account import MemoryAccount
+from gooseberrydock.memory_account import (
+    SHORT_BODY_BYTES,
+    Claim,
+    ClaimKind,
+    MemoryAccount,
+    Shortage,
+)
 from gooseberrydock.mesh.body_transfer import RelayedBody
 from gooseberrydock.stream import Stream, connect
 
 _MAX_HEADER_BYTES: Final = 64 * 1024
 _MAX_ANSWER_BYTES: Final = defaults.MAX_PEER_MESSAGE_BYTES - _MAX_HEADER_BYTES
-"""The largest answer that fits on a link between nodes."""
-_MAX_PENDING_BYTES: Final = 16 * 1024 * 1024
-"""Bytes of unfinished answers on all connections; a target in trouble may send without end."""
+"""The largest answer; a target in trouble may send without end."""
 _DEFAULT_IDLE_MS: Final[Millis] = 4_000.0
 """Time for which an idle connection is kept if the target states no keep-alive timeout."""
 _IDLE_MARGIN_MS: Final[Millis] = 1_000.0
@@ -58,18 +62,6 @@
         """Record that no complete answer will arrive."""
 
 
-@attrs.define(eq=False)
-class PendingBytes:
-    """Bytes of unfinished answers on all connections to a target."""
-
-    total: int = 0
-
-    @property
-    def is_exceeded(self) -> bool:
-        """Return whether there are more than a node may hold."""
-        return self.total > _MAX_PENDING_BYTES
-
-
 @attrs.define(eq=False)
 class TargetConnection:
     """Connection to the target."""
@@ -77,7 +69,7 @@
     _stream: Stream
     _clock: Clock
     _on_idle: Callable[["TargetConnection"], None]
-    _pending_bytes: PendingBytes
+    _account: MemoryAccount
     _reader: ResponseReader = attrs.field(
         factory=lambda: ResponseReader(_MAX_HEADER_BYTES, _MAX_ANSWER_BYTES)
     )
@@ -86,7 +78,8 @@
     _is_reusable: bool = True
     _usable_until: Millis = 0.0
     _used_at: Millis = 0.0
-    _own_pending_bytes: int = 0
+    _claim: Claim | None = None
+    _has_room: trio.Event = attrs.field(factory=trio.Event)
 
     @property
     def is_closed(self) -> bool:
@@ -120,6 +113,7 @@
         """Close the connection and abort its current request without notifying the observer."""
         self._observer = None
         self._stream.close()
+        self._resume()
 
     async def run(self) -> None:
         """Read until either side closes the connection."""
@@ -128,17 +122,45 @@
             while data := await stream.receive():
                 if not self._feed(data):
                     break
+                while self._claim is not None and self._claim.is_waiting and not self.is_closed:
+                    # The rest of the answer stays in the sockets until there is room for it.
+                    self._has_room = trio.Event()
+                    await self._has_room.wait()
             else:
                 self._on_stream_end()
         finally:
-            self._count_pending(0)
+            self._release_claim()
             self._reader.discard()
         stream.close()
 
-    def _count_pending(self, size: int) -> None:
-        """Update the share of this connection in the bytes of unfinished answers."""
-        self._pending_bytes.total += size - self._own_pending_bytes
-        self._own_pending_bytes = size
+    def _reserve_answer(self) -> None:
+        """Reserve memory for the rest of a long answer that has begun to arrive."""
+        now_ms = self._clock.now_ms()
+        received, announced = self._reader.pending_body_bytes, self._reader.announced_body_bytes
+        if max(received, announced or 0) <= SHORT_BODY_BYTES:
+            return
+        if self._claim is None:
+            self._claim = self._account.open_claim(
+                now_ms, ClaimKind.ANSWER, self._resume, self._give_up_answer
+            )
+        if announced is not None:
+            max_size = min(_MAX_ANSWER_BYTES, self._account.long_answer_limit)
+            self._claim.reserve(now_ms, min(announced, max_size))
+        else:
+            self._claim.reserve_growth(now_ms, received, _MAX_ANSWER_BYTES)
+
+    def _resume(self) -> None:
+        self._has_room.set()
+
+    def _give_up_answer(self, reason: Shortage) -> None:
+        self._claim = None
+        self._fail(TARGET_OVERSIZE)
+        self._resume()
+
+    def _release_claim(self) -> None:
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            claim.release()
 
     def _feed(self, data: bytes) -> bool:
         """Parse bytes; return whether the connection stays open."""
@@ -150,10 +172,10 @@
         except GooseberrydockError as error:
             self._fail(error.code)
             return False
-        self._count_pending(self._reader.pending_body_bytes)
-        if self._pending_bytes.is_exceeded:
-            self._fail(TARGET_OVERSIZE)
-            return False
+        if complete:
+            self._release_claim()
+        if self._reader.pending_body_bytes:
+            self._reserve_answer()
         for response in complete:
             if self._observer is not None and self._observer.accepts(response):
                 self._finish(response, is_only_answer=len(complete) == 1)
@@ -240,7 +262,6 @@
     _clock: Clock
     _account: MemoryAccount
     _idle: list[TargetConnection] = attrs.field(factory=list)
-    _pending_bytes: PendingBytes = attrs.field(factory=PendingBytes)
     _open: int = 0
     _opened: int = 0
 
@@ -326,9 +347,7 @@
         if stream is None:
             observer.on_failure(TARGET_UNREACHABLE, was_sent=False)
             return
-        connection = TargetConnection(
-            stream, self._clock, self._return_to_idle, self._pending_bytes
-        )
+        connection = TargetConnection(stream, self._clock, self._return_to_idle, self._account)
         pending.connection = connection
         self._open += 1
         self._opened += 1
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -267,3 +267,27 @@
             return problems
 
         self._run(scenario, memory_mb=300, max_body_bytes=_LARGEST_BODY_BYTES)
+
+
+class LongAnswerTest(_FleetCase):
+    """Sound answers that are long, several at a time."""
+
+    def test_long_answers_at_once_are_all_served(self) -> None:
+        # Answers above 16 MiB in all failed, although each was sound.
+        async def scenario(fleet: PlatformFleet) -> list[str]:
+            problems: list[str] = []
+            size = 4 * MIB
+
+            async def get() -> None:
+                content = pipelined(f"{_FAR}?bytes={size}", b"", 1)()
+                answer = await exchange(fleet.nodes[0].entry, content, _ANSWER_TIMEOUT_S)
+                body = answer.partition(b"\r\n\r\n")[2]
+                if status_of(answer) != 200 or len(body) != size:
+                    problems.append(f"{len(body)} bytes: {answer[:300]!r}")
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(10):
+                    nursery.start_soon(get)
+            return problems
+
+        self._run(scenario, memory_mb=300)
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -16,7 +16,8 @@
 from gooseberrydock.http_client import ClientPool, fetch
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address
-from gooseberrydock.mesh.target_connections import PendingBytes, TargetConnection
+from gooseberrydock.memory_account import create_memory_account
+from gooseberrydock.mesh.target_connections import TargetConnection
 from gooseberrydock.stream import Stream, connect
 
 _HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -114,7 +115,10 @@
     async def main() -> None:
         async with _open() as connection:
             target = TargetConnection(
-                connection.stream, system_clock(), lambda idle: None, PendingBytes()
+                connection.stream,
+                system_clock(),
+                lambda idle: None,
+                create_memory_account(300_000_000),
             )
             target.start(data, observer)
             with trio.fail_after(_TIMEOUT_S):
