Bound memory and connections of the product's own interface as those of the routed path

600 callers with an incomplete body each drove a node of the product's own interface over its memory, and 500 open connections ended it: HttpConnection bounded one body, read whatever followed a pending request into the parser's buffer, and buffered unread answers up to 16 MiB a connection.

A body is charged four times, as it is copied on this path. A connection is not read while more than 64 KiB follow a pending request or 256 KiB of answers are unread. Both call paths export the same metrics.

--- a/gooseberrydock/admin.py
+++ b/gooseberrydock/admin.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import NOT_FOUND
 from gooseberrydock.errors import Step
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
@@ -30,7 +31,12 @@
 
     async def serve(self, stream: Stream) -> None:
         """Serve one operator's connection."""
-        await serve_http(stream, self._on_request)
+        await serve_http(
+            stream,
+            self._on_request,
+            limit=self._node.connection_limits[Listening.ADMIN],
+            account=self._node.service_account,
+        )
 
     def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
         routes: dict[tuple[str, str], Callable[[], HttpResponse]] = {
--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -11,6 +11,8 @@
 MEMORY_MB: Final = 300
 """Memory of a node process, in millions of bytes."""
 MAX_DESCRIPTORS: Final = 4_096
+FILE_DESCRIPTORS: Final = 200
+"""Descriptors kept for files; sockets share the others."""
 
 # Timeouts and tick periods of the I/O layer, in milliseconds.
 REQUEST_READ_TIMEOUT_MS: Final = 5_000.0
--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -16,10 +16,11 @@
 import trio
 
 from gooseberrydock import defaults
-from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.clock import MS_PER_SECOND, Millis, system_clock
 from gooseberrydock.connection_limit import Activity, ConnectionLimit
 from gooseberrydock.errorcodes import (
     MALFORMED_REQUEST,
+    MEMORY_SHORT,
     OVERSIZE_REQUEST,
     SLOW_REQUEST,
     ErrorCode,
@@ -28,17 +29,21 @@
 from gooseberrydock.events import CONNECTIONS_LIMITED
 from gooseberrydock.http_messages import Headers, HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
+from gooseberrydock.memory_account import Claim, ClaimKind, MemoryAccount, Shortage
 from gooseberrydock.stream import Stream
 
 _CONNECTION_IDS = itertools.count(1)
+_CLOCK: Final = system_clock()
+_BODY_COPIES: Final = 4
+"""Copies of a body on its way to a target: as received, as a request, as a message, unsent."""
+_MAX_UNPARSED_BYTES: Final = 64 * 1024
+"""Bytes after a pending request above which the connection is not read."""
+_MAX_UNREAD_BYTES: Final = 256 * 1024
+"""Bytes of answers that the caller has not read above which the connection is not read."""
 _OVERSIZE_STATUS: Final = 431
 """Status that ``h11`` suggests for a request head above its size limit."""
 
 
-def _now_ms() -> Millis:
-    return trio.current_time() * MS_PER_SECOND
-
-
 @attrs.define(eq=False)
 class HttpConnection:
     """Server side of one connection, which handles one request at a time."""
@@ -55,7 +60,12 @@
     _is_request_pending: bool = False
     _read_deadline: float = math.inf
     _request_tag: int = 0
-    _waiting_since: Millis = attrs.field(factory=_now_ms)
+    _waiting_since: Millis = attrs.field(factory=_CLOCK.now_ms)
+    _account: MemoryAccount | None = None
+    _claim: Claim | None = None
+    _held_bytes: int = 0
+    _unparsed_bytes: int = 0
+    _resumed: trio.Event = attrs.field(factory=trio.Event)
 
     @_h11.default
     def _create_h11(self) -> h11.Connection:
@@ -108,6 +118,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
+        self._resumed.set()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in flight or has reached the socket."""
@@ -116,14 +127,40 @@
 
     async def run(self) -> None:
         """Read until the caller or this side closes the connection."""
+        self._stream.on_drained = self._resume
         try:
             while not self._stream.is_closed:
                 data = await self._receive()
                 if self._stream.is_finishing or not self._feed(data):
                     return
+                while self._must_wait and not self._stream.is_closed:
+                    await self._wait_until_read()
         finally:
+            self._stream.on_drained = None
             if self._is_request_pending:
                 self._on_disconnect(self)
+            self._release_memory()
+
+    @property
+    def _must_wait(self) -> bool:
+        return (
+            (self._claim is not None and self._claim.is_waiting)
+            or self._unparsed_bytes > _MAX_UNPARSED_BYTES
+            or self._stream.unsent_bytes > _MAX_UNREAD_BYTES
+        )
+
+    async def _wait_until_read(self) -> None:
+        """Wait while the connection must not be read; close it if its caller reads nothing."""
+        unsent_bytes = self._stream.unsent_bytes
+        self._resumed = trio.Event()
+        with trio.move_on_after(defaults.REQUEST_READ_TIMEOUT_MS / MS_PER_SECOND) as scope:
+            await self._resumed.wait()
+        is_stuck = unsent_bytes > _MAX_UNREAD_BYTES and self._stream.unsent_bytes >= unsent_bytes
+        if scope.cancelled_caught and is_stuck:
+            self._stream.close()
+
+    def _resume(self) -> None:
+        self._resumed.set()
 
     async def _receive(self) -> bytes:
         """Return the next bytes; reject a request that is not complete before its read timeout."""
@@ -142,8 +179,11 @@
         """Parse bytes; return whether the connection stays open."""
         try:
             self._h11.receive_data(data)
-            if not self._is_request_pending:
+            if self._is_request_pending:
+                self._unparsed_bytes += len(data)
+            else:
                 self._parse()
+                self._reserve_body()
             return bool(data) and not self._stream.is_closed
         except h11.RemoteProtocolError as error:
             self._reject(_protocol_error_code(error), str(error))
@@ -171,6 +211,9 @@
     def _begin_request(self, head: h11.Request) -> None:
         self._head = head
         self._body = bytearray()
+        announced = _announced_size(head)
+        if announced is not None and announced > self._max_body_bytes:
+            raise self._oversize()
         if self._h11.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.send(self._h11.send(continue_response) or b"")
@@ -178,8 +221,53 @@
     def _add_to_body(self, data: bytes | bytearray) -> None:
         self._body += data
         if len(self._body) > self._max_body_bytes:
-            detail = f"the body exceeds {self._max_body_bytes} bytes"
-            raise GooseberrydockError(OVERSIZE_REQUEST, Step.ENTRY, self.peer_host, detail)
+            raise self._oversize()
+
+    def _oversize(self) -> GooseberrydockError:
+        detail = f"the body exceeds {self._max_body_bytes} bytes"
+        return GooseberrydockError(OVERSIZE_REQUEST, Step.ENTRY, self.peer_host, detail)
+
+    def _reserve_body(self) -> None:
+        """Reserve the memory of a body that has begun to arrive."""
+        head, account, now_ms = self._head, self._account, _CLOCK.now_ms()
+        if head is None or account is None or self._is_request_pending:
+            return
+        if self._claim is None:
+            self._claim = account.open_claim(
+                now_ms, ClaimKind.REQUEST, self._resume, self._refuse_incomplete
+            )
+        self._claim.on_progress(now_ms, len(self._body))
+        announced = _announced_size(head)
+        if announced is not None:
+            self._claim.reserve(now_ms, announced * _BODY_COPIES)
+        else:
+            received, max_bytes = len(self._body), self._max_body_bytes
+            self._claim.reserve_growth(now_ms, received * _BODY_COPIES, max_bytes * _BODY_COPIES)
+
+    def _refuse_incomplete(self, reason: Shortage) -> None:
+        """Refuse the request in progress, which was not passed to the handler."""
+        self._claim = None
+        self._reject(MEMORY_SHORT, reason.value)
+        self._resume()
+
+    def _hold_request(self) -> None:
+        """Charge a complete request until it is answered."""
+        self._held_bytes = len(self._body) * _BODY_COPIES
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            claim.complete(self._held_bytes)
+        elif self._account is not None:
+            self._account.charge(self._held_bytes)
+
+    def _release_memory(self) -> None:
+        """Give back the memory of the request in progress or of the pending one."""
+        self._body = bytearray()
+        if self._claim is not None:
+            claim, self._claim = self._claim, None
+            claim.release()
+        if self._account is not None:
+            self._account.charge(-self._held_bytes)
+        self._held_bytes = 0
 
     def _dispatch_request(self) -> None:
         head = self._head
@@ -187,12 +275,14 @@
             return
         headers: Headers = list(head.headers)
         self._is_request_pending = True
+        self._hold_request()
         request = HttpRequest(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
             headers,
             bytes(self._body),
         )
+        self._body = bytearray()
         self._on_request(self, request)
 
     def respond(self, response: HttpResponse) -> None:
@@ -200,9 +290,12 @@
         if not self._is_request_pending or self._stream.is_closed:
             return
         self._is_request_pending = False
-        self._waiting_since = _now_ms()
-        self._head = None
+        self._waiting_since = _CLOCK.now_ms()
         self._send(response)
+        self._head = None
+        self._unparsed_bytes = 0
+        self._release_memory()
+        self._resume()
         if self._h11.our_state is h11.MUST_CLOSE:
             if self._h11.their_state is h11.MUST_CLOSE:
                 # The caller has announced that it sends nothing more.
@@ -218,6 +311,7 @@
         """Parse a request that arrived before the previous one was answered."""
         try:
             self._parse()
+            self._reserve_body()
         except h11.RemoteProtocolError as error:
             self._reject(_protocol_error_code(error), str(error))
         except GooseberrydockError as error:
@@ -254,6 +348,22 @@
         self._stream.finish()
 
 
+def _announced_size(head: h11.Request) -> int | None:
+    """Return the size of the body that a head announces, None if it is sent in chunks."""
+    size: int | None = 0
+    for name, value in head.headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            size = int(value)
+    return size
+
+
+def max_body_bytes(account: MemoryAccount) -> int:
+    """Return the size of the longest body for which an account can ever have room."""
+    return account.long_body_limit // _BODY_COPIES
+
+
 def _protocol_error_code(error: h11.RemoteProtocolError) -> ErrorCode:
     is_oversize = error.error_status_hint == _OVERSIZE_STATUS
     return OVERSIZE_REQUEST if is_oversize else MALFORMED_REQUEST
@@ -279,13 +389,16 @@
     max_body_bytes: int = defaults.MAX_BODY_BYTES,
     is_closing: Callable[[], bool] = never_closing,
     limit: ConnectionLimit | None = None,
+    account: MemoryAccount | None = None,
 ) -> None:
     """Serve HTTP on one accepted stream until it ends.
 
     While ``is_closing`` returns true, each answer carries ``Connection: close``, so that the caller
     opens a new connection.
     """
-    connection = HttpConnection(stream, on_request, on_disconnect, max_body_bytes, is_closing)
+    connection = HttpConnection(
+        stream, on_request, on_disconnect, max_body_bytes, is_closing, account=account
+    )
     await run_limited(connection, limit)
 
 
@@ -294,7 +407,7 @@
     if limit is None:
         await connection.run()
         return
-    if limit.add(_now_ms(), connection):
+    if limit.add(_CLOCK.now_ms(), connection):
         log(CONNECTIONS_LIMITED, open=limit.open, closed=limit.closed)
     try:
         await connection.run()
--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -40,6 +40,7 @@
 """Share of the account that long bodies of answers may use beside them."""
 _CONNECTION_BYTES: Final = 48 * 1024
 """Memory of one connection: its task, its parser, an incomplete head and a part of its socket."""
+_SERVICE_BYTES: Final = 8 * 1024 * 1024
 _MAX_WAIT_MS: Final[Millis] = 900.0
 """Time that a body waits for memory. Callers give up a request that is not read for a second."""
 _PATIENCE_MS: Final[Millis] = 200.0
@@ -352,6 +353,11 @@
     return MemoryAccount(limit=int(_memory_for_requests(memory_bytes) * _ACCOUNT_SHARE))
 
 
+def create_service_account() -> MemoryAccount:
+    """Create the account of the listeners for the target and operators, apart from callers."""
+    return MemoryAccount(limit=_SERVICE_BYTES)
+
+
 def max_connections(memory_bytes: int) -> int:
     """Return for how many connections a process has memory besides the account."""
     memory = _memory_for_requests(memory_bytes) * (1.0 - _ACCOUNT_SHARE)
--- a/gooseberrydock/mesh/admin_http.py
+++ b/gooseberrydock/mesh/admin_http.py
@@ -39,7 +39,9 @@
     def on_request(connection: HttpConnection, request: HttpRequest) -> None:
         connection.respond(answer_admin_request(node, node.now_ms(), request.path))
 
-    await serve_http(stream, on_request, limit=node.connection_limits[Listening.ADMIN])
+    await serve_http(
+        stream, on_request, limit=node.connection_limits[Listening.ADMIN], account=node.account
+    )
 
 
 def answer_admin_request(node: MeshNode, now_ms: Millis, request_target: str) -> HttpResponse:
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
+from gooseberrydock.memory_metrics import add_memory_metrics
 from gooseberrydock.mesh.node import MeshNode
 
 _PREFIX: Final = "gooseberrydock_"
@@ -19,6 +20,7 @@
     _add_counters(registry, node)
     _add_gauges(registry, node)
     _add_durations(registry, node)
+    add_memory_metrics(registry, node.account, node.connection_limits)
     content, headers = render(registry, [])
     return content, headers["Content-Type"]
 
@@ -40,18 +42,6 @@
             "Connections opened to the target",
         ),
     }
-    account = node.account
-    values["memory_waits"] = (account.waits, "Requests that waited for memory")
-    closed = Counter(
-        _PREFIX + "connections_closed", "Connections closed at the limit", registry=registry
-    )
-    for listening, limit in node.connection_limits.items():
-        closed.set({"listener": listening.value}, limit.closed)
-    given_up = Counter(
-        _PREFIX + "memory_refused", "Incomplete requests given up for memory", registry=registry
-    )
-    for reason, count in account.refusals.items():
-        given_up.set({"reason": reason.name.lower()}, count)
     for name, (value, text) in values.items():
         Counter(_PREFIX + name, text, registry=registry).set({}, value)
 
@@ -91,15 +81,6 @@
             "Open connections to the target",
         ),
     }
-    account = node.account
-    values["memory_limit_bytes"] = (account.limit, "Memory for requests and answers")
-    values["memory_held_bytes"] = (account.held, "Memory held or reserved for them")
-    values["memory_peak_bytes"] = (account.peak, "Most that was held or reserved")
-    values["incomplete_bodies"] = (account.incomplete, "Bodies that have begun to arrive")
-    for listening, limit in node.connection_limits.items():
-        name = f"{listening.value}_connections"
-        values[name] = (limit.open, f"Open connections at the listener for {listening.value}")
-        values[name + "_limit"] = (limit.max_connections, "Most of them that may be open")
     if node.fleet.table_age_ms is not None:
         values["table_age_ms"] = (
             node.fleet.table_age_ms,
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -22,7 +22,12 @@
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
-from gooseberrydock.memory_account import MemoryAccount, create_memory_account, max_connections
+from gooseberrydock.memory_account import (
+    MemoryAccount,
+    create_memory_account,
+    create_service_account,
+    max_connections,
+)
 from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
 from gooseberrydock.mesh.body_transfer import IncomingAnswers, OutgoingBodies
@@ -79,6 +84,7 @@
     _first_record: Member
     _decision_log: DecisionLog
     _account: MemoryAccount = attrs.field(init=False)
+    _service_account: MemoryAccount = attrs.field(factory=create_service_account)
     _pressure_log: PressureLog = attrs.field(init=False)
     _connection_limits: dict[Listening, ConnectionLimit] = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
@@ -167,6 +173,11 @@
         """Return the account of the memory for requests and answers."""
         return self._account
 
+    @property
+    def service_account(self) -> MemoryAccount:
+        """Return the account of the listeners for the target and operators."""
+        return self._service_account
+
     @property
     def connection_limits(self) -> dict[Listening, ConnectionLimit]:
         """Return the limits of the connections at each listener."""
@@ -483,6 +494,7 @@
     def tick(self, now_ms: Millis) -> None:
         """Run the timers of requests, calls and memory."""
         self._account.tick(now_ms)
+        self._service_account.tick(now_ms)
         self._pressure_log.update(now_ms)
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
--- a/gooseberrydock/metrics.py
+++ b/gooseberrydock/metrics.py
@@ -9,6 +9,8 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
+from gooseberrydock.memory_metrics import add_memory_metrics
+
 if TYPE_CHECKING:
     from gooseberrydock.node import Node
 
@@ -19,6 +21,7 @@
     _add_answers_and_dispatches(registry, node)
     _add_counters(registry, node)
     _add_gauges(registry, node)
+    add_memory_metrics(registry, node.account, node.connection_limits)
     content, headers = render(registry, [])
     return content, headers["Content-Type"]
 
--- a/gooseberrydock/node_main.py
+++ b/gooseberrydock/node_main.py
@@ -30,6 +30,18 @@
 @setting(
     "max-body-bytes", "Largest accepted body, in bytes.", default=defaults.MAX_BODY_BYTES, type=int
 )
+@setting(
+    "memory-mb",
+    "Memory that this process may use in all, in millions of bytes.",
+    default=defaults.MEMORY_MB,
+    type=int,
+)
+@setting(
+    "max-fds",
+    f"Descriptors of this process; {defaults.FILE_DESCRIPTORS} of them are kept for files.",
+    default=defaults.MAX_DESCRIPTORS,
+    type=int,
+)
 @setting(
     "stop-timeout-ms",
     "Longest wait for calls in flight at a stop, in milliseconds.",
@@ -50,6 +62,8 @@
     store: Address | None,
     cluster_key: str,
     max_body_bytes: int,
+    memory_mb: int,
+    max_fds: int,
     stop_timeout_ms: float,
     random_seed: int,
     log_level: str,
@@ -68,6 +82,8 @@
         store=store,
         cluster_key=cluster_key.encode(),
         max_body_bytes=max_body_bytes,
+        memory_mb=memory_mb,
+        max_fds=max_fds,
         stop_timeout_ms=stop_timeout_ms,
         random_seed=random_seed,
     )
--- a/gooseberrydock/node_run.py
+++ b/gooseberrydock/node_run.py
@@ -15,6 +15,7 @@
 from gooseberrydock.http_client import ClientPool
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address
+from gooseberrydock.memory_account import MemoryAccount, create_memory_account
 from gooseberrydock.node import Node
 from gooseberrydock.node_tasks import NodeTasks
 from gooseberrydock.options import NodeOptions
@@ -32,17 +33,21 @@
     listeners: dict[str, Listener]
 
 
-def _bind_sockets(options: NodeOptions) -> _BoundSockets:
+def _bind_sockets(options: NodeOptions, account: MemoryAccount) -> _BoundSockets:
     listeners = {
-        "entry": listen(options.entry_listen, is_open=False),
-        "local": listen(options.local_listen),
-        "peer": listen(options.peer_listen),
-        "admin": listen(options.admin_listen),
+        "entry": listen(
+            options.entry_listen, is_open=False, account=account, is_read_with_room=True
+        ),
+        "local": listen(options.local_listen, account=account),
+        "peer": listen(options.peer_listen, account=account),
+        "admin": listen(options.admin_listen, account=account),
     }
     return _BoundSockets(bind_gossip(options.gossip_listen, options.cluster_key), listeners)
 
 
-def _create_node(options: NodeOptions, sockets: _BoundSockets, nursery: trio.Nursery) -> Node:
+def _create_node(
+    options: NodeOptions, sockets: _BoundSockets, account: MemoryAccount, nursery: trio.Nursery
+) -> Node:
     """Create the node with its clients and random generator."""
     store = None
     if options.store is not None:
@@ -57,6 +62,7 @@
         random=random.Random(options.random_seed or None),
         target=TargetClient(nursery),
         store=store,
+        account=account,
     )
 
 
@@ -104,9 +110,10 @@
 
 async def run_node(options: NodeOptions) -> None:
     """Run a node until its graceful stop has ended."""
-    sockets = _bind_sockets(options)
+    account = create_memory_account(options.memory_bytes)
+    sockets = _bind_sockets(options, account)
     async with trio.open_nursery() as nursery:
-        node = _create_node(options, sockets, nursery)
+        node = _create_node(options, sockets, account, nursery)
         _start_tasks(node, options.seeds, nursery)
         addresses = {name: str(listener.address) for name, listener in node.listeners.items()}
         log(NODE_STARTED, node=options.node_id, gossip=str(node.gossip.address), **addresses)
--- a/gooseberrydock/options.py
+++ b/gooseberrydock/options.py
@@ -10,10 +10,13 @@
 from gooseberrydock import defaults
 from gooseberrydock.errorcodes import OPTION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.http_server import max_body_bytes
 from gooseberrydock.members import Address, parse_address
+from gooseberrydock.memory_account import BYTES_PER_MB, create_memory_account
 
 ENVIRONMENT_PREFIX: Final = "GOOSEBERRYDOCK"
 _MIN_CLUSTER_KEY_BYTES: Final = 16
+_MIN_DESCRIPTORS: Final = defaults.FILE_DESCRIPTORS + 64
 
 
 class AddressType(click.ParamType[Address]):
@@ -67,9 +70,21 @@
     store: Address | None
     cluster_key: bytes
     max_body_bytes: int
+    memory_mb: int
+    max_fds: int
     stop_timeout_ms: float
     random_seed: int
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the process may use in all."""
+        return self.memory_mb * BYTES_PER_MB
+
+    @property
+    def max_sockets(self) -> int:
+        """Return the number of descriptors for sockets."""
+        return self.max_fds - defaults.FILE_DESCRIPTORS
+
 
 def check_node_options(options: NodeOptions) -> NodeOptions:
     """Return the settings, or raise ``OPTION_INVALID`` where they are invalid or inconsistent."""
@@ -82,6 +97,12 @@
         raise _invalid(f"--cluster-key must have at least {_MIN_CLUSTER_KEY_BYTES} bytes")
     if not 0 < options.max_body_bytes <= defaults.MAX_PEER_MESSAGE_BYTES // 2:
         raise _invalid("--max-body-bytes is out of range")
+    if options.memory_mb <= 0:
+        raise _invalid("--memory-mb must be positive")
+    if options.max_body_bytes > max_body_bytes(create_memory_account(options.memory_bytes)):
+        raise _invalid("--memory-mb is too small for --max-body-bytes")
+    if options.max_fds < _MIN_DESCRIPTORS:
+        raise _invalid(f"--max-fds must be at least {_MIN_DESCRIPTORS}")
     if options.stop_timeout_ms <= 0:
         raise _invalid("--stop-timeout-ms must be positive")
     return options
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -57,7 +57,9 @@
     def on_request(connection: HttpConnection, request: HttpRequest) -> None:
         _handle_target_request(node, connection, request)
 
-    await serve_http(stream, on_request, limit=node.connection_limits[Listening.TARGET])
+    await serve_http(
+        stream, on_request, limit=node.connection_limits[Listening.TARGET], account=node.account
+    )
 
 
 async def serve_readiness(node: MeshNode, stream: Stream) -> None:
@@ -69,7 +71,9 @@
         else:
             connection.respond(_create_empty_response(200 if node.is_ready else 503))
 
-    await serve_http(stream, on_request, limit=node.connection_limits[Listening.READINESS])
+    await serve_http(
+        stream, on_request, limit=node.connection_limits[Listening.READINESS], account=node.account
+    )
 
 
 def _handle_target_request(
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -17,7 +17,7 @@
 import trio
 
 from gooseberrydock import defaults
-from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.clock import MS_PER_SECOND, Millis, system_clock
 from gooseberrydock.events import CONNECT_FAILED, DESCRIPTORS_EXHAUSTED
 from gooseberrydock.logs import RepeatedEvent, log_and_suppress_errors
 from gooseberrydock.members import Address
@@ -36,14 +36,11 @@
 """Time after the end of the sent stream in which the peer has to close its side too."""
 
 
+_CLOCK: Final = system_clock()
 _DESCRIPTORS_EXHAUSTED: Final = RepeatedEvent(DESCRIPTORS_EXHAUSTED)
 _CONNECT_FAILED: Final = RepeatedEvent(CONNECT_FAILED)
 
 
-def _now_ms() -> Millis:
-    return trio.current_time() * MS_PER_SECOND
-
-
 @attrs.define(eq=False)
 class Stream:
     """One non-blocking TCP connection.
@@ -290,7 +287,7 @@
     try:
         new_socket = socket.socket(family, socket.SOCK_STREAM)
     except OSError as error:
-        _DESCRIPTORS_EXHAUSTED.log(_now_ms(), peer=str(address), detail=str(error))
+        _DESCRIPTORS_EXHAUSTED.log(_CLOCK.now_ms(), peer=str(address), detail=str(error))
         return None
     is_connected = False
     try:
@@ -298,7 +295,7 @@
         with trio.move_on_after(timeout_ms / MS_PER_SECOND):
             is_connected = await _connect_socket(new_socket, address)
     except OSError as error:
-        _CONNECT_FAILED.log(_now_ms(), peer=str(address), detail=str(error))
+        _CONNECT_FAILED.log(_CLOCK.now_ms(), peer=str(address), detail=str(error))
     finally:
         if not is_connected:
             new_socket.close()
@@ -359,7 +356,7 @@
                     return
                 except OSError as error:
                     # No file descriptor is left; connections that end release some.
-                    _DESCRIPTORS_EXHAUSTED.log(_now_ms(), peer="", detail=str(error))
+                    _DESCRIPTORS_EXHAUSTED.log(_CLOCK.now_ms(), peer="", detail=str(error))
                     await trio.sleep(_ACCEPT_RETRY_DELAY_S)
 
     def _accept_one(self, handler: StreamHandler, nursery: trio.Nursery) -> None:
