Refuse an answer whose status does not exist at its head

Here the same: without a length, ended by the orderly close of its connection, the caller got 'HTTP/1.1 000' or 099 as the answer. With a length it was taken for an informational response and dropped, so that the caller waited until its time limit for an answer that was broken at once.

Cause: the parser takes any three digits; only statuses above 599 were checked, and only later, and all below 200 counted as informational. A status outside 100 to 599 is now malformed as soon as the head is complete, with and without a length: the connection is closed, the call's outcome is unknown, and the entry retries it where its kind allows or answers 502.

--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -29,6 +29,8 @@
 
 _CONTENT_LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
+_MIN_STATUS: Final = 100
+_MAX_STATUS: Final = 599
 _MAX_INFORMATIONAL_RESPONSES: Final = 16
 """Informational responses accepted before a final one; a target may send them without end."""
 
@@ -303,6 +305,8 @@
     def on_headers_complete(self) -> None:
         """Record the end of the headers and whether they delimit the body."""
         _MessageReader.on_headers_complete(self)
+        if not _MIN_STATUS <= self._status <= _MAX_STATUS:
+            raise self._malformed(f"{self._status:03d} is not a status")
         self._announced_size = 0 if self._status in BODILESS_STATUSES else None
         self._is_self_delimited = self._status in BODILESS_STATUSES
         for name, value in self._headers:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -208,6 +208,8 @@
 """Misbehaviour of a target: it resets its connection halfway through an answer without a length."""
 ENDLESS = "endless"
 """Misbehaviour of a target: it sends chunks of a body until its caller closes."""
+REQUEST_ID = b"@request-id"
+"""Stands for the ID of the request in an answer that a target sends as it is."""
 _LATE_COPY_DELAY_S = 0.03
 _ENDLESS_S = 5.0
 _CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
@@ -238,6 +240,7 @@
     make_call: Callable[[HttpRequest], Awaitable[None]] | None = None
     run_times_s: list[float] = attrs.field(factory=list)
     max_body_bytes: int = defaults.MAX_BODY_BYTES
+    raw_answer: bytes = b""
 
     @property
     def address(self) -> Address:
@@ -277,6 +280,12 @@
         response = self.behaviour(request) if self.behaviour else None
         response = response or self.default_response(request)
         misbehaviour = self.misbehaviour(request) if self.misbehaviour else ""
+        if self.raw_answer:
+            request_id = header_value(request.headers, b"request-id").encode()
+            connection._stream.send(self.raw_answer.replace(REQUEST_ID, request_id))
+            if b"content-length" not in self.raw_answer:
+                connection._stream.close_when_sent()
+            return
         if misbehaviour == ENDLESS:
             await self._send_without_end(connection._stream)
             return
