Test the account, the limits and the transfer of bodies without a network

Cases: who waits, who is given up and who never; which connection is closed; a body is refused at its head, read on with memory, and given back when its caller leaves; heads and bodies in single bytes end in time.

Two slips found by them: the first closing of a connection within five seconds of the clock's start was not reported, and the buffers of waiting connections counted against the share of long bodies.

--- a/gooseberrydock/connection_limit.py
+++ b/gooseberrydock/connection_limit.py
@@ -89,7 +89,7 @@
         self._connections.discard(victim)
         victim.close()
         self.closed += 1
-        is_first = now_ms - self._closed_at > _CALM_MS
+        is_first = now_ms - self._closed_at >= _CALM_MS
         self._closed_at = now_ms
         return is_first
 
--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -317,9 +317,11 @@
         return self.long_body_limit if is_request else self.long_answer_limit
 
     def _fits(self, claim: Claim) -> bool:
-        limit = self._limit_of(claim)
+        growth = claim.wanted - claim.size
         unread = RECEIVE_BUFFER_BYTES if claim in self._waiting else 0
-        return self.held - unread + claim.wanted - claim.size <= limit
+        all_unread = len(self._waiting) * RECEIVE_BUFFER_BYTES
+        has_share = self.held - all_unread + growth <= self._limit_of(claim)
+        return has_share and self.held - unread + growth <= self.limit
 
     def _grant(self, claim: Claim) -> None:
         growth, claim.size = claim.wanted - claim.size, claim.wanted
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -13,7 +13,7 @@
 
 from gooseberrydock.clock import ManualTime, manual_clock
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
-from gooseberrydock.memory_account import create_memory_account
+from gooseberrydock.memory_account import MemoryAccount, create_memory_account
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
     CallerRequest,
@@ -23,6 +23,8 @@
 from gooseberrydock.mesh.model import DEFAULT_LIMITS, EMPTY_ROUTE
 from gooseberrydock.stream import Stream
 
+_LIMITS = attrs.evolve(DEFAULT_LIMITS, max_body_bytes=64 * 1024 * 1024)
+
 
 @attrs.define(eq=False)
 class _FakeStream:
@@ -102,6 +104,8 @@
     stream: _FakeStream
     sink: _Sink
     to_node: trio.MemorySendChannel[bytes]
+    time: ManualTime
+    account: MemoryAccount
     is_stopping: bool = False
 
     def send(self, *requests: str) -> None:
@@ -120,28 +124,29 @@
     return head.encode() + body
 
 
-def _make_fixture() -> _Fixture:
+def _make_fixture(memory_bytes: int = 300_000_000) -> _Fixture:
     to_node, received = trio.open_memory_channel[bytes](1_000)
-    stream, sink = _FakeStream(received), _Sink()
+    stream, sink, time = _FakeStream(received), _Sink(), ManualTime()
+    account = create_memory_account(memory_bytes)
     fixture: _Fixture
     connection = create_caller_connection(
         cast(Stream, stream),
         sink,
-        manual_clock(ManualTime()),
-        DEFAULT_LIMITS,
+        manual_clock(time),
+        _LIMITS,
         lambda: fixture.is_stopping,
-        create_memory_account(300_000_000),
+        account,
     )
-    fixture = _Fixture(connection, stream, sink, to_node)
+    fixture = _Fixture(connection, stream, sink, to_node, time, account)
     return fixture
 
 
-class PipelineCases(unittest.TestCase):
-    """Requests that were sent before earlier ones were answered."""
+class _FixtureCase(unittest.TestCase):
+    """Run a scenario beside the task that reads the connection."""
 
-    def _run(self, scenario: object) -> None:
+    def _run(self, scenario: object, memory_bytes: int = 300_000_000) -> None:
         async def main() -> None:
-            fixture = _make_fixture()
+            fixture = _make_fixture(memory_bytes)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(fixture.connection.run)
                 with trio.fail_after(5):
@@ -150,6 +155,10 @@
 
         trio.run(main)
 
+
+class PipelineCases(_FixtureCase):
+    """Requests that were sent before earlier ones were answered."""
+
     def test_reads_run_together_and_are_answered_in_order(self) -> None:
         async def scenario(fixture: _Fixture) -> None:
             fixture.send("GET /a", "GET /b", "GET /c")
@@ -274,3 +283,140 @@
             self.assertEqual(paths, fixture.sink.paths)
 
         self._run(scenario)
+
+
+class MemoryCases(_FixtureCase):
+    """Requests that are refused, or wait, because of their size or their pace."""
+
+    def _send_head(self, fixture: _Fixture, *fields: str, beginning: bytes = b"") -> None:
+        head = "\r\n".join(["POST /a HTTP/1.1", "host: x", *fields, "", ""])
+        fixture.to_node.send_nowait(head.encode() + beginning)
+
+    def test_body_announced_above_the_limit_is_refused_at_its_head(self) -> None:
+        # The announced length was not looked at before as many bytes had arrived.
+        async def scenario(fixture: _Fixture) -> None:
+            self._send_head(fixture, f"content-length: {_LIMITS.max_body_bytes + 1}")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertRegex(fixture.stream.sent, rb"HTTP/1.1 413 (?s:.)*not-run")
+            self.assertTrue(fixture.stream.is_finishing)
+
+        self._run(scenario)
+
+    def test_body_that_can_never_have_room_is_refused_at_its_head(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            self._send_head(fixture, f"content-length: {fixture.account.long_body_limit + 1}")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertRegex(fixture.stream.sent, rb"HTTP/1.1 413 (?s:.)*not-run")
+
+        self._run(scenario, memory_bytes=100_000_000)
+
+    def test_body_without_memory_is_refused_as_not_run(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            account = fixture.account
+            account.charge(account.long_body_limit)
+            self._send_head(fixture, "content-length: 1000000", beginning=b"x")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(b"", fixture.stream.sent)
+            for _ in range(50):
+                account.tick(fixture.time.advance(25.0))
+            self.assertRegex(fixture.stream.sent, rb"HTTP/1.1 503 (?s:.)*retry-after(?s:.)*not-run")
+            self.assertEqual(account.long_body_limit, account.held)
+            self.assertEqual([], fixture.sink.paths)
+
+        self._run(scenario)
+
+    def test_body_is_read_on_once_there_is_memory(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            account = fixture.account
+            account.charge(account.long_body_limit)
+            body = b"x" * 200_000
+            self._send_head(fixture, f"content-length: {len(body)}", "expect: 100-continue")
+            fixture.to_node.send_nowait(body)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(1, fixture.stream.received.statistics().current_buffer_used)
+            self.assertEqual(b"", fixture.stream.sent)
+            account.charge(-account.long_body_limit)
+            self.assertIn(b"100 Continue", fixture.stream.sent)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(["/a"], fixture.sink.paths)
+            self.assertEqual(len(body), fixture.sink.started[0].request.body_bytes)
+            fixture.sink.answer("/a")
+            self.assertEqual(0, account.held)
+
+        self._run(scenario)
+
+    def test_memory_is_given_back_when_the_caller_leaves(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.send("PUT /a")
+            self._send_head(fixture, "content-length: 1000000", beginning=b"x" * 1_000)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertGreater(fixture.account.held, 1_000_000)
+            fixture.to_node.close()
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(0, fixture.account.held)
+            self.assertEqual(0, fixture.account.incomplete)
+
+        self._run(scenario)
+
+    def test_close_is_noticed_beside_a_request_with_a_long_body(self) -> None:
+        # A connection with a body above the bound on queued ones was not read until the answer.
+        async def scenario(fixture: _Fixture) -> None:
+            body = b"x" * 2_000_000
+            self._send_head(fixture, f"content-length: {len(body)}", beginning=body)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(["/a"], fixture.sink.paths)
+            fixture.to_node.close()
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(["/a"], fixture.sink.disconnected)
+
+        self._run(scenario)
+
+    def test_head_in_single_bytes_does_not_outlast_its_time(self) -> None:
+        # Each byte started the time of the head anew.
+        async def scenario(fixture: _Fixture) -> None:
+            for byte in b"GET /abc":
+                fixture.to_node.send_nowait(bytes([byte]))
+                await trio.testing.wait_all_tasks_blocked()
+                now_ms = fixture.time.advance(_LIMITS.header_timeout_ms / 4)
+                fixture.connection.close_if_timed_out(now_ms, _LIMITS)
+            self.assertRegex(fixture.stream.sent, rb"HTTP/1.1 408 (?s:.)*not-run")
+
+        self._run(scenario)
+
+    def test_body_in_single_bytes_does_not_outlast_its_time(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            self._send_head(fixture, "content-length: 1000000")
+            for _ in range(70):
+                fixture.to_node.send_nowait(b"x")
+                await trio.testing.wait_all_tasks_blocked()
+                now_ms = fixture.time.advance(1_000.0)
+                fixture.connection.close_if_timed_out(now_ms, _LIMITS)
+            self.assertRegex(fixture.stream.sent, rb"HTTP/1.1 408 (?s:.)*not-run")
+
+        self._run(scenario)
+
+    def test_no_further_request_is_started_while_answers_are_unread(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.send("POST /a", "POST /b")
+            await trio.testing.wait_all_tasks_blocked()
+            fixture.stream.unsent_bytes = 1_000_000
+            fixture.sink.answer("/a")
+            self.assertEqual(["/a"], fixture.sink.paths)
+            fixture.stream.unsent_bytes = 0
+            assert fixture.stream.on_drained is not None
+            fixture.stream.on_drained()
+            self.assertEqual(["/a", "/b"], fixture.sink.paths)
+
+        self._run(scenario)
+
+    def test_connection_whose_answers_stay_unread_is_closed(self) -> None:
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.send("GET /a")
+            await trio.testing.wait_all_tasks_blocked()
+            fixture.stream.unsent_bytes = 1_000
+            for _ in range(3):
+                now_ms = fixture.time.advance(_LIMITS.idle_timeout_ms * 0.6)
+                fixture.connection.close_if_timed_out(now_ms, _LIMITS)
+            self.assertTrue(fixture.stream.is_closed)
+
+        self._run(scenario)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -78,6 +78,30 @@
 )
 _OTHER_MESSAGES = st.one_of(
     st.builds(messages.Cancel, call_id=_NUMBERS),
+    st.builds(
+        messages.RoutedCall,
+        call_id=_NUMBERS,
+        route=_SHORT_TEXTS,
+        service=_SHORT_TEXTS,
+        caller_service=_SHORT_TEXTS,
+        method=_SHORT_TEXTS,
+        request_target=_SHORT_TEXTS,
+        headers=_HEADERS,
+        body=st.binary(max_size=9),
+        remaining_ms=_FLOATS,
+        priority=st.integers(0, 9),
+        has_alternative=st.booleans(),
+        body_bytes=_NUMBERS,
+        body_hash=st.integers(0, 2**64 - 1),
+        long_body=st.none(),
+    ),
+    st.builds(
+        messages.BodyPart,
+        call_id=_NUMBERS,
+        of_answer=st.booleans(),
+        data=st.binary(max_size=30),
+    ),
+    st.builds(messages.BodyCredit, call_id=_NUMBERS, of_answer=st.booleans(), size=_NUMBERS),
     st.builds(messages.KeepAlive, token=_NUMBERS, is_reply=st.booleans()),
     st.builds(messages.Leaving, node_id=_SHORT_TEXTS, incarnation=_NUMBERS),
     st.builds(
