Soak: crowds of clients that stay within no limits, beside stops, kills and changes

None of their requests is complete, so that none may run.

The trace (timeline and log of the run): node-1's server left at 2.9 s and started again at 3.4 s by another fault of the soak; the 'late heartbeat' at 4.2 s then bore the start time of the new start, so that the node rightly used it. The late heartbeat now bears the start that left, so that any run after the drain time is wrong, as it was meant.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -322,6 +322,10 @@
     async def announce(self) -> int:
         """Send one heartbeat; return the status of the response, 0 without a response."""
         self.sequence += 1
+        return await self.announce_late(self.born, self.sequence)
+
+    async def announce_late(self, born: int, sequence: int) -> int:
+        """Send the heartbeat of a start; return the status of the response, 0 without one."""
         fields = {
             "service": self.service,
             "address": str(self.address),
@@ -330,8 +334,8 @@
             "slots": self.slots,
             "state": self.state,
             "coldLeftMs": 0,
-            "sequence": self.sequence,
-            "born": self.born,
+            "sequence": sequence,
+            "born": born,
         }
         return await self._send_to_node("PUT", json.dumps(fields).encode())
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,7 @@
     running_platform_fleet,
 )
 from tests.platform_standins import BROKEN_OFF, ENDLESS, LATE_COPY
+from tests.soak_crowds import MACHINE, CrowdSoak
 from tests.soak_statements import Origin, StatementSoak
 
 _REQUEST_RATE_PER_S: Final = 30.0
@@ -105,6 +106,8 @@
     """Decides on what servers state, and on restores of the store."""
     _leavings_random: random.Random
     """Decides on servers that leave just before their node is killed, and on answers broken off."""
+    _crowds_random: random.Random
+    """Decides on clients that stay within no limits."""
     _sent_requests: dict[str, SentRequest] = attrs.field(factory=dict)
     _runs: Counter[str] = attrs.field(factory=Counter)
     _violations: list[str] = attrs.field(factory=list)
@@ -128,6 +131,15 @@
         """Let servers state limits and their leaving, and restore the store."""
         await self._statements.inject(until)
 
+    async def inject_crowds(self, until: float) -> None:
+        """Send crowds of clients that stay within no limits."""
+        crowds = CrowdSoak(
+            self._fleet, self._crowds_random, self._record_event, self._violations.append
+        )
+        await crowds.inject(until)
+        for node in self._fleet.nodes:
+            crowds.check_memory(node)
+
     @property
     def violations(self) -> list[str]:
         """Return the violations found so far."""
@@ -359,6 +371,7 @@
         node.sends_heartbeats = False
         late_sequence = server.sequence + 1
         server.sequence += 1
+        left_start = server.born
         if await server.leave() == 200:
             acknowledged_at = self._drained_at[node.node_id] = trio.current_time()
             self._record_event("its server has left", node.node_id)
@@ -367,8 +380,8 @@
             await trio.sleep(generator.uniform(0.1, 1.0))
             self._restart(node)
             await trio.sleep(generator.uniform(0.2, 2.0))
-            server.sequence = late_sequence - 1
-            self._record_event(f"late heartbeat: {await server.announce()}", node.node_id)
+            status = await server.announce_late(left_start, late_sequence)
+            self._record_event(f"late heartbeat: {status}", node.node_id)
             ends_at = acknowledged_at + _DRAIN_TIME_S + _WATCH_AFTER_DRAIN_S
             await trio.sleep(max(0.0, ends_at - trio.current_time()))
             del self._drained_at[node.node_id]
@@ -566,6 +579,7 @@
     rng = random.Random(options.seed)
     with tempfile.TemporaryDirectory() as name:
         async with running_platform_fleet(Path(name), options.program) as fleet:
+            fleet.machine = MACHINE
             for number in range(options.nodes):
                 service = "web" if number % _DEFAULT_NODES == _DEFAULT_NODES - 1 else "shop"
                 await fleet.add(service, f"z{number % 2}", proxied=True)
@@ -577,6 +591,7 @@
                 random.Random(options.seed + 1),
                 random.Random(options.seed + 2),
                 random.Random(options.seed + 3),
+                random.Random(options.seed + 4),
             )
             for node in fleet.nodes:
                 soak.watch_server(node)
@@ -588,6 +603,7 @@
                 nursery.start_soon(soak.probe_configurations, until)
                 nursery.start_soon(soak.inject_statements, until)
                 nursery.start_soon(soak.inject_leavings, until)
+                nursery.start_soon(soak.inject_crowds, until)
             await soak.check_recovery()
             await soak.check_store()
             await soak.check_start_of_all()
