Do not count against a caller the time in which its connection is not read

A head whose rest lay in the socket was answered 408: its time ran from its first byte, also while the node did not read the connection because earlier requests or memory were due, or while the process was paused. The time starts anew when reading goes on, and a late head or body is judged only when nothing lies unread. Both tests fail on the code before.

--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -141,6 +141,7 @@
     _last_active_at: Millis = 0.0
     _message_began_at: Millis = 0.0
     _is_message_timed: bool = False
+    _is_paused: bool = False
     _unread_bytes: int = 0
     _unread_since: Millis = 0.0
 
@@ -172,12 +173,16 @@
         buffer_bytes = RECEIVE_BUFFER_BYTES if self._is_full else 0
         self._account.charge(buffer_bytes)
         self._pause_claim(True)
+        self._is_paused = True
         try:
             while self._must_wait and not self._stream.is_closed:
                 self._has_room = trio.Event()
                 await self._has_room.wait()
         finally:
             self._pause_claim(False)
+            # The time in which the connection was not read is not its caller's.
+            self._is_paused = False
+            self._message_began_at = self._clock.now_ms()
             self._account.charge(-buffer_bytes)
 
     def advance(self) -> None:
@@ -241,12 +246,15 @@
         """Close the connection if its caller is too slow or has been idle for too long."""
         if self.unread_answers(now_ms)[1] > limits.idle_timeout_ms:
             self.close_unread()
-        if self._requests:
+        if self._requests or self._is_paused:
             return
         idle_ms = now_ms - self._last_active_at
         message_ms = now_ms - self._message_began_at if self._is_message_timed else 0.0
         is_head_late = self._reader.is_in_head and message_ms > limits.header_timeout_ms
-        if (is_head_late or message_ms > self._body_timeout_ms) and self._rejection is None:
+        if is_head_late or message_ms > self._body_timeout_ms:
+            if self._rejection is not None or self._stream.has_unread_bytes:
+                # What has arrived is read first; this process may have been paused.
+                return
             self._reject(GooseberrydockError(SLOW_REQUEST, Step.ENTRY, self._stream.peer_host))
         elif idle_ms > limits.idle_timeout_ms:
             if self.is_idle and not self._stream.is_finishing:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -383,6 +383,36 @@
 
         self._run(scenario)
 
+    def test_head_is_not_late_while_its_connection_is_not_read(self) -> None:
+        # A head whose rest lay in the socket was answered 408 after the requests before it.
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.account.charge(fixture.account.limit)
+            beginning = b"GET /c HTTP/1.1\r\nhost: x\r\n"
+            fixture.to_node.send_nowait(_encode("GET /a") + _encode("GET /b") + beginning)
+            fixture.to_node.send_nowait(b"\r\n")
+            await trio.testing.wait_all_tasks_blocked()
+            fixture.time.advance(_LIMITS.header_timeout_ms * 2)
+            fixture.sink.answer("/a")
+            fixture.sink.answer("/b")
+            fixture.connection.close_if_timed_out(fixture.time.value_ms, _LIMITS)
+            await trio.testing.wait_all_tasks_blocked()
+            fixture.sink.answer("/c")
+            self.assertEqual(["/a", "/b", "/c"], fixture.answers)
+
+        self._run(scenario)
+
+    def test_head_that_lies_unread_is_not_late(self) -> None:
+        # The process may have been paused.
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.to_node.send_nowait(b"GET /a HTTP/1.1\r\n")
+            await trio.testing.wait_all_tasks_blocked()
+            now_ms = fixture.time.advance(_LIMITS.header_timeout_ms * 2)
+            fixture.stream.has_unread_bytes = True
+            fixture.connection.close_if_timed_out(now_ms, _LIMITS)
+            self.assertEqual(b"", fixture.stream.sent)
+
+        self._run(scenario)
+
     def test_body_in_single_bytes_does_not_outlast_its_time(self) -> None:
         async def scenario(fixture: _Fixture) -> None:
             self._send_head(fixture, "content-length: 1000000")
