Keep the limits of a process in one object, and the routing of long bodies out of the node

Both nodes had five fields and properties of their own for the account, the limits of connections and the counts; process_limits.py holds them, and mesh/body_routing.py what MeshNode did with parts.

The tests of links, nodes, paths and single bodies pass on the change.

--- a/gooseberrydock/admin.py
+++ b/gooseberrydock/admin.py
@@ -34,8 +34,8 @@
         await serve_http(
             stream,
             self._on_request,
-            limit=self._node.connection_limits[Listening.ADMIN],
-            account=self._node.service_account,
+            limit=self._node.limits.connections[Listening.ADMIN],
+            account=self._node.limits.service_account,
         )
 
     def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
--- a/gooseberrydock/memory_metrics.py
+++ b/gooseberrydock/limit_metrics.py
@@ -6,19 +6,14 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 
 from gooseberrydock.connection_limit import ConnectionLimit, Listening
-from gooseberrydock.memory_account import MemoryAccount
-from gooseberrydock.rejections import RejectionLog
+from gooseberrydock.process_limits import ProcessLimits
 
 _PREFIX: Final = "gooseberrydock_"
 
 
-def add_memory_metrics(
-    registry: Registry,
-    account: MemoryAccount,
-    limits: Mapping[Listening, ConnectionLimit],
-    rejections: RejectionLog,
-) -> None:
+def add_limit_metrics(registry: Registry, limits: ProcessLimits) -> None:
     """Add what is held, what waits and what was refused or closed."""
+    account, rejections = limits.account, limits.rejections
     gauges = {
         "memory_limit_bytes": (account.limit, "Memory for requests and answers"),
         "memory_held_bytes": (account.held, "Memory held or reserved for them"),
@@ -43,7 +38,7 @@
         _PREFIX + "unread_closed", "Connections closed with unread answers", registry=registry
     )
     unread.set({}, rejections.unread_closed)
-    _add_connections(registry, limits)
+    _add_connections(registry, limits.connections)
 
 
 def _add_connections(registry: Registry, limits: Mapping[Listening, ConnectionLimit]) -> None:
--- a/gooseberrydock/mesh/admin_http.py
+++ b/gooseberrydock/mesh/admin_http.py
@@ -40,7 +40,10 @@
         connection.respond(answer_admin_request(node, node.now_ms(), request.path))
 
     await serve_http(
-        stream, on_request, limit=node.connection_limits[Listening.ADMIN], account=node.account
+        stream,
+        on_request,
+        limit=node.limits.connections[Listening.ADMIN],
+        account=node.limits.service_account,
     )
 
 
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -8,7 +8,7 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
-from gooseberrydock.memory_metrics import add_memory_metrics
+from gooseberrydock.limit_metrics import add_limit_metrics
 from gooseberrydock.mesh.node import MeshNode
 
 _PREFIX: Final = "gooseberrydock_"
@@ -20,7 +20,7 @@
     _add_counters(registry, node)
     _add_gauges(registry, node)
     _add_durations(registry, node)
-    add_memory_metrics(registry, node.account, node.connection_limits, node.rejections)
+    add_limit_metrics(registry, node.limits)
     content, headers = render(registry, [])
     return content, headers["Content-Type"]
 
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -12,25 +12,14 @@
 import trio
 
 from gooseberrydock.clock import Clock, Millis
-from gooseberrydock.connection_limit import (
-    ConnectionLimit,
-    Listening,
-    create_connection_limits,
-)
+from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.events import CONNECTIONS_LIMITED, LOAD_STATE, TARGET_LEAVING_ANSWERED, WORK_CUT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
-from gooseberrydock.memory_account import (
-    MemoryAccount,
-    create_memory_account,
-    create_service_account,
-    max_connections,
-)
-from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.mesh.admission_queue import AdmissionQueue
-from gooseberrydock.mesh.body_transfer import IncomingAnswers, OutgoingBodies
+from gooseberrydock.mesh.body_routing import LOCAL_LINK_ID, BodyRouter
 from gooseberrydock.mesh.caller_connections import (
     CallerConnection,
     CallerRequest,
@@ -65,11 +54,9 @@
     TargetNotice,
 )
 from gooseberrydock.peer_links import PeerLink, PeerLinks
-from gooseberrydock.rejections import RejectionLog
+from gooseberrydock.process_limits import ProcessLimits, create_process_limits
 from gooseberrydock.stream import Stream
 
-_LOCAL_LINK_ID: Final = ""
-"""The link ID of calls that originate on this node."""
 _UNREAD_MS: Final[Millis] = 500.0
 """Time for which a caller reads nothing of its answers before they are given up, if need be."""
 
@@ -84,32 +71,18 @@
     _controllers: NodeControllers
     _first_record: Member
     _decision_log: DecisionLog
-    _account: MemoryAccount = attrs.field(init=False)
-    _service_account: MemoryAccount = attrs.field(factory=create_service_account)
-    _rejections: RejectionLog = attrs.field(factory=RejectionLog)
-    _pressure_log: PressureLog = attrs.field(init=False)
-    _connection_limits: dict[Listening, ConnectionLimit] = attrs.field(init=False)
+    _limits: ProcessLimits = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
-    _outgoing_bodies: OutgoingBodies = attrs.field(init=False)
-    _incoming_answers: IncomingAnswers = attrs.field(init=False)
+    _bodies: BodyRouter = attrs.field(init=False)
     _target_dispatcher: TargetDispatcher = attrs.field(init=False)
     _fleet: FleetView = attrs.field(init=False)
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
     _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
     _is_stopping: bool = False
 
-    @_account.default
-    def _create_account(self) -> MemoryAccount:
-        return create_memory_account(self._options.memory_bytes)
-
-    @_pressure_log.default
-    def _create_pressure_log(self) -> PressureLog:
-        return PressureLog(self._account)
-
-    @_connection_limits.default
-    def _create_connection_limits(self) -> dict[Listening, ConnectionLimit]:
-        memory_connections = max_connections(self._options.memory_bytes)
-        return create_connection_limits(self._options.max_sockets, memory_connections)
+    @_limits.default
+    def _create_limits(self) -> ProcessLimits:
+        return create_process_limits(self._options.memory_bytes, self._options.max_sockets)
 
     def __attrs_post_init__(self) -> None:
         self._links = PeerLinks(
@@ -123,21 +96,20 @@
             key=b"",
             on_opened=self._on_link_opened,
             on_silent=self._on_link_silent,
-            account=self._account,
-            on_drained=lambda link: self._outgoing_bodies.pump(link.link_id),
+            account=self._limits.account,
+            on_drained=lambda link: self._bodies.on_link_drained(link),
         )
-        self._outgoing_bodies = OutgoingBodies(self, self._account)
-        self._incoming_answers = IncomingAnswers(self._account, self._clock)
+        self._bodies = BodyRouter(self, self._links, self._limits.account, self._clock)
         self._target_dispatcher = TargetDispatcher(
             owner=self,
             clock=self._clock,
             controllers=self._controllers,
             pool=TargetPool(
-                self._options.target_address, self._nursery, self._clock, self._account
+                self._options.target_address, self._nursery, self._clock, self._limits.account
             ),
             header_names=self._options.headers,
             decision_log=self._decision_log,
-            account=self._account,
+            account=self._limits.account,
         )
         self._fleet = FleetView(
             owner=self,
@@ -171,24 +143,9 @@
         return self._fleet
 
     @property
-    def account(self) -> MemoryAccount:
-        """Return the account of the memory for requests and answers."""
-        return self._account
-
-    @property
-    def service_account(self) -> MemoryAccount:
-        """Return the account of the listeners for the target and operators."""
-        return self._service_account
-
-    @property
-    def rejections(self) -> RejectionLog:
-        """Return the counts of requests rejected before they were passed on."""
-        return self._rejections
-
-    @property
-    def connection_limits(self) -> dict[Listening, ConnectionLimit]:
-        """Return the limits of the connections at each listener."""
-        return self._connection_limits
+    def limits(self) -> ProcessLimits:
+        """Return what callers may use of this process."""
+        return self._limits
 
     @property
     def entry(self) -> Entry:
@@ -227,7 +184,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests, runs and answers in flight."""
-        runs = self._target_dispatcher.in_flight + self._outgoing_bodies.open_answers
+        runs = self._target_dispatcher.in_flight + self._bodies.open_answers
         return self._controllers.entry.in_flight + runs
 
     # Caller connections.
@@ -240,11 +197,11 @@
             self._clock,
             self.table.limits,
             lambda: self._is_stopping,
-            self._account,
+            self._limits.account,
             self._options.body_timeout_ms,
-            self._rejections,
+            self._limits.rejections,
         )
-        limit = self._connection_limits[Listening.CALLERS]
+        limit = self._limits.connections[Listening.CALLERS]
         self._caller_connections.add(connection)
         if limit.add(self._clock.now_ms(), connection):
             log(CONNECTIONS_LIMITED, open=limit.open, closed=limit.closed)
@@ -294,73 +251,48 @@
 
     def send_call(self, node_id: str, call: RoutedCall) -> None:
         """Send a call to the node of a target, which may be this node."""
-        if call.long_body is not None:
-            self._outgoing_bodies.open_call(call.call_id, call.long_body)
+        self._bodies.open_call(call)
         if node_id == self._options.node_id:
-            self._target_dispatcher.on_call(_LOCAL_LINK_ID, call)
+            self._target_dispatcher.on_call(LOCAL_LINK_ID, call)
         else:
             self._links.send(node_id, call)
 
     def send_cancel(self, node_id: str, cancel: Cancel) -> None:
         """Cancel a call."""
-        self._drop_bodies_of_call(cancel.call_id)
+        self._bodies.drop_call(cancel.call_id)
         if node_id == self._options.node_id:
-            self._target_dispatcher.on_cancel(_LOCAL_LINK_ID, cancel)
+            self._target_dispatcher.on_cancel(LOCAL_LINK_ID, cancel)
         else:
             self._links.send(node_id, cancel)
 
     # Long bodies.
 
+    @property
+    def bodies(self) -> BodyRouter:
+        """Return the router of the parts of long bodies."""
+        return self._bodies
+
     def request_body(self, link_id: str, credit: BodyCredit) -> None:
         """Ask for the next bytes of a call's body."""
-        if link_id == _LOCAL_LINK_ID:
-            self._outgoing_bodies.on_credit(link_id, credit)
-        else:
-            self._links.send_on_link(link_id, credit)
+        self._bodies.request_body(link_id, credit)
 
-    def send_part(self, link_id: str, part: BodyPart) -> None:
-        """Send a part of a body."""
-        if link_id == _LOCAL_LINK_ID:
-            self._target_dispatcher.on_body_part(link_id, part)
-        else:
-            self._links.send_on_link(link_id, part)
+    def on_local_part(self, link_id: str, part: BodyPart) -> None:
+        """Pass a part of a call's body to the dispatcher of the local target."""
+        self._target_dispatcher.on_body_part(link_id, part)
 
-    def unsent_bytes(self, link_id: str) -> int:
-        """Return the bytes that a link has not sent yet."""
-        return self._links.unsent_bytes(link_id)
+    def on_complete_answer(self, answer: RoutedAnswer) -> None:
+        """Pass an answer to the entry."""
+        self._controllers.entry.on_answer(self._clock.now_ms(), answer)
 
-    def on_body_part(self, part: BodyPart, link: PeerLink) -> None:
-        """Handle a part of a body from another node."""
-        if not part.of_answer:
-            self._target_dispatcher.on_body_part(link.link_id, part)
-            return
-        answer = self._incoming_answers.on_part(part)
-        if answer is not None:
-            self._controllers.entry.on_answer(self._clock.now_ms(), answer)
-
-    def on_body_credit(self, credit: BodyCredit, link: PeerLink) -> None:
-        """Send more of a body that another node asks for."""
-        self._outgoing_bodies.on_credit(link.link_id, credit)
-
-    def on_routed_answer(self, answer: RoutedAnswer, link: PeerLink) -> None:
-        """Handle an answer, once its body has arrived if it is long."""
-        self._outgoing_bodies.drop_call(answer.call_id)
-        if not answer.body_bytes:
-            self._controllers.entry.on_answer(self._clock.now_ms(), answer)
-        elif self._controllers.entry.awaits(answer.call_id):
-            self._incoming_answers.open(link, answer)
-        else:
-            link.send(Cancel(answer.call_id))
+    def awaits(self, call_id: int) -> bool:
+        """Return whether the answer to a call is still needed."""
+        return self._controllers.entry.awaits(call_id)
 
     def on_cancel(self, cancel: Cancel, link: PeerLink) -> None:
         """Cancel a call of another node, or the rest of its answer."""
-        self._outgoing_bodies.drop_answer(link.link_id, cancel.call_id)
+        self._bodies.on_cancel(cancel, link)
         self._target_dispatcher.on_cancel(link.link_id, cancel)
 
-    def _drop_bodies_of_call(self, call_id: int) -> None:
-        self._outgoing_bodies.drop_call(call_id)
-        self._incoming_answers.drop(call_id)
-
     # The leaving of targets, which other nodes keep for the node beside the target.
 
     def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
@@ -411,13 +343,7 @@
 
     def answer_call(self, link_id: str, answer: RoutedAnswer) -> None:
         """Send the answer to a call on the link that the call arrived on."""
-        if link_id == _LOCAL_LINK_ID:
-            self._outgoing_bodies.drop_call(answer.call_id)
-            self._controllers.entry.on_answer(self._clock.now_ms(), answer)
-            return
-        if answer.long_body is not None and self._links.has_open_link(link_id):
-            self._outgoing_bodies.open_answer(link_id, answer.call_id, answer.long_body)
-        self._links.send_answer(link_id, answer)
+        self._bodies.send_answer(link_id, answer)
 
     def publish(self, write_to_store: bool = True) -> None:
         """Publish the changed state of this node or its target to other nodes."""
@@ -436,7 +362,7 @@
 
     def notify_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Send the currently admitted shares to a node that recently sent calls."""
-        if link_id == _LOCAL_LINK_ID:
+        if link_id == LOCAL_LINK_ID:
             self.on_share_notice(self._options.node_id, notice)
         else:
             self._links.send_answer(link_id, notice)
@@ -490,16 +416,15 @@
         now_ms = self._clock.now_ms()
         awaited = self._controllers.entry.on_calls_silent(now_ms, link.node_id, call_ids)
         for call_id in set(call_ids).difference(awaited):
-            self._drop_bodies_of_call(call_id)
+            self._bodies.drop_call(call_id)
         return awaited
 
     def _on_link_lost(
         self, link: PeerLink, unsent: list[int], sent: list[int], code: ErrorCode
     ) -> None:
-        if not self._links.has_open_link(link.link_id):
-            self._outgoing_bodies.drop_link(link.link_id)
+        self._bodies.on_link_lost(link)
         for call_id in itertools.chain(unsent, sent):
-            self._drop_bodies_of_call(call_id)
+            self._bodies.drop_call(call_id)
         self._target_dispatcher.on_link_lost(link.link_id)
         self._controllers.entry.on_calls_lost(self._clock.now_ms(), link.node_id, unsent, sent)
 
@@ -507,9 +432,7 @@
 
     def tick(self, now_ms: Millis) -> None:
         """Run the timers of requests, calls and memory."""
-        self._account.tick(now_ms)
-        self._service_account.tick(now_ms)
-        self._pressure_log.update(now_ms)
+        self._limits.tick(now_ms)
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
         self._answer_decided_leavings(now_ms)
@@ -541,7 +464,7 @@
         unread = [(item, *item.unread_answers(now_ms)) for item in self._caller_connections]
         unread.sort(key=lambda item: item[1], reverse=True)
         for connection, size, unread_ms in unread:
-            if not self._account.is_short or not size:
+            if not self._limits.account.is_short or not size:
                 return
             if unread_ms >= _UNREAD_MS:
                 connection.close_unread()
@@ -645,17 +568,17 @@
 
 @handle_message.register
 def _(message: RoutedAnswer, node: MeshNode, link: PeerLink) -> None:
-    node.on_routed_answer(message, link)
+    node.bodies.on_answer(message, link)
 
 
 @handle_message.register
 def _(message: BodyPart, node: MeshNode, link: PeerLink) -> None:
-    node.on_body_part(message, link)
+    node.bodies.on_part(message, link)
 
 
 @handle_message.register
 def _(message: BodyCredit, node: MeshNode, link: PeerLink) -> None:
-    node.on_body_credit(message, link)
+    node.bodies.on_credit(message, link)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -186,7 +186,7 @@
                 listener = listen(
                     address,
                     is_local=address != options.peer_listen,
-                    account=node.account,
+                    account=node.limits.account,
                     is_read_with_room=address == options.entry_listen,
                 )
                 self._listeners[address] = listener
--- a/gooseberrydock/metrics.py
+++ b/gooseberrydock/metrics.py
@@ -9,7 +9,7 @@
 from aioprometheus.collectors import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
-from gooseberrydock.memory_metrics import add_memory_metrics
+from gooseberrydock.limit_metrics import add_limit_metrics
 
 if TYPE_CHECKING:
     from gooseberrydock.node import Node
@@ -21,7 +21,7 @@
     _add_answers_and_dispatches(registry, node)
     _add_counters(registry, node)
     _add_gauges(registry, node)
-    add_memory_metrics(registry, node.account, node.connection_limits, node.rejections)
+    add_limit_metrics(registry, node.limits)
     content, headers = render(registry, [])
     return content, headers["Content-Type"]
 
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -8,11 +8,7 @@
 
 from gooseberrydock import messages
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
-from gooseberrydock.connection_limit import (
-    ConnectionLimit,
-    Listening,
-    create_connection_limits,
-)
+from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import ErrorCode
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
@@ -37,15 +33,13 @@
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address, Member, MemberState, decode_member
 from gooseberrydock.membership import SendGossip, create_membership
-from gooseberrydock.memory_account import MemoryAccount, create_service_account, max_connections
-from gooseberrydock.memory_pressure import PressureLog
 from gooseberrydock.node_core import NodeCore, create_node_core
 from gooseberrydock.node_stop import GracefulStop
 from gooseberrydock.options import NodeOptions
 from gooseberrydock.ownership_loop import OwnershipLoop
 from gooseberrydock.peer_dispatch import handle_message
 from gooseberrydock.peer_links import PeerLink, PeerLinks
-from gooseberrydock.rejections import RejectionLog
+from gooseberrydock.process_limits import ProcessLimits
 from gooseberrydock.store_client import StoreClient
 from gooseberrydock.stream import Listener, Stream
 from gooseberrydock.target_client import (
@@ -76,7 +70,7 @@
     _random: random.Random
     _target: TargetClient
     _store: StoreClient | None
-    _account: MemoryAccount
+    _limits: ProcessLimits
     _core: NodeCore = attrs.field(init=False)
     _links: PeerLinks = attrs.field(init=False)
     _ownership_loop: OwnershipLoop = attrs.field(init=False)
@@ -86,19 +80,6 @@
     _announced_at: Millis = 0.0
     _configuration_requested_at: Millis = -_MIN_CONFIGURATION_REQUEST_INTERVAL_MS
     _is_checking_crash: bool = False
-    _connection_limits: dict[Listening, ConnectionLimit] = attrs.field(init=False)
-    _service_account: MemoryAccount = attrs.field(factory=create_service_account)
-    _rejections: RejectionLog = attrs.field(factory=RejectionLog)
-    _pressure_log: PressureLog = attrs.field(init=False)
-
-    @_connection_limits.default
-    def _create_connection_limits(self) -> dict[Listening, ConnectionLimit]:
-        memory_connections = max_connections(self._options.memory_bytes)
-        return create_connection_limits(self._options.max_sockets, memory_connections)
-
-    @_pressure_log.default
-    def _create_pressure_log(self) -> PressureLog:
-        return PressureLog(self._account)
 
     @_core.default
     def _create_core(self) -> NodeCore:
@@ -122,7 +103,7 @@
             on_lost=self.on_link_lost,
             find_address=self.find_peer_address,
             key=self._options.cluster_key,
-            account=self._account,
+            account=self._limits.account,
         )
 
     @_ownership_loop.default
@@ -235,30 +216,9 @@
     # Callers and the local target.
 
     @property
-    def account(self) -> MemoryAccount:
-        """Return the account of the memory for requests and answers."""
-        return self._account
-
-    @property
-    def service_account(self) -> MemoryAccount:
-        """Return the account of the listener for operators."""
-        return self._service_account
-
-    @property
-    def rejections(self) -> RejectionLog:
-        """Return the counts of requests rejected before they were passed on."""
-        return self._rejections
-
-    @property
-    def connection_limits(self) -> dict[Listening, ConnectionLimit]:
-        """Return the limits of the connections at each listener."""
-        return self._connection_limits
-
-    def tick_memory(self, now_ms: Millis) -> None:
-        """Take memory back for what waits, and log when the pressure begins and ends."""
-        self._account.tick(now_ms)
-        self._service_account.tick(now_ms)
-        self._pressure_log.update(now_ms)
+    def limits(self) -> ProcessLimits:
+        """Return what callers may use of this process."""
+        return self._limits
 
     async def serve_entry(self, stream: Stream) -> None:
         """Serve one caller's connection."""
@@ -268,12 +228,12 @@
             self._on_disconnect,
             self._max_body_bytes,
             self._is_leaving,
-            account=self._account,
-            rejections=self._rejections,
+            account=self._limits.account,
+            rejections=self._limits.rejections,
         )
         self._caller_connections.add(connection)
         try:
-            await run_limited(connection, self._connection_limits[Listening.CALLERS])
+            await run_limited(connection, self._limits.connections[Listening.CALLERS])
         finally:
             self._caller_connections.discard(connection)
 
@@ -289,8 +249,8 @@
             self._on_local_request,
             self._on_disconnect,
             self._max_body_bytes,
-            limit=self._connection_limits[Listening.TARGET],
-            account=self._account,
+            limit=self._limits.connections[Listening.TARGET],
+            account=self._limits.account,
         )
 
     def _is_leaving(self) -> bool:
--- a/gooseberrydock/node_run.py
+++ b/gooseberrydock/node_run.py
@@ -15,10 +15,11 @@
 from gooseberrydock.http_client import ClientPool
 from gooseberrydock.logs import log
 from gooseberrydock.members import Address
-from gooseberrydock.memory_account import MemoryAccount, create_memory_account
+from gooseberrydock.memory_account import MemoryAccount
 from gooseberrydock.node import Node
 from gooseberrydock.node_tasks import NodeTasks
 from gooseberrydock.options import NodeOptions
+from gooseberrydock.process_limits import ProcessLimits, create_process_limits
 from gooseberrydock.store_client import create_store_client
 from gooseberrydock.store_watch import StoreWatch
 from gooseberrydock.stream import Listener, listen
@@ -46,7 +47,7 @@
 
 
 def _create_node(
-    options: NodeOptions, sockets: _BoundSockets, account: MemoryAccount, nursery: trio.Nursery
+    options: NodeOptions, sockets: _BoundSockets, limits: ProcessLimits, nursery: trio.Nursery
 ) -> Node:
     """Create the node with its clients and random generator."""
     store = None
@@ -62,7 +63,7 @@
         random=random.Random(options.random_seed or None),
         target=TargetClient(nursery),
         store=store,
-        account=account,
+        limits=limits,
     )
 
 
@@ -110,10 +111,10 @@
 
 async def run_node(options: NodeOptions) -> None:
     """Run a node until its graceful stop has ended."""
-    account = create_memory_account(options.memory_bytes)
-    sockets = _bind_sockets(options, account)
+    limits = create_process_limits(options.memory_bytes, options.max_sockets)
+    sockets = _bind_sockets(options, limits.account)
     async with trio.open_nursery() as nursery:
-        node = _create_node(options, sockets, account, nursery)
+        node = _create_node(options, sockets, limits, nursery)
         _start_tasks(node, options.seeds, nursery)
         addresses = {name: str(listener.address) for name, listener in node.listeners.items()}
         log(NODE_STARTED, node=options.node_id, gossip=str(node.gossip.address), **addresses)
--- a/gooseberrydock/node_tasks.py
+++ b/gooseberrydock/node_tasks.py
@@ -49,8 +49,8 @@
             self._node.core.tick(now_ms)
             self._node.links.tick(now_ms)
             self._node.check_announcement(now_ms)
-            self._node.tick_memory(now_ms)
-            is_busy = self._node.core.is_busy or self._node.account.incomplete
+            self._node.limits.tick(now_ms)
+            is_busy = self._node.core.is_busy or self._node.limits.account.incomplete
             wait_ms = defaults.BUSY_TICK_MS if is_busy else defaults.IDLE_TICK_MS
             await trio.sleep(wait_ms / MS_PER_SECOND)
 
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -58,7 +58,10 @@
         _handle_target_request(node, connection, request)
 
     await serve_http(
-        stream, on_request, limit=node.connection_limits[Listening.TARGET], account=node.account
+        stream,
+        on_request,
+        limit=node.limits.connections[Listening.TARGET],
+        account=node.limits.service_account,
     )
 
 
@@ -72,7 +75,10 @@
             connection.respond(_create_empty_response(200 if node.is_ready else 503))
 
     await serve_http(
-        stream, on_request, limit=node.connection_limits[Listening.READINESS], account=node.account
+        stream,
+        on_request,
+        limit=node.limits.connections[Listening.READINESS],
+        account=node.limits.service_account,
     )
 
 
