Resume waiting readers also if one that was resumed has closed

A connection that waits for room in the account is resumed when memory is given back, as many at a time as there is room for. One that was closed meanwhile does not read, so that nothing is given back after it, and the others waited for an unrelated release. The tick resumes them. Found by reading; the new test fails without it.

--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -277,6 +277,9 @@
         if gap_ms > _MAX_TICK_GAP_MS:
             for claim in self._claims:
                 claim.restart_stall_time(now_ms)
+        if self._readers:
+            # One that was resumed before may have closed without reading.
+            self._resume_readers()
         if not self._waiting:
             return
         oldest_ms = max(now_ms - claim.waiting_since for claim in self._waiting)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -1,6 +1,7 @@
 """Tests of the account of memory: who gets it, who waits, and who is given up."""
 
 import unittest
+from functools import partial
 
 import attrs
 from hypothesis import given
@@ -107,10 +108,22 @@
         account.charge(_LIMIT)
         resumed: list[int] = []
         for number in range(4):
-            account.call_when_room(lambda number=number: resumed.append(number))  # type: ignore[misc]
+            account.call_when_room(partial(resumed.append, number))
         account.charge(-2 * RECEIVE_BUFFER_BYTES)
         self.assertEqual([0, 1], resumed)
 
+    def test_readers_are_resumed_although_an_earlier_one_does_not_read(self) -> None:
+        account = MemoryAccount(_LIMIT)
+        account.charge(_LIMIT)
+        resumed: list[int] = []
+        for number in range(3):
+            account.call_when_room(partial(resumed.append, number))
+        account.charge(-RECEIVE_BUFFER_BYTES)
+        self.assertEqual([0], resumed)
+        account.tick(_TICK_MS)
+        account.tick(2 * _TICK_MS)
+        self.assertEqual([0, 1, 2], resumed)
+
     @given(st.lists(st.tuples(st.integers(0, 5), st.integers(1, 20 * _MIB)), max_size=60))
     def test_reservations_never_exceed_the_limit(self, steps: list[tuple[int, int]]) -> None:
         bodies = _Bodies()
