Let more of a long body arrive unread once its memory is reserved

The bound on what lies unread in a caller's socket, 64 KiB, is also the window of the connection: a caller 8 ms away (16 ms there and back) could send 4 MB/s, so that bodies above 24 MiB missed a time limit of 6 s in calm, where before the kernel let the window grow. Reckoned, not measured: no such path can be made here.

A connection now gets a buffer of 512 KiB while a long body is read whose memory is reserved (for a body without a length with the bytes that may lie unread), and 64 KiB again when it is complete, refused or given up.

--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -25,6 +25,8 @@
 """Size up to which a body may use the whole account."""
 RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 """Bytes that the socket of a connection holds while the connection is not read."""
+LONG_RECEIVE_BUFFER_BYTES: Final = 512 * 1024
+"""The same while a long body is read, whose memory is reserved: callers may be some way off."""
 BYTES_PER_MB: Final = 1_000_000
 _GROWTH_BYTES: Final = 256 * 1024
 """Least step in which the reservation of a body without a length grows."""
--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -30,7 +30,9 @@
 )
 from gooseberrydock.http_parsing import RequestReader
 from gooseberrydock.memory_account import (
+    LONG_RECEIVE_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
+    SHORT_BODY_BYTES,
     Claim,
     ClaimKind,
     MemoryAccount,
@@ -311,6 +313,7 @@
         self._queued_bytes += held_bytes
         if self._claim is not None:
             claim, self._claim = self._claim, None
+            self._stream.set_long_receive_buffer(False)
             claim.complete(held_bytes)
         else:
             self._account.charge(held_bytes)
@@ -333,14 +336,22 @@
         if announced is not None:
             self._claim.reserve(now_ms, announced)
         else:
-            self._claim.reserve_growth(now_ms, received, self._reader.max_body_bytes)
+            # What lies unread in a long buffer is reserved as well.
+            unread = LONG_RECEIVE_BUFFER_BYTES if received > SHORT_BODY_BYTES else 0
+            max_bytes = min(self._reader.max_body_bytes + unread, self._account.long_body_limit)
+            self._claim.reserve_growth(now_ms, received + unread, max_bytes)
         self._allow_body()
 
     def _allow_body(self) -> None:
-        """Ask a caller that waits for it to send the body, once there is memory for it."""
-        is_waiting = self._claim is not None and self._claim.is_waiting
-        if not is_waiting and self._reader.wants_continue:
+        """Let the body arrive once there is memory for it."""
+        claim = self._claim
+        if claim is None or claim.is_waiting:
+            return
+        if self._reader.wants_continue:
             self._stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        is_announced = self._reader.announced_body_bytes is not None
+        if claim.size > (SHORT_BODY_BYTES if is_announced else LONG_RECEIVE_BUFFER_BYTES):
+            self._stream.set_long_receive_buffer(True)
 
     def _resume(self) -> None:
         """Read on after memory was granted."""
@@ -362,6 +373,7 @@
         self._reader.discard()
         if self._claim is not None:
             claim, self._claim = self._claim, None
+            self._stream.set_long_receive_buffer(False)
             claim.release()
 
     def _next_to_start(self) -> CallerRequest | None:
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -21,7 +21,11 @@
 from gooseberrydock.events import CONNECT_FAILED, DESCRIPTORS_EXHAUSTED
 from gooseberrydock.logs import RepeatedEvent, log_and_suppress_errors
 from gooseberrydock.members import Address
-from gooseberrydock.memory_account import RECEIVE_BUFFER_BYTES, MemoryAccount
+from gooseberrydock.memory_account import (
+    LONG_RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    MemoryAccount,
+)
 
 _BACKLOG: Final = 1024
 _ACCEPT_RETRY_DELAY_S: Final = 0.1
@@ -58,6 +62,7 @@
     _unsent: deque[bytearray | bytes | memoryview] = attrs.field(factory=deque)
     _unsent_bytes: int = 0
     _room: trio.Event | None = None
+    _has_long_buffer: bool = False
     _is_closed: bool = False
     _is_flushing: bool = False
     _closes_when_flushed: bool = False
@@ -131,6 +136,14 @@
                 return b""
         return b""
 
+    def set_long_receive_buffer(self, is_long: bool) -> None:
+        """Let more bytes arrive before they are read, or as few as at first."""
+        if is_long == self._has_long_buffer or self.is_closed:
+            return
+        self._has_long_buffer = is_long
+        size = LONG_RECEIVE_BUFFER_BYTES if is_long else RECEIVE_BUFFER_BYTES
+        _set_receive_buffer(self._socket, size)
+
     async def _wait_for_room(self) -> None:
         """Wait until the account has room for what arrives."""
         account = self._account
@@ -417,6 +430,12 @@
     new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
+def _set_receive_buffer(own_socket: socket.socket, size: int) -> None:
+    """Bound the bytes that a socket holds unread; the kernel doubles the number."""
+    with contextlib.suppress(OSError):
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
+
+
 def listen(
     address: Address,
     is_open: bool = True,
@@ -435,9 +454,8 @@
     new_socket.setblocking(False)
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     if is_read_with_room:
-        # Accepted connections inherit the size, which the kernel doubles. What arrives while they
-        # are not read stays there.
-        new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2)
+        # Accepted connections inherit the size. What arrives while they are not read stays there.
+        _set_receive_buffer(new_socket, RECEIVE_BUFFER_BYTES)
     new_socket.bind((address.host, address.port))
     if is_open:
         new_socket.listen(_BACKLOG)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -38,6 +38,7 @@
     peer_host: str = "caller"
     unsent_bytes: int = 0
     on_drained: Callable[[], None] | None = None
+    has_long_buffer: bool = False
 
     async def receive(self) -> bytes:
         """Return the next bytes, or none at the end."""
@@ -50,6 +51,10 @@
         """Keep sent bytes."""
         self.sent += data
 
+    def set_long_receive_buffer(self, is_long: bool) -> None:
+        """Record how much may arrive unread."""
+        self.has_long_buffer = is_long
+
     def finish(self) -> None:
         """Record the end of the sent stream."""
         self.is_finishing = True
@@ -345,6 +350,28 @@
 
         self._run(scenario)
 
+    def test_much_may_arrive_unread_only_while_a_long_body_has_memory(self) -> None:
+        # With a small buffer, a caller some way off could not send a long body in time.
+        async def scenario(fixture: _Fixture) -> None:
+            account = fixture.account
+            account.charge(account.long_body_limit)
+            self._send_head(fixture, "content-length: 200000", beginning=b"x")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertFalse(fixture.stream.has_long_buffer)
+            account.charge(-account.long_body_limit)
+            self.assertTrue(fixture.stream.has_long_buffer)
+            fixture.to_node.send_nowait(b"x" * 199_999)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertFalse(fixture.stream.has_long_buffer)
+            self._send_head(fixture, "transfer-encoding: chunked", beginning=b"5\r\nhello\r\n")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertFalse(fixture.stream.has_long_buffer)
+            fixture.to_node.send_nowait(b"20000\r\n" + b"x" * 0x20000 + b"\r\n")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertTrue(fixture.stream.has_long_buffer)
+
+        self._run(scenario)
+
     def test_memory_is_given_back_when_the_caller_leaves(self) -> None:
         async def scenario(fixture: _Fixture) -> None:
             fixture.send("PUT /a")
