Keep an acknowledged leaving in the store, so that it outlives all nodes

Cause: the leaving was kept by processes only. Two receipts of other nodes counted as lasting, but a loss of all nodes is to be borne. Ruled out: the notice arriving too late (the runs go on for as long as requests are sent), and the heartbeat taken for that of a later start (its start time is the same).

Change: a node writes the start that left to a key of its own, under a lease of ten minutes, and answers 200 once the store has it. It reads the key at its start and withholds its target until then; if the store does not answer, until 2 s after another node sent the route table. Other nodes keep the leaving as before, and are asked on each new link. After a restore the leaving is written again. Events 1112 and 1113 show what was known before a target was used.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -105,7 +105,19 @@
     1111,
     "target-leaving-answered",
     _INFO,
-    "The local target's leaving was acknowledged to it, or not because no other node keeps it",
+    "The local target's leaving was acknowledged to it, or not because the store does not keep it",
+)
+TARGET_RELEASED: Final = _register(
+    1112,
+    "target-released",
+    _INFO,
+    "The local target may be used: the store reported its latest leaving or did not answer in time",
+)
+LEAVING_NOT_STORED: Final = _register(
+    1113,
+    "leaving-not-stored",
+    _WARNING,
+    "The local target's leaving could not be read from the store or written to it; it is retried",
 )
 MEMBER_CHANGED: Final = _register(
     1200, "member-changed", _INFO, "The record of a member changed or was removed"
--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -34,10 +34,11 @@
 
 @attrs.frozen
 class StoreKeys:
-    """Store keys: the key of the route table and the key prefix of the node records."""
+    """Store keys: the key of the route table, and the prefixes of the node records and leavings."""
 
     table: str
     nodes: str
+    leavings: str
 
 
 @attrs.define(eq=False)
--- a/gooseberrydock/mesh/fleet_view.py
+++ b/gooseberrydock/mesh/fleet_view.py
@@ -80,6 +80,9 @@
     def on_node_changed(self, node_id: str, drops_statistics: bool) -> None:
         """Record an added, changed or removed node; drop its statistics if ``drops_statistics``."""
 
+    def on_store_restored(self) -> None:
+        """Record that the store came back from an older copy."""
+
 
 @attrs.define(eq=False)
 class FleetView:
@@ -350,6 +353,10 @@
         """Record whether the store is available to this node."""
         self._is_store_unavailable = not is_available
 
+    def on_store_restored(self) -> None:
+        """Record that the store came back from an older copy."""
+        self._owner.on_store_restored()
+
     def _read_record(self, now_ms: Millis, item: StoreItem) -> Member | None:
         """Return another node's record, or None after processing a removal or the own record."""
         node_id = item.key.removeprefix(self._keys.nodes)
--- /dev/null
+++ b/gooseberrydock/mesh/leaving_sync.py
@@ -0,0 +1,147 @@
+"""The task that keeps the leaving of the local target in the store.
+
+Other nodes keep an acknowledged leaving too (``statement_memory.py``), but all of them may end
+together with this one. A node therefore writes the start that left to one key of its own, and reads
+that key before it uses its target. The lease of the key is longer than any target takes to end, and
+longer than an announcement is on its way, so that no key has to be removed.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final, Protocol, TypeVar
+
+import attrs
+import cbor2
+import trio
+
+from gooseberrydock.backoff import Backoff
+from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.errorcodes import CONFIGURATION_CONFLICT, LEASE_ENDED, STORE_HISTORY_REPLACED
+from gooseberrydock.errors import GooseberrydockError, Step
+from gooseberrydock.events import LEAVING_NOT_STORED, RECORD_REFUSED
+from gooseberrydock.logs import log
+from gooseberrydock.mesh.store import Lease, Store, StoreItem
+from gooseberrydock.mesh.store_sync import RETRY_POLICY
+from gooseberrydock.mesh.target_registration import parse_start_id
+
+_Answer = TypeVar("_Answer")
+
+_LEAVING_TTL_MS: Final[Millis] = 600_000.0
+"""Lease TTL of a leaving; it has to outlast a host that is without power for some minutes."""
+
+
+class LeavingSink(Protocol):
+    """Receive what the store has of the local target's leaving."""
+
+    def on_leaving_recovered(self, start_id: str) -> None:
+        """Record which start of the target had left before this node's start, if any."""
+
+    def on_leaving_stored(self, start_id: str) -> None:
+        """Record that the store keeps the leaving of a start."""
+
+
+@attrs.define(eq=False)
+class LeavingSync:
+    """Recover the leaving of the local target, then store each later one."""
+
+    _store: Store
+    _sink: LeavingSink
+    _random: random.Random
+    _key: str
+    _wanted_start: str = ""
+    _stored_start: str = ""
+    _revision: int = 0
+    _lease: Lease | None = None
+    _must_write: trio.Event = attrs.field(factory=trio.Event)
+
+    def keep(self, start_id: str) -> None:
+        """Store the leaving of a start, in place of that of an earlier one."""
+        self._wanted_start = start_id
+        if start_id == self._stored_start:
+            self._sink.on_leaving_stored(start_id)
+        else:
+            self._must_write.set()
+
+    def on_store_restored(self) -> None:
+        """Store the leaving again, which the older copy may not have."""
+        self._stored_start = ""
+        self._lease = None
+        self._must_write.set()
+
+    async def run(self) -> None:
+        """Recover the latest leaving from the store, then store those that follow."""
+        await self._repeat_until_done(self._recover)
+        while True:
+            await self._must_write.wait()
+            self._must_write = trio.Event()
+            await self._repeat_until_done(self._write_wanted)
+
+    async def _repeat_until_done(self, step: Callable[[], Awaitable[None]]) -> None:
+        backoff = Backoff(self._random, RETRY_POLICY)
+        while True:
+            try:
+                await step()
+                return
+            except GooseberrydockError as error:
+                if not backoff.failures:
+                    log(LEAVING_NOT_STORED, code=error.code.number, detail=error.detail)
+                await trio.sleep(backoff.next_delay_ms() / MS_PER_SECOND)
+
+    async def _recover(self) -> None:
+        item = await self._read()
+        self._stored_start = self._decode(item) if item is not None else ""
+        self._sink.on_leaving_recovered(self._stored_start)
+        if self._wanted_start and self._wanted_start == self._stored_start:
+            self._sink.on_leaving_stored(self._stored_start)
+
+    async def _write_wanted(self) -> None:
+        start_id = self._wanted_start
+        if not start_id or start_id == self._stored_start:
+            return
+        try:
+            lease = await self._prepare_lease()
+            value = cbor2.dumps([start_id])
+            self._revision = await self._call(
+                self._store.write(self._key, value, lease.lease_id, self._revision)
+            )
+        except GooseberrydockError as error:
+            if error.code is CONFIGURATION_CONFLICT:
+                # The answer to an earlier write was lost, or the key's lease has ended.
+                await self._read()
+            elif error.code is LEASE_ENDED:
+                self._lease = None
+            raise
+        self._stored_start = start_id
+        self._sink.on_leaving_stored(start_id)
+
+    async def _prepare_lease(self) -> Lease:
+        """Return a lease that has its whole time left."""
+        if self._lease is None:
+            self._lease = await self._call(self._store.grant_lease(_LEAVING_TTL_MS))
+        else:
+            await self._call(self._store.renew_lease(self._lease.lease_id))
+        return self._lease
+
+    async def _read(self) -> StoreItem | None:
+        item = await self._call(self._store.read(self._key))
+        self._revision = item.revision if item is not None else 0
+        return item
+
+    async def _call(self, call: Awaitable[_Answer]) -> _Answer:
+        """Return the answer of the store, unless the store was restored during the call."""
+        era = self._store.era
+        answer = await call
+        if era is not None and self._store.era != era:
+            raise GooseberrydockError(STORE_HISTORY_REPLACED, Step.STORE)
+        return answer
+
+    def _decode(self, item: StoreItem) -> str:
+        """Return the start in a stored leaving, or an empty string if it is malformed."""
+        try:
+            (start_id,) = cbor2.loads(item.value or b"")
+            parse_start_id(start_id)
+        except Exception as error:
+            # The decoder processes untrusted bytes and documents no closed set of exceptions.
+            log(RECORD_REFUSED, key=item.key, revision=item.revision, detail=str(error))
+            return ""
+        return str(start_id)
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -14,7 +14,13 @@
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import CONNECTIONS_LIMITED, LOAD_STATE, TARGET_LEAVING_ANSWERED, WORK_CUT
+from gooseberrydock.events import (
+    CONNECTIONS_LIMITED,
+    LOAD_STATE,
+    TARGET_LEAVING_ANSWERED,
+    TARGET_RELEASED,
+    WORK_CUT,
+)
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
@@ -31,11 +37,13 @@
 from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
 from gooseberrydock.mesh.leaving_receipts import LeavingAnswer, LeavingReceipts
+from gooseberrydock.mesh.leaving_sync import LeavingSync
 from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import AcceptedWork, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_dispatcher import TargetDispatcher
+from gooseberrydock.mesh.target_release import TargetRelease
 from gooseberrydock.messages import (
     BodyCredit,
     BodyPart,
@@ -57,6 +65,8 @@
 from gooseberrydock.process_limits import ProcessLimits, create_process_limits
 from gooseberrydock.stream import Stream
 
+_RECOVERED_LEAVING_MS: Final[Millis] = 60_000.0
+"""Age assumed for a leaving from before this node's start, so that its drain time is over."""
 _UNREAD_MS: Final[Millis] = 500.0
 """Time for which a caller reads nothing of its answers before they are given up, if need be."""
 
@@ -78,6 +88,8 @@
     _fleet: FleetView = attrs.field(init=False)
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
     _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
+    _leaving_sync: LeavingSync | None = None
+    _target_release: TargetRelease = attrs.field(factory=TargetRelease)
     _is_stopping: bool = False
 
     @_limits.default
@@ -293,10 +305,46 @@
         self._bodies.on_cancel(cancel, link)
         self._target_dispatcher.on_cancel(link.link_id, cancel)
 
-    # The leaving of targets, which other nodes keep for the node beside the target.
+    # The leaving of targets, which the store and other nodes keep for the node beside the target.
+
+    def attach_leaving_sync(self, sync: LeavingSync) -> None:
+        """Set the task that stores leavings; withhold the target until it has read the latest."""
+        self._leaving_sync = sync
+        self._target_release.begin()
+        self._controllers.registration.withhold()
+
+    def on_leaving_recovered(self, start_id: str) -> None:
+        """Record which start of the target had left before this node's start, and use any other."""
+        if start_id:
+            notice = TargetNotice(start_id, 0.0, True, _RECOVERED_LEAVING_MS)
+            self._target_dispatcher.on_target_notice(notice)
+        if self._target_release.on_store_answer():
+            self._release_target(is_known=True)
+
+    def _release_target(self, is_known: bool) -> None:
+        registration = self._controllers.registration
+        registration.release()
+        log(
+            TARGET_RELEASED,
+            is_known=is_known,
+            start=registration.start_id,
+            is_leaving=registration.is_leaving,
+        )
+        if registration.service:
+            self.publish()
+
+    def on_leaving_stored(self, start_id: str) -> None:
+        """Record that the store keeps the leaving of a start."""
+        self._leaving_receipts.on_stored(start_id)
+        self._answer_decided_leavings(self._clock.now_ms())
+
+    def on_store_restored(self) -> None:
+        """Store the leaving of the local target again, which the store's copy may not have."""
+        if self._leaving_sync is not None:
+            self._leaving_sync.on_store_restored()
 
     def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
-        """Acknowledge the leaving of a start of the local target once other nodes keep it."""
+        """Acknowledge the leaving of a start of the local target once the store keeps it."""
         now_ms = self._clock.now_ms()
         notice = self._controllers.registration.leaving_notice(now_ms)
         if notice is None or notice.start_id != start_id:
@@ -308,6 +356,8 @@
         self._leaving_receipts.hold(
             now_ms, start_id, len(asked_nodes), self._fleet.is_alone, answer
         )
+        if self._leaving_sync is not None:
+            self._leaving_sync.keep(start_id)
         self._answer_decided_leavings(now_ms)
 
     def on_leaving_notice(self, notice: LeavingNotice, link: PeerLink) -> None:
@@ -388,6 +438,7 @@
         self._controllers.nested_routes.set_service_count(len(table.services))
         self._controllers.budget.set_service_count(len(table.services))
         self._controllers.entry.set_table(table)
+        self._target_release.on_table(self._clock.now_ms())
 
     def on_node_changed(self, node_id: str, drops_statistics: bool) -> None:
         """Record an added, changed or removed node; drop its statistics if ``drops_statistics``."""
@@ -453,6 +504,8 @@
         for connection in list(self._caller_connections):
             connection.close_if_timed_out(now_ms, self.table.limits)
         self._close_unread(now_ms)
+        if self._target_release.take_overdue(now_ms):
+            self._release_target(is_known=False)
         self._target_dispatcher.tick_maintenance(now_ms)
         self._fleet.tick_maintenance(now_ms)
         self._open_links_to_restarted_nodes(now_ms)
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -23,6 +23,7 @@
 from gooseberrydock.mesh.admin_http import serve_admin
 from gooseberrydock.mesh.controllers import StoreKeys, TableDecoder, create_controllers
 from gooseberrydock.mesh.decision_log import DecisionLog
+from gooseberrydock.mesh.leaving_sync import LeavingSync
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.options import MeshOptions, apply_settings
 from gooseberrydock.mesh.read_pacing import create_read_pacer
@@ -105,10 +106,14 @@
     async def _run_until_stopped(self, signals: AsyncIterator[int]) -> None:
         async with trio.open_nursery() as nursery:
             node = self._create_node(nursery)
-            sync = self._create_sync(node, nursery)
+            store = self._environment.open_store(nursery)
+            sync = self._create_sync(node, store)
             node.fleet.attach_store(sync)
+            leaving_sync = self._create_leaving_sync(node, store)
+            node.attach_leaving_sync(leaving_sync)
             self._listen(nursery, node)
             nursery.start_soon(self._handle_signals, node, signals)
+            nursery.start_soon(leaving_sync.run)
             nursery.start_soon(sync.watch_table, self._environment.keys.table)
             nursery.start_soon(sync.watch_records)
             nursery.start_soon(_write_first_record, node)
@@ -137,7 +142,7 @@
         controllers.create_entry(options, node, seed)
         return node
 
-    def _create_sync(self, node: MeshNode, nursery: trio.Nursery) -> StoreSync:
+    def _create_sync(self, node: MeshNode, store: Store) -> StoreSync:
         directory = node.controllers.directory
         now_ms = self._clock.now_ms()
         pacer = create_read_pacer(
@@ -151,7 +156,7 @@
             random=self._random,
         )
         return StoreSync(
-            store=self._environment.open_store(nursery),
+            store=store,
             sink=node.fleet,
             clock=self._clock,
             random=self._random,
@@ -162,6 +167,10 @@
             freshness=node.controllers.table_freshness,
         )
 
+    def _create_leaving_sync(self, node: MeshNode, store: Store) -> LeavingSync:
+        key = self._environment.keys.leavings + self._options.node_id
+        return LeavingSync(store=store, sink=node, random=self._random, key=key)
+
     def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
         options, environment = self._options, self._environment
 
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -99,6 +99,9 @@
     def on_store_availability(self, is_available: bool) -> None:
         """Record whether the store is available to this node."""
 
+    def on_store_restored(self) -> None:
+        """Record that the store came back from an older copy."""
+
 
 @attrs.define(eq=False)
 class StoreSync:
@@ -518,6 +521,7 @@
         self._schedule_write(self._revision)
         self._pacer.read_fast(self._clock.now_ms())
         self._restart_watches()
+        self._sink.on_store_restored()
 
     def _restart_watches(self) -> None:
         """Send waiting watches again, since they may never be answered."""
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -83,6 +83,7 @@
     _has_answered: bool = False
     _noted: dict[str, _NotedStatement] = attrs.field(factory=dict)
     _last_left_start: str = ""
+    _is_withheld: bool = False
 
     @property
     def current(self) -> InstanceAnnouncement | None:
@@ -92,7 +93,7 @@
     @property
     def service(self) -> str:
         """Return the service of the target if it accepts new requests, or an empty string."""
-        if self._current is None or self._is_leaving or self._is_mismatched:
+        if self._current is None or self._is_leaving or self._is_unusable:
             return ""
         return self._current.service
 
@@ -121,6 +122,10 @@
         """Return whether the current instance is leaving, with or without an announcement."""
         return self._is_leaving
 
+    @property
+    def _is_unusable(self) -> bool:
+        return self._is_withheld or self._is_mismatched
+
     @property
     def _is_mismatched(self) -> bool:
         return bool(self._mismatched_id) and self._mismatched_id == self.instance_id
@@ -132,12 +137,20 @@
     def accepts(self, now_ms: Millis, service: str) -> bool:
         """Return whether a request for a service may be sent to the target now."""
         current = self._current
-        if current is None or current.service != service or self._is_mismatched:
+        if current is None or current.service != service or self._is_unusable:
             return False
         if not self._is_leaving:
             return True
         return now_ms - self._leaving_since < max(0.0, self._drain_ms - _DRAIN_MARGIN_MS)
 
+    def withhold(self) -> None:
+        """Do not use the target until it is known whether it left before this node's start."""
+        self._is_withheld = True
+
+    def release(self) -> None:
+        """Use the target from now on, unless it is leaving."""
+        self._is_withheld = False
+
     def set_drain_time(self, drain_ms: Millis) -> None:
         """Set how long a leaving target may still receive requests."""
         self._drain_ms = drain_ms
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -30,6 +30,7 @@
 _Decoded = TypeVar("_Decoded")
 
 NODES_PREFIX: Final = "gooseberrydock/nodes/"
+LEAVINGS_PREFIX: Final = "gooseberrydock/leavings/"
 _ERA_HEADER: Final = b"store-era"
 _CALL_TIMEOUT_MS: Final[Millis] = 1_500.0
 """Timeout of a call, without the wait of a watch; a healthy store responds in milliseconds."""
--- a/tests/store_fleet.py
+++ b/tests/store_fleet.py
@@ -290,6 +290,9 @@
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
 
+    def on_store_restored(self) -> None:
+        """Ignore the restore."""
+
     @property
     def records(self) -> dict[str, bytes]:
         """Return the known records of other nodes."""
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -91,6 +91,9 @@
     def on_store_availability(self, is_available: bool) -> None:
         """Ignore the availability."""
 
+    def on_store_restored(self) -> None:
+        """Ignore the restore."""
+
 
 def _make_plan(others: tuple[Member, ...], started_at: float = -60_000.0) -> WatchPlan:
     """Create the plan of the node n1, which by default started long ago."""
