Quarantine a request by what targets show of their deaths, and not one that they answer

On the other side a sound request that everybody sends, in flight at nine ends of three targets, had 185 of 215 answers 503, and 20 of 20 afterwards.

Cause: a lost run without a refused connection within 1.5 s counted as that of a live target, and nobody connected. A trial with lines at these decisions: 17 runs lost, no death noticed, 17 times cleared as alive. A conviction was weak as well: a request that ran alone at one crash, or in flight at two, was refused, whatever targets answered.

Change: a death is shown by a refused connection, another instance at the address or a later start; where no connection is open half a second after a loss, the node tries one. A target that left is no crash. A suspect is quarantined when a run that began after the crash was known is lost in another. Each complete answer offsets one later crash, three at most, on the node that saw it; such a node objects to a quarantine, and an answer lifts one. Quarantines are passed on and sent on new links with their remaining time. Events 1114 and 1115, two metrics.

The own interface shares quarantine.py: it convicted a request that ran alone there too. The tests of the quarantine pass the start of a run now, and state what they stated before.

--- a/gooseberrydock/effects.py
+++ b/gooseberrydock/effects.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
-from gooseberrydock.messages import Answer, CrashNotice, PeerMessage
+from gooseberrydock.messages import Answer, CrashNotice, PeerMessage, QuarantineNotice
 
 
 class Effects(Protocol):
@@ -33,3 +33,6 @@
 
     def report_crash_suspects(self, notice: CrashNotice) -> None:
         """Send a notice to other nodes; if it names suspects, check whether the target crashed."""
+
+    def report_quarantine(self, notice: QuarantineNotice) -> None:
+        """Send a notice of quarantines that are lifted to other nodes."""
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -119,6 +119,18 @@
     _WARNING,
     "The local target's leaving could not be read from the store or written to it; it is retried",
 )
+TARGET_CRASHED: Final = _register(
+    1114,
+    "target-crashed",
+    _WARNING,
+    "The local target ended without leaving; the requests that ran there may be the cause",
+)
+QUARANTINE_LIFTED: Final = _register(
+    1115,
+    "quarantine-lifted",
+    _INFO,
+    "Requests with this fingerprint are no longer quarantined, since a target answered one",
+)
 MEMBER_CHANGED: Final = _register(
     1200, "member-changed", _INFO, "The record of a member changed or was removed"
 )
--- a/gooseberrydock/inbound.py
+++ b/gooseberrydock/inbound.py
@@ -54,7 +54,14 @@
     end_to_end_headers,
     header_value,
 )
-from gooseberrydock.messages import Answer, Call, CrashNotice, LoadReport, ShedThresholdReport
+from gooseberrydock.messages import (
+    Answer,
+    Call,
+    CrashNotice,
+    LoadReport,
+    QuarantineNotice,
+    ShedThresholdReport,
+)
 from gooseberrydock.outcomes import Outcome
 from gooseberrydock.owner_register import NodeIdentity
 from gooseberrydock.quarantine import QuarantineController
@@ -222,11 +229,11 @@
             self._stats.late_answers += 1
             return
         did_shed = self._did_target_shed(run, response)
-        if not self._quarantine.is_empty:
-            self._quarantine.on_answered(run.fingerprint)
         if did_shed:
             self._refuse_unstarted(now_ms, run, TARGET_SHED)
         else:
+            if self._quarantine.on_answered(run.fingerprint):
+                self._effects.report_quarantine(QuarantineNotice({run.fingerprint: 0.0}))
             self._remove_run(run)
             self._answer_run(run, self._answer_of_response(now_ms, run, response))
         self._release(now_ms, run, RunEnd.OVERLOADED if did_shed else RunEnd.COMPLETED)
@@ -362,8 +369,8 @@
 
     def _report_suspect(self, now_ms: Millis, run: Run) -> None:
         """Mark a request that lost its connection as suspect; notify nodes before it is retried."""
-        self._quarantine.on_connection_lost(now_ms, run.fingerprint)
-        self._effects.report_crash_suspects(CrashNotice((run.fingerprint,), ()))
+        if self._quarantine.on_connection_lost(now_ms, run.fingerprint, run.started_at):
+            self._effects.report_crash_suspects(CrashNotice((run.fingerprint,), ()))
 
     def _did_target_shed(self, run: Run, response: HttpResponse) -> bool:
         """Return whether the target reports that it refused the run before doing any work.
--- a/gooseberrydock/mesh/metrics.py
+++ b/gooseberrydock/mesh/metrics.py
@@ -37,6 +37,10 @@
         "link_bytes_received": (node.links.bytes_received, "Bytes received on these links"),
         "store_calls": (node.fleet.store_calls, "Calls to the key-value service"),
         "target_requests": (node.target_dispatcher.sent, "Requests sent to the target"),
+        "target_crashes": (
+            node.target_dispatcher.crashes,
+            "Deaths of the local target with calls in flight",
+        ),
         "target_connections_opened": (
             node.target_dispatcher.pool.opened,
             "Connections opened to the target",
@@ -76,6 +80,10 @@
             admission_queue.overload_controller.share,
             "Share of less important work to admit",
         ),
+        "quarantined": (
+            len(node.controllers.crash_watch.quarantined),
+            "Requests that are refused since they crash targets",
+        ),
         "target_connections": (
             node.target_dispatcher.pool.open_connections,
             "Open connections to the target",
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -54,6 +54,7 @@
     LeavingReceipt,
     LoadNotice,
     MemberSync,
+    QuarantineNotice,
     RecordChanges,
     RoutedAnswer,
     RoutedCall,
@@ -406,8 +407,18 @@
             write_to_store=write_to_store,
         )
 
-    def broadcast(self, notice: CrashNotice) -> None:
-        """Notify other nodes of the requests that may have crashed the target."""
+    def report_crash(self, notice: CrashNotice) -> None:
+        """Notify linked nodes and those of the same service of what may crash targets."""
+        node_ids = {link.node_id for link in self._links.open_links}
+        current = self._controllers.registration.current
+        for member in self._controllers.directory.others:
+            if current is not None and member.service == current.service:
+                node_ids.add(member.node_id)
+        for node_id in node_ids:
+            self._links.send(node_id, notice)
+
+    def report_quarantine(self, notice: QuarantineNotice) -> None:
+        """Notify linked nodes of what is quarantined; each passes on what is new to it."""
         self._links.broadcast(notice)
 
     def notify_shares(self, link_id: str, notice: ShareNotice) -> None:
@@ -460,6 +471,9 @@
         own_notice = self._controllers.registration.leaving_notice(self._clock.now_ms())
         if own_notice is not None:
             link.send(own_notice)
+        quarantines = self._controllers.crash_watch.current_notice(self._clock.now_ms())
+        if quarantines is not None:
+            link.send(quarantines)
         self._controllers.entry.host_selector.on_link_opened(link.node_id)
         self._fleet.on_link_opened(link)
 
@@ -649,6 +663,11 @@
     node.target_dispatcher.on_crash_notice(message)
 
 
+@handle_message.register
+def _(message: QuarantineNotice, node: MeshNode, link: PeerLink) -> None:
+    node.target_dispatcher.on_quarantine_notice(message)
+
+
 @handle_message.register
 def _(message: TargetNotice, node: MeshNode, link: PeerLink) -> None:
     node.target_dispatcher.on_target_notice(message)
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -300,6 +300,17 @@
     def _return_to_idle(self, connection: TargetConnection) -> None:
         self._idle.append(connection)
 
+    def check(self, on_unreachable: Callable[[], None]) -> None:
+        """Find out whether the target accepts a connection, and report if it does not."""
+        self._nursery.start_soon(self._check, on_unreachable)
+
+    async def _check(self, on_unreachable: Callable[[], None]) -> None:
+        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True)
+        if stream is not None:
+            stream.close()
+        else:
+            on_unreachable()
+
     def close_idle(self) -> None:
         """Close all idle connections, as they may lead to another instance."""
         idle, self._idle = self._idle, []
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -5,6 +5,7 @@
 of changes.
 """
 
+from collections.abc import Iterable
 from typing import Final, Protocol
 
 import attrs
@@ -22,9 +23,11 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
     ANNOUNCEMENT_REFUSED,
+    QUARANTINE_LIFTED,
     REQUEST_QUARANTINED,
     STATEMENT_REFUSED,
     TARGET_CHANGED,
+    TARGET_CRASHED,
     TARGET_LEAVING,
     TARGET_RATE_LIMIT_CHANGED,
     TARGET_STATE_RECOVERED,
@@ -48,6 +51,7 @@
     BodyPart,
     Cancel,
     CrashNotice,
+    QuarantineNotice,
     RoutedAnswer,
     RoutedCall,
     RunResult,
@@ -55,6 +59,7 @@
     TargetNotice,
     TargetReport,
 )
+from gooseberrydock.quarantine import ReceivedQuarantines
 
 _RUN_GRACE_MS: Final[Millis] = 150.0
 """Grace period between a run's deadline and its abort, so that the target can end it first."""
@@ -72,9 +77,12 @@
     def publish(self, write_to_store: bool = True) -> None:
         """Notify other nodes of a change of the target's state."""
 
-    def broadcast(self, notice: CrashNotice) -> None:
+    def report_crash(self, notice: CrashNotice) -> None:
         """Notify other nodes of the requests that may have crashed the target."""
 
+    def report_quarantine(self, notice: QuarantineNotice) -> None:
+        """Notify other nodes of what is quarantined, or no longer is."""
+
     def notify_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Send the currently admitted shares to a node that recently sent calls."""
 
@@ -100,6 +108,7 @@
     _run_ids_by_call: dict[tuple[str, int], int] = attrs.field(factory=dict)
     _next_run_id: int = 0
     _sent: int = 0
+    _crashes: int = 0
 
     @property
     def is_closed(self) -> bool:
@@ -121,6 +130,11 @@
         """Return the number of calls sent to the target so far."""
         return self._sent
 
+    @property
+    def crashes(self) -> int:
+        """Return the number of deaths of the target with runs in flight."""
+        return self._crashes
+
     @property
     def pool(self) -> TargetPool:
         """Return the connections to the target."""
@@ -257,11 +271,19 @@
             now_ms = self._clock.now_ms()
             duration_ms = now_ms - ticket.started_at
             self._controllers.stop_plan.runs.on_end(now_ms, ticket.call.route, duration_ms)
+        if answer.result is RunResult.ANSWERED:
+            self._on_answered(ticket)
         self._remove_run(run, has_completed=answer.result is RunResult.ANSWERED)
         answer.report = self._report(run.ticket.call.route)
         self._owner.answer_call(run.ticket.link_id, answer)
         self._start_waiting_calls()
 
+    def _on_answered(self, ticket: Ticket) -> None:
+        notice = self._controllers.crash_watch.on_answered(ticket.call, ticket.started_at)
+        if notice is not None:
+            _log_lifted(notice.remaining_ms)
+            self._owner.report_quarantine(notice)
+
     def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
         """Log that the target gave no usable answer to a call."""
         self._decision_log.on_call_failed(self._clock.now_ms(), ticket, code, status)
@@ -322,11 +344,13 @@
                 f"neither in the route table nor this node's own service: {announcement.service}"
             )
             return False
-        previous_id = registration.instance_id
+        previous_id, previous_start = registration.instance_id, registration.start_id
         if registration.on_announcement(self._clock.now_ms(), announcement):
             if registration.instance_id != previous_id:
                 self._pool.close_idle()
                 self._controllers.admission_queue.reset_run_times()
+            if registration.start_id != previous_start:
+                self._on_target_dead("later start")
             self._controllers.admission_queue.set_rate_limit(
                 self._clock.now_ms(), registration.rate_limit
             )
@@ -410,6 +434,7 @@
         """Record that the announced instance is not at the target's address."""
         registration = self._controllers.registration
         if registration.on_mismatch(registration.instance_id):
+            self._on_target_dead("other instance")
             self._pool.close_idle()
             self._owner.publish()
 
@@ -417,25 +442,63 @@
         """Record a failed connection attempt; a target with open connections may merely be full."""
         if self._pool.open_connections:
             return
+        self._on_target_dead("refused connection")
         self.on_other_instance()
-        notice = self._controllers.crash_watch.on_target_dead(self._clock.now_ms())
-        if notice is not None:
-            self._owner.broadcast(notice)
-            _log_quarantined(notice)
 
-    def on_run_lost(self, call: RoutedCall) -> None:
+    def on_run_lost(self, run: Run) -> None:
         """Record that a run lost its connection and may have crashed the target."""
-        self._controllers.crash_watch.on_run_lost(self._clock.now_ms(), call)
+        registration = self._controllers.registration
+        if registration.has_left(run.start_id):
+            # The target ends as planned.
+            return
+        ticket = run.ticket
+        self._controllers.crash_watch.on_run_lost(
+            self._clock.now_ms(), ticket.call, ticket.started_at
+        )
+        if run.start_id != registration.start_id:
+            self._on_target_dead("later start")
+
+    def _on_target_dead(self, sign: str) -> None:
+        """Put the death of the target down to the runs that were lost just before."""
+        notice = self._controllers.crash_watch.on_target_dead(self._clock.now_ms())
+        if notice is None:
+            return
+        self._crashes += 1
+        log(
+            TARGET_CRASHED,
+            sign=sign,
+            start=self._controllers.registration.start_id,
+            lost_requests=len(notice.suspects),
+            quarantined=len(notice.quarantined),
+        )
+        _log_quarantined(notice.quarantined)
+        self._owner.report_crash(notice)
 
     def on_crash_notice(self, notice: CrashNotice) -> None:
         """Record the requests that may have crashed a target on another host."""
-        self._controllers.crash_watch.on_notice(self._clock.now_ms(), notice)
-        _log_quarantined(notice)
+        self._apply_quarantines(
+            self._controllers.crash_watch.on_crash_notice(self._clock.now_ms(), notice)
+        )
+
+    def on_quarantine_notice(self, notice: QuarantineNotice) -> None:
+        """Record what another node has quarantined, or no longer has."""
+        self._apply_quarantines(
+            self._controllers.crash_watch.on_quarantine_notice(self._clock.now_ms(), notice)
+        )
+
+    def _apply_quarantines(self, received: ReceivedQuarantines) -> None:
+        """Log changes and pass them on, since not all nodes are linked with each other."""
+        _log_quarantined(received.added)
+        _log_lifted(received.lifted)
+        if received.notice is not None:
+            self._owner.report_quarantine(received.notice)
 
     # Timers.
 
     def tick(self, now_ms: Millis) -> None:
         """Start or refuse waiting calls that are due, and abort runs that exceed their deadline."""
+        if self._controllers.crash_watch.take_check(now_ms) and not self._pool.open_connections:
+            self._pool.check(self.on_target_unreachable)
         self._refuse_late(now_ms, self._controllers.admission_queue.drop_late(now_ms))
         self._start_waiting_calls()
         expired = [
@@ -457,6 +520,11 @@
         self._controllers.crash_watch.tick(now_ms)
 
 
-def _log_quarantined(notice: CrashNotice) -> None:
-    for fingerprint in notice.quarantined:
+def _log_quarantined(fingerprints: Iterable[int]) -> None:
+    for fingerprint in fingerprints:
         log(REQUEST_QUARANTINED, fingerprint=f"{fingerprint:016x}")
+
+
+def _log_lifted(fingerprints: Iterable[int]) -> None:
+    for fingerprint in fingerprints:
+        log(QUARANTINE_LIFTED, fingerprint=f"{fingerprint:016x}")
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -262,6 +262,11 @@
             self._set_leaving(leaving_since)
         return not was_leaving
 
+    def has_left(self, start_id: str) -> bool:
+        """Return whether a start of the target announced or stated that it leaves."""
+        noted = self._noted.get(start_id)
+        return noted is not None and noted.leaving_since is not None
+
     def on_mismatch(self, instance_id: str) -> bool:
         """Record that the instance is not at its address until it announces itself again.
 
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from gooseberrydock.attempt_failures import CRASH_CODES
 from gooseberrydock.clock import Millis
-from gooseberrydock.errorcodes import TARGET_LOST, TARGET_UNREACHABLE, ErrorCode
+from gooseberrydock.errorcodes import TARGET_UNREACHABLE, ErrorCode
 from gooseberrydock.http_messages import (
     CONNECTION_HEADERS,
     Headers,
@@ -43,7 +44,7 @@
     def on_target_unreachable(self) -> None:
         """Record that the target accepted no connection."""
 
-    def on_run_lost(self, call: RoutedCall) -> None:
+    def on_run_lost(self, run: "Run") -> None:
         """Record that a run lost its connection to the target."""
 
 
@@ -99,8 +100,8 @@
         self._owner.on_call_failed(self.ticket, code, 0)
         if code is TARGET_UNREACHABLE:
             self._owner.on_target_unreachable()
-        elif code is TARGET_LOST:
-            self._owner.on_run_lost(self.ticket.call)
+        elif code.number in CRASH_CODES:
+            self._owner.on_run_lost(self)
         result = RunResult.UNKNOWN if was_sent else RunResult.NOT_RUN
         self._finish(result, code.number, code.status, [], b"", was_sent_to_target=was_sent)
 
--- a/gooseberrydock/messages.py
+++ b/gooseberrydock/messages.py
@@ -172,6 +172,13 @@
     quarantined: tuple[int, ...]
 
 
+@attrs.frozen
+class QuarantineNotice:
+    """Remaining time of the quarantine of fingerprints, 0 if it is lifted."""
+
+    remaining_ms: dict[int, Millis]
+
+
 @attrs.frozen
 class OwnerHeartbeat:
     """Heartbeat to another member of the same service, with the sender's owner register version.
@@ -398,6 +405,7 @@
     | MemberSync
     | KeepAlive
     | CrashNotice
+    | QuarantineNotice
     | OwnerHeartbeat
     | OwnerRegister
     | RoutedCall
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -15,6 +15,7 @@
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_REFUSED,
     MEMBER_CHANGED,
+    QUARANTINE_LIFTED,
     REQUEST_QUARANTINED,
     TARGET_ANNOUNCED,
     TARGET_WITHDRAWN,
@@ -196,14 +197,23 @@
 
     def report_crash_suspects(self, notice: messages.CrashNotice) -> None:
         """Send a notice to the service's other nodes and all linked nodes; check for a crash."""
+        self._send_to_service(notice)
+        if notice.suspects and not self._is_checking_crash:
+            self._is_checking_crash = True
+            self._nursery.start_soon(self._check_crash)
+
+    def report_quarantine(self, notice: messages.QuarantineNotice) -> None:
+        """Send a notice of lifted quarantines to the service's other nodes and linked nodes."""
+        for fingerprint in notice.remaining_ms:
+            log(QUARANTINE_LIFTED, fingerprint=f"{fingerprint:016x}")
+        self._send_to_service(notice)
+
+    def _send_to_service(self, notice: messages.CrashNotice | messages.QuarantineNotice) -> None:
         service_members = self._core.routing.members_of(self._core.inbound.service)
         recipients = {link.node_id for link in self._links.open_links}
         recipients |= {member.node_id for member in service_members}
         for node_id in recipients - {self._core.node_id}:
             self._links.send(node_id, notice)
-        if notice.suspects and not self._is_checking_crash:
-            self._is_checking_crash = True
-            self._nursery.start_soon(self._check_crash)
 
     async def _check_crash(self) -> None:
         """Check whether the target crashed or only a connection was lost."""
@@ -326,6 +336,10 @@
         """Record the requests suspected of or quarantined for crashing a target on another node."""
         self._core.on_crash_notice(self._clock.now_ms(), message)
 
+    def on_quarantine_notice(self, message: messages.QuarantineNotice) -> None:
+        """Record what another node has quarantined, or no longer has."""
+        self._core.on_quarantine_notice(self._clock.now_ms(), message)
+
     def on_owner_heartbeat(self, message: messages.OwnerHeartbeat, link: PeerLink) -> None:
         """Process a heartbeat from another member of this node's service."""
         self._ownership_loop.on_heartbeat(link.node_id, message)
--- a/gooseberrydock/node_core.py
+++ b/gooseberrydock/node_core.py
@@ -40,7 +40,7 @@
 from gooseberrydock.outbound import OutboundController
 from gooseberrydock.owner_register import NodeIdentity, identity_of
 from gooseberrydock.ownership import Action, OwnershipController, create_ownership
-from gooseberrydock.quarantine import QuarantineController
+from gooseberrydock.quarantine import QUARANTINE_MS, QuarantineController
 from gooseberrydock.routing import RoutingController, create_routing
 from gooseberrydock.shed_thresholds import ShedThresholds
 from gooseberrydock.stats import NodeStats
@@ -218,9 +218,15 @@
     def on_crash_notice(self, now_ms: Millis, notice: messages.CrashNotice) -> None:
         """Record the requests suspected of or quarantined for crashing a target on another node."""
         for fingerprint in notice.suspects:
-            self._quarantine.mark_suspect(now_ms, fingerprint)
-        for fingerprint in notice.quarantined:
-            self._quarantine.mark_quarantined(now_ms, fingerprint)
+            self._quarantine.on_crash_elsewhere(now_ms, fingerprint)
+        quarantined = dict.fromkeys(notice.quarantined, QUARANTINE_MS)
+        self.on_quarantine_notice(now_ms, messages.QuarantineNotice(quarantined))
+
+    def on_quarantine_notice(self, now_ms: Millis, notice: messages.QuarantineNotice) -> None:
+        """Record what another node has quarantined or no longer has; report objections to it."""
+        objections = self._quarantine.on_notice(now_ms, notice).objections
+        if objections:
+            self._effects.report_quarantine(messages.QuarantineNotice(objections))
 
     def on_announcement(self, now_ms: Millis, service: str, slots: int, is_cold: bool) -> None:
         """Record the local target's announcement and notify the other nodes."""
@@ -370,6 +376,10 @@
         """Report crash suspects to other nodes."""
         self._node_effects.report_crash_suspects(notice)
 
+    def report_quarantine(self, notice: messages.QuarantineNotice) -> None:
+        """Report to other nodes which quarantines are lifted."""
+        self._node_effects.report_quarantine(notice)
+
 
 def create_node_core(
     effects: Effects, clock: Clock, membership: MembershipController, seed: int
--- a/gooseberrydock/peer_dispatch.py
+++ b/gooseberrydock/peer_dispatch.py
@@ -24,6 +24,9 @@
     def on_crash_notice(self, message: messages.CrashNotice) -> None:
         """Record which fingerprints a peer suspects or has quarantined."""
 
+    def on_quarantine_notice(self, message: messages.QuarantineNotice) -> None:
+        """Record which fingerprints a peer has quarantined, or no longer has."""
+
     def on_owner_heartbeat(self, message: messages.OwnerHeartbeat, link: PeerLink) -> None:
         """Handle a heartbeat from another member of the service."""
 
@@ -72,6 +75,13 @@
     node.on_crash_notice(message)
 
 
+@handle_message.register(messages.QuarantineNotice)
+def _handle_quarantine_notice(
+    message: messages.QuarantineNotice, node: PeerMessageHandler, link: PeerLink
+) -> None:
+    node.on_quarantine_notice(message)
+
+
 @handle_message.register(messages.OwnerHeartbeat)
 def _handle_owner_heartbeat(
     message: messages.OwnerHeartbeat, node: PeerMessageHandler, link: PeerLink
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -44,6 +44,7 @@
 TAG_LEAVING_RECEIPT: Final = 22
 TAG_BODY_PART: Final = 23
 TAG_BODY_CREDIT: Final = 24
+TAG_QUARANTINE_NOTICE: Final = 25
 
 
 _MAX_STATUS: Final = 599
@@ -193,6 +194,11 @@
     return [TAG_CRASH_NOTICE, list(message.suspects), list(message.quarantined)]
 
 
+@_to_array.register
+def _quarantine_notice_to_array(message: messages.QuarantineNotice) -> list[Any]:
+    return [TAG_QUARANTINE_NOTICE, message.remaining_ms]
+
+
 @_to_array.register
 def _share_notice_to_array(message: messages.ShareNotice) -> list[Any]:
     return [TAG_SHARE_NOTICE, message.admitted_shares, message.limit]
@@ -466,6 +472,13 @@
     return messages.CrashNotice(_to_typed_tuple(int, array[1]), _to_typed_tuple(int, array[2]))
 
 
+def _to_quarantine_notice(array: list[Any]) -> messages.QuarantineNotice:
+    _check_field_types(array, (dict,))
+    _to_typed_tuple(int, list(array[1]))
+    _check_finite_not_negative(*_to_typed_tuple(float, list(array[1].values())))
+    return messages.QuarantineNotice(array[1])
+
+
 def _to_share_notice(array: list[Any]) -> messages.ShareNotice:
     _check_field_types(array, (dict, int))
     _check_route_values(array[1])
@@ -634,6 +647,7 @@
     TAG_MEMBER_SYNC: _to_member_sync,
     TAG_KEEP_ALIVE: _to_keep_alive,
     TAG_CRASH_NOTICE: _to_crash_notice,
+    TAG_QUARANTINE_NOTICE: _to_quarantine_notice,
     TAG_OWNER_HEARTBEAT: _to_owner_heartbeat,
     TAG_OWNER_REGISTER: _to_owner_register,
     TAG_ROUTED_CALL: _to_routed_call,
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -22,7 +22,7 @@
 )
 from gooseberrydock.members import Address, Member, MemberState
 from gooseberrydock.membership import create_membership
-from gooseberrydock.messages import Answer, Call, CrashNotice, PeerMessage
+from gooseberrydock.messages import Answer, Call, CrashNotice, PeerMessage, QuarantineNotice
 from gooseberrydock.node_core import NodeCore, create_node_core
 from gooseberrydock.owner_register import first_register, identity_of
 
@@ -96,6 +96,12 @@
             if node is not self:
                 node.core.on_crash_notice(self.cluster.now_ms, notice)
 
+    def report_quarantine(self, notice: QuarantineNotice) -> None:
+        """Pass a notice of lifted quarantines to all other nodes at once."""
+        for node in self.cluster.nodes.values():
+            if node is not self:
+                node.core.on_quarantine_notice(self.cluster.now_ms, notice)
+
     def request(self, path: str, headers: Headers | None = None, body: bytes = b"") -> int:
         """Start a request of a caller; return its exchange id."""
         exchange_id = self.core.new_exchange_id()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -197,6 +197,23 @@
             shop.fail_run(run_id, TARGET_LOST)
         shop.core.on_crash_checked(self.cluster.now_ms, is_reachable=False)
 
+    def test_popular_request_is_served_on_when_targets_end_for_another_reason(self) -> None:
+        # Guards against a quarantine of a request that only runs when targets end otherwise.
+        for number in range(9):
+            answered = [self.entry.request("/shop/look", body=b"popular") for _ in range(4)]
+            self.cluster.run_until_idle()
+            self.assertEqual(["done"] * 4, [self.entry.outcome(item) for item in answered])
+            self.other.request("/shop/look", body=b"popular")
+            self.cluster.deliver_all()
+            shop, run_id = self._running()[0]
+            shop.fail_run(run_id, TARGET_LOST)
+            shop.core.on_crash_checked(self.cluster.now_ms, is_reachable=False)
+            self.cluster.run_until_idle()
+            self.cluster.tick(100.0 * number)
+        self.assertEqual(
+            [{}] * len(self.shops), [shop.core.quarantine.quarantined for shop in self.shops]
+        )
+
     def test_lost_connection_without_a_crash_quarantines_no_request(self) -> None:
         self.entry.request("/shop/look", body=b"fine")
         self.cluster.deliver_all()
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -303,17 +303,18 @@
     def test_request_that_crashes_targets_is_refused_after_the_second(self) -> None:
         watch, other = create_crash_watch(), create_crash_watch()
         bad, good = make_call("/bad"), make_call("/good")
-        watch.on_run_lost(0.0, bad)
-        watch.on_run_lost(0.0, good)
+        watch.on_run_lost(0.0, bad, started_at=-50.0)
+        watch.on_run_lost(0.0, good, started_at=-50.0)
         first = watch.on_target_dead(100.0)
         assert first is not None
         self.assertFalse(watch.refuses(200.0, bad))
-        other.on_notice(200.0, first)
-        other.on_run_lost(300.0, bad)
-        other.on_run_lost(300.0, RoutedCall(2, "a", "b", "c", "GET", "/c", [], b"", 1.0, 2))
+        other.on_crash_notice(200.0, first)
+        other.on_run_lost(300.0, bad, started_at=250.0)
+        third = RoutedCall(2, "a", "b", "c", "GET", "/c", [], b"", 1.0, 2)
+        other.on_run_lost(300.0, third, started_at=250.0)
         second = other.on_target_dead(400.0)
         assert second is not None
-        watch.on_notice(500.0, second)
+        watch.on_crash_notice(500.0, second)
         for crash_watch in (watch, other):
             self.assertTrue(crash_watch.refuses(600.0, bad))
             self.assertFalse(crash_watch.refuses(600.0, good))
@@ -322,7 +323,7 @@
         watch = create_crash_watch()
         call = make_call("/a")
         for step in range(4):
-            watch.on_run_lost(step * 10_000.0, call)
+            watch.on_run_lost(step * 10_000.0, call, started_at=step * 10_000.0)
             watch.tick(step * 10_000.0 + 5_000.0)
         self.assertIsNone(watch.on_target_dead(60_000.0))
         self.assertFalse(watch.refuses(60_000.0, call))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -109,6 +109,10 @@
         suspects=st.lists(_NUMBERS).map(tuple),
         quarantined=st.lists(_NUMBERS).map(tuple),
     ),
+    st.builds(
+        messages.QuarantineNotice,
+        remaining_ms=st.dictionaries(_NUMBERS, st.floats(0.0, 1e6), max_size=3),
+    ),
     st.builds(
         messages.ShareNotice,
         admitted_shares=st.dictionaries(_SHORT_TEXTS, st.floats(0.0, 1.0), max_size=3),
