Keep quarantined requests in the store, so that they outlive all nodes

Seen by callers: after all processes were killed, a request that was quarantined ran again and crashed targets until it was convicted anew.

Cause: what is quarantined was kept by processes only, which may all end together: the same as for leavings.

Change: the node that convicts a request writes its fingerprint to the store under a lease that ends with the quarantine; each node reads all of them at its start; the node that lifts one removes it. Retries and the check for a restored store are shared with the leavings (store_calls.py). One read a start, two calls a conviction.

--- a/gooseberrydock/emulated_product_node.py
+++ b/gooseberrydock/emulated_product_node.py
@@ -210,7 +210,7 @@
         lease_min_ms=0.0,
         store_reads_per_s=1.0,
     )
-    controllers = create_controllers(options, StoreKeys("", "", ""), _decode_empty_table, seed)
+    controllers = create_controllers(options, StoreKeys("", "", "", ""), _decode_empty_table, seed)
     node = ProductNode(world, member.node_id, controllers)
     controllers.create_entry(options, node, seed)
     return node
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -113,11 +113,11 @@
     _INFO,
     "The local target may be used: the store reported its latest leaving or did not answer in time",
 )
-LEAVING_NOT_STORED: Final = _register(
+FACT_NOT_STORED: Final = _register(
     1113,
-    "leaving-not-stored",
+    "fact-not-stored",
     _WARNING,
-    "The local target's leaving could not be read from the store or written to it; it is retried",
+    "What outlives all nodes could not be read from the store or written to it; it is retried",
 )
 TARGET_CRASHED: Final = _register(
     1114,
--- a/gooseberrydock/mesh/controllers.py
+++ b/gooseberrydock/mesh/controllers.py
@@ -34,11 +34,12 @@
 
 @attrs.frozen
 class StoreKeys:
-    """Store keys: the key of the route table, and the prefixes of the node records and leavings."""
+    """Store keys: the key of the route table, and the key prefixes of what nodes write."""
 
     table: str
     nodes: str
     leavings: str
+    quarantines: str
 
 
 @attrs.define(eq=False)
--- a/gooseberrydock/mesh/leaving_sync.py
+++ b/gooseberrydock/mesh/leaving_sync.py
@@ -7,25 +7,21 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
-from typing import Final, Protocol, TypeVar
+from typing import Final, Protocol
 
 import attrs
 import cbor2
 import trio
 
-from gooseberrydock.backoff import Backoff
-from gooseberrydock.clock import MS_PER_SECOND, Millis
-from gooseberrydock.errorcodes import CONFIGURATION_CONFLICT, LEASE_ENDED, STORE_HISTORY_REPLACED
-from gooseberrydock.errors import GooseberrydockError, Step
-from gooseberrydock.events import LEAVING_NOT_STORED, RECORD_REFUSED
+from gooseberrydock.clock import Millis
+from gooseberrydock.errorcodes import CONFIGURATION_CONFLICT, LEASE_ENDED
+from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.events import RECORD_REFUSED
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.store import Lease, Store, StoreItem
-from gooseberrydock.mesh.store_sync import RETRY_POLICY
+from gooseberrydock.mesh.store_calls import await_answer, repeat_until_done
 from gooseberrydock.mesh.target_registration import parse_start_id
 
-_Answer = TypeVar("_Answer")
-
 _LEAVING_TTL_MS: Final[Millis] = 600_000.0
 """Lease TTL of a leaving; it has to outlast a host that is without power for some minutes."""
 
@@ -70,22 +66,11 @@
 
     async def run(self) -> None:
         """Recover the latest leaving from the store, then store those that follow."""
-        await self._repeat_until_done(self._recover)
+        await repeat_until_done(self._recover, self._key, self._random)
         while True:
             await self._must_write.wait()
             self._must_write = trio.Event()
-            await self._repeat_until_done(self._write_wanted)
-
-    async def _repeat_until_done(self, step: Callable[[], Awaitable[None]]) -> None:
-        backoff = Backoff(self._random, RETRY_POLICY)
-        while True:
-            try:
-                await step()
-                return
-            except GooseberrydockError as error:
-                if not backoff.failures:
-                    log(LEAVING_NOT_STORED, code=error.code.number, detail=error.detail)
-                await trio.sleep(backoff.next_delay_ms() / MS_PER_SECOND)
+            await repeat_until_done(self._write_wanted, self._key, self._random)
 
     async def _recover(self) -> None:
         item = await self._read()
@@ -95,14 +80,14 @@
             self._sink.on_leaving_stored(self._stored_start)
 
     async def _write_wanted(self) -> None:
-        start_id = self._wanted_start
+        store, start_id = self._store, self._wanted_start
         if not start_id or start_id == self._stored_start:
             return
         try:
             lease = await self._prepare_lease()
             value = cbor2.dumps([start_id])
-            self._revision = await self._call(
-                self._store.write(self._key, value, lease.lease_id, self._revision)
+            self._revision = await await_answer(
+                store, store.write(self._key, value, lease.lease_id, self._revision)
             )
         except GooseberrydockError as error:
             if error.code is CONFIGURATION_CONFLICT:
@@ -117,24 +102,16 @@
     async def _prepare_lease(self) -> Lease:
         """Return a lease that has its whole time left."""
         if self._lease is None:
-            self._lease = await self._call(self._store.grant_lease(_LEAVING_TTL_MS))
+            self._lease = await await_answer(self._store, self._store.grant_lease(_LEAVING_TTL_MS))
         else:
-            await self._call(self._store.renew_lease(self._lease.lease_id))
+            await await_answer(self._store, self._store.renew_lease(self._lease.lease_id))
         return self._lease
 
     async def _read(self) -> StoreItem | None:
-        item = await self._call(self._store.read(self._key))
+        item = await await_answer(self._store, self._store.read(self._key))
         self._revision = item.revision if item is not None else 0
         return item
 
-    async def _call(self, call: Awaitable[_Answer]) -> _Answer:
-        """Return the answer of the store, unless the store was restored during the call."""
-        era = self._store.era
-        answer = await call
-        if era is not None and self._store.era != era:
-            raise GooseberrydockError(STORE_HISTORY_REPLACED, Step.STORE)
-        return answer
-
     def _decode(self, item: StoreItem) -> str:
         """Return the start in a stored leaving, or an empty string if it is malformed."""
         try:
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -41,6 +41,7 @@
 from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import AcceptedWork, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
+from gooseberrydock.mesh.quarantine_sync import QuarantineSync
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_dispatcher import TargetDispatcher
 from gooseberrydock.mesh.target_release import TargetRelease
@@ -90,6 +91,7 @@
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
     _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
     _leaving_sync: LeavingSync | None = None
+    _quarantine_sync: QuarantineSync | None = None
     _target_release: TargetRelease = attrs.field(factory=TargetRelease)
     _is_stopping: bool = False
 
@@ -340,9 +342,11 @@
         self._answer_decided_leavings(self._clock.now_ms())
 
     def on_store_restored(self) -> None:
-        """Store the leaving of the local target again, which the store's copy may not have."""
+        """Store again what has to outlive all nodes, which the store's copy may not have."""
         if self._leaving_sync is not None:
             self._leaving_sync.on_store_restored()
+        if self._quarantine_sync is not None:
+            self._quarantine_sync.on_store_restored()
 
     def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
         """Acknowledge the leaving of a start of the local target once the store keeps it."""
@@ -421,6 +425,21 @@
         """Notify linked nodes of what is quarantined; each passes on what is new to it."""
         self._links.broadcast(notice)
 
+    def attach_quarantine_sync(self, sync: QuarantineSync) -> None:
+        """Set the task that stores quarantines."""
+        self._quarantine_sync = sync
+
+    def store_quarantine(self, notice: QuarantineNotice) -> None:
+        """Store what this node decided to quarantine, or to quarantine no longer."""
+        if self._quarantine_sync is not None:
+            self._quarantine_sync.on_decided(notice)
+
+    def on_quarantine_notice(self, notice: QuarantineNotice) -> None:
+        """Record what another node, or the store, has quarantined or no longer has."""
+        self._target_dispatcher.on_quarantine_notice(notice)
+        if self._quarantine_sync is not None:
+            self._quarantine_sync.on_lifted_elsewhere(notice)
+
     def notify_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Send the currently admitted shares to a node that recently sent calls."""
         if link_id == LOCAL_LINK_ID:
@@ -665,7 +684,7 @@
 
 @handle_message.register
 def _(message: QuarantineNotice, node: MeshNode, link: PeerLink) -> None:
-    node.target_dispatcher.on_quarantine_notice(message)
+    node.on_quarantine_notice(message)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -26,6 +26,7 @@
 from gooseberrydock.mesh.leaving_sync import LeavingSync
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.options import MeshOptions, apply_settings
+from gooseberrydock.mesh.quarantine_sync import QuarantineSync
 from gooseberrydock.mesh.read_pacing import create_read_pacer
 from gooseberrydock.mesh.store import Store
 from gooseberrydock.mesh.store_sync import StoreSync
@@ -111,9 +112,12 @@
             node.fleet.attach_store(sync)
             leaving_sync = self._create_leaving_sync(node, store)
             node.attach_leaving_sync(leaving_sync)
+            quarantine_sync = self._create_quarantine_sync(node, store)
+            node.attach_quarantine_sync(quarantine_sync)
             self._listen(nursery, node)
             nursery.start_soon(self._handle_signals, node, signals)
             nursery.start_soon(leaving_sync.run)
+            nursery.start_soon(quarantine_sync.run)
             nursery.start_soon(sync.watch_table, self._environment.keys.table)
             nursery.start_soon(sync.watch_records)
             nursery.start_soon(_write_first_record, node)
@@ -171,6 +175,16 @@
         key = self._environment.keys.leavings + self._options.node_id
         return LeavingSync(store=store, sink=node, random=self._random, key=key)
 
+    def _create_quarantine_sync(self, node: MeshNode, store: Store) -> QuarantineSync:
+        return QuarantineSync(
+            store=store,
+            sink=node,
+            clock=self._clock,
+            random=self._random,
+            prefix=self._environment.keys.quarantines,
+            lease_min_ms=self._options.lease_min_ms,
+        )
+
     def _listen(self, nursery: trio.Nursery, node: MeshNode) -> None:
         options, environment = self._options, self._environment
 
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -59,7 +59,7 @@
     TargetNotice,
     TargetReport,
 )
-from gooseberrydock.quarantine import ReceivedQuarantines
+from gooseberrydock.quarantine import QUARANTINE_MS, ReceivedQuarantines
 
 _RUN_GRACE_MS: Final[Millis] = 150.0
 """Grace period between a run's deadline and its abort, so that the target can end it first."""
@@ -83,6 +83,9 @@
     def report_quarantine(self, notice: QuarantineNotice) -> None:
         """Notify other nodes of what is quarantined, or no longer is."""
 
+    def store_quarantine(self, notice: QuarantineNotice) -> None:
+        """Store what this node decided to quarantine, or to quarantine no longer."""
+
     def notify_shares(self, link_id: str, notice: ShareNotice) -> None:
         """Send the currently admitted shares to a node that recently sent calls."""
 
@@ -283,6 +286,7 @@
         if notice is not None:
             _log_lifted(notice.remaining_ms)
             self._owner.report_quarantine(notice)
+            self._owner.store_quarantine(notice)
 
     def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
         """Log that the target gave no usable answer to a call."""
@@ -473,6 +477,9 @@
         )
         _log_quarantined(notice.quarantined)
         self._owner.report_crash(notice)
+        if notice.quarantined:
+            decided = dict.fromkeys(notice.quarantined, QUARANTINE_MS)
+            self._owner.store_quarantine(QuarantineNotice(decided))
 
     def on_crash_notice(self, notice: CrashNotice) -> None:
         """Record the requests that may have crashed a target on another host."""
@@ -492,6 +499,8 @@
         _log_lifted(received.lifted)
         if received.notice is not None:
             self._owner.report_quarantine(received.notice)
+        if received.objections:
+            self._owner.store_quarantine(QuarantineNotice(received.objections))
 
     # Timers.
 
--- a/gooseberrydock/platform/environment.py
+++ b/gooseberrydock/platform/environment.py
@@ -14,7 +14,12 @@
 from gooseberrydock.platform.announcements import serve_control, serve_readiness
 from gooseberrydock.platform.configuration import TABLE_KEY, decode_table
 from gooseberrydock.platform.settings import decode_settings
-from gooseberrydock.platform.store import LEAVINGS_PREFIX, NODES_PREFIX, PlatformStore
+from gooseberrydock.platform.store import (
+    LEAVINGS_PREFIX,
+    NODES_PREFIX,
+    QUARANTINES_PREFIX,
+    PlatformStore,
+)
 from gooseberrydock.stream import Stream
 
 
@@ -33,8 +38,8 @@
 
     @property
     def keys(self) -> StoreKeys:
-        """Return the store keys of the route table, nodes' records and targets' leavings."""
-        return StoreKeys(TABLE_KEY, NODES_PREFIX, LEAVINGS_PREFIX)
+        """Return the store keys of the route table and of what nodes write."""
+        return StoreKeys(TABLE_KEY, NODES_PREFIX, LEAVINGS_PREFIX, QUARANTINES_PREFIX)
 
     @property
     def decode_table(self) -> TableDecoder:
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -31,6 +31,7 @@
 
 NODES_PREFIX: Final = "gooseberrydock/nodes/"
 LEAVINGS_PREFIX: Final = "gooseberrydock/leavings/"
+QUARANTINES_PREFIX: Final = "gooseberrydock/quarantines/"
 _ERA_HEADER: Final = b"store-era"
 _CALL_TIMEOUT_MS: Final[Millis] = 1_500.0
 """Timeout of a call, without the wait of a watch; a healthy store responds in milliseconds."""
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -290,7 +290,7 @@
             record=member,
             directory=directory,
             links=node.links,  # type: ignore[arg-type]
-            keys=StoreKeys(table=TABLE_KEY, nodes=PREFIX, leavings="leavings/"),
+            keys=StoreKeys(table=TABLE_KEY, nodes=PREFIX, leavings="leavings/", quarantines="q/"),
             decode_table=_decode_table,
             freshness=freshness,
         )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -124,6 +124,38 @@
             self.assertEqual(200, await targets.fleet.status(targets.fleet.nodes[3], "/look/good"))
 
 
+class CrashingRequestBeforeRestartCases(unittest.TestCase):
+    """Guard against a quarantine that is forgotten when all nodes are killed."""
+
+    def test_crashing_request_is_not_run_again_after_all_nodes_were_killed(self) -> None:
+        trio.run(self._send_before_and_after_kills)
+
+    async def _send_before_and_after_kills(self) -> None:
+        async with _running_targets(down_s=0.3) as targets:
+            fleet = targets.fleet
+            targets.crashes_on = lambda request: request.path == "/look/bad"
+            status = 0
+            for number in range(8):
+                if status == 503:
+                    break
+                status = await fleet.status(fleet.nodes[3], "/look/bad", f"before{number}")
+                await trio.sleep(1.0)
+            self.assertEqual(503, status)
+            crashes = len(targets.crashed_at_s)
+            for kill in range(2):
+                for node in fleet.nodes:
+                    node.kill()
+                for node in fleet.nodes:
+                    node.start(fleet.log)
+                for node in fleet.nodes:
+                    await fleet.wait_until_served(node, "/look/good")
+                for number in range(4):
+                    node = fleet.nodes[number]
+                    request_id = f"after{kill}-{number}"
+                    self.assertEqual(503, await fleet.status(node, "/look/bad", request_id))
+            self.assertEqual(crashes, len(targets.crashed_at_s))
+
+
 class PopularRequestCases(unittest.TestCase):
     """Guard against a quarantine of a request that only runs when targets end otherwise."""
 
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -64,7 +64,7 @@
 def make_node(incarnation: int = 100) -> MeshNode:
     controllers = create_controllers(
         _OPTIONS,
-        StoreKeys("table", "nodes/", "leavings/"),
+        StoreKeys("table", "nodes/", "leavings/", "quarantines/"),
         lambda payload: create_route_table(int(payload), (), ()),
         seed=1,
     )
