Own interface: let a caller's further requests arrive after the last answer of a stopping node

Cause: the state in which the parser has the caller after an answer with "Connection: close" was read as the caller's announcement that it sends nothing more, so that the connection was closed at once. Requests that arrived then reset it, and what the kernel had not passed on of the answer was lost. Where the socket does not take the whole answer at once, the requests were read meanwhile, which hid the fault on machines with smaller buffers.

Change: the caller's own request says whether it is the last one. Otherwise the node ends its side and discards what still arrives, as the routed path does.

--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -296,13 +296,13 @@
         self._is_request_pending = False
         self._waiting_since = _CLOCK.now_ms()
         self._send(response)
+        has_caller_ended = self._is_last_request
         self._head = None
         self._unparsed_bytes = 0
         self._release_memory()
         self._resume()
         if self._h11.our_state is h11.MUST_CLOSE:
-            if self._h11.their_state is h11.MUST_CLOSE:
-                # The caller has announced that it sends nothing more.
+            if has_caller_ended:
                 self._stream.close_when_sent()
             else:
                 self._stream.finish()
@@ -336,6 +336,19 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._stream.send(data)
 
+    @property
+    def _is_last_request(self) -> bool:
+        """Return whether the caller has announced that it sends nothing after this request.
+
+        The state of the parser does not show it, as an answer with ``Connection: close`` changes
+        that too.
+        """
+        if self._head is None:
+            return False
+        options = [value.lower() for name, value in self._head.headers if name == b"connection"]
+        is_persistent = self._head.http_version != b"1.0"
+        return not is_persistent or any(b"close" in value for value in options)
+
     @property
     def _request_method(self) -> bytes:
         return self._head.method if self._head is not None else b""
