Tests: bound the target's receive buffer where a body has to exceed both buffers

The test states that the body is larger than both buffers; that now holds on any machine, with a receive buffer set for the target and a body beyond the largest send buffer.

--- a/tests/test_target_connections.py
+++ b/tests/test_target_connections.py
@@ -14,8 +14,10 @@
 from gooseberrydock.mesh.target_connections import TargetPool
 from tests.test_http_parsing import ENDLESS_RESPONSES
 
-_BODY = b"x" * 4_000_000
-"""Larger than the buffers of both sockets."""
+_RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Buffer of the target's socket, which the kernel doubles and otherwise lets grow."""
+_BODY = b"x" * 6_000_000
+"""Larger than the buffers of both sockets; by default, that of the sender grows to 4 MiB."""
 _FIRST_REQUEST = b"POST /a HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % len(_BODY) + _BODY
 _SECOND_REQUEST = b"GET /b HTTP/1.1\r\n\r\n"
 _ENDLESS_RUNS = 6
@@ -66,6 +68,9 @@
         async def main() -> None:
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(_serve_tcp, serve)
+                listeners[0].socket.setsockopt(
+                    trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+                )
                 address = Address(*listeners[0].socket.getsockname()[:2])
                 pool = TargetPool(
                     address, nursery, system_clock(), create_memory_account(300_000_000)
