Move the answers to leaving targets out of the node

What answers a leaving target and withholds one that may have left is a class of its own now (target_leavings.py), with the node as its way to the others.

No behaviour is changed: 65 tests of leavings, nodes and the path with real processes pass.

--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -17,8 +17,6 @@
 from gooseberrydock.events import (
     CONNECTIONS_LIMITED,
     LOAD_STATE,
-    TARGET_LEAVING_ANSWERED,
-    TARGET_RELEASED,
     WORK_CUT,
 )
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
@@ -36,15 +34,13 @@
 from gooseberrydock.mesh.entry import Entry
 from gooseberrydock.mesh.exchange import Caller, Exchange
 from gooseberrydock.mesh.fleet_view import FleetView
-from gooseberrydock.mesh.leaving_receipts import LeavingAnswer, LeavingReceipts
-from gooseberrydock.mesh.leaving_sync import LeavingSync
 from gooseberrydock.mesh.load_view import describe_load, describe_needs
 from gooseberrydock.mesh.model import AcceptedWork, RouteTable
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.quarantine_sync import QuarantineSync
 from gooseberrydock.mesh.target_connections import TargetPool
 from gooseberrydock.mesh.target_dispatcher import TargetDispatcher
-from gooseberrydock.mesh.target_release import TargetRelease
+from gooseberrydock.mesh.target_leavings import TargetLeavings
 from gooseberrydock.messages import (
     BodyCredit,
     BodyPart,
@@ -67,8 +63,6 @@
 from gooseberrydock.process_limits import ProcessLimits, create_process_limits
 from gooseberrydock.stream import Stream
 
-_RECOVERED_LEAVING_MS: Final[Millis] = 60_000.0
-"""Age assumed for a leaving from before this node's start, so that its drain time is over."""
 _UNREAD_MS: Final[Millis] = 500.0
 """Time for which a caller reads nothing of its answers before they are given up, if need be."""
 
@@ -89,10 +83,8 @@
     _target_dispatcher: TargetDispatcher = attrs.field(init=False)
     _fleet: FleetView = attrs.field(init=False)
     _caller_connections: set[CallerConnection] = attrs.field(factory=set)
-    _leaving_receipts: LeavingReceipts = attrs.field(factory=LeavingReceipts)
-    _leaving_sync: LeavingSync | None = None
+    _leavings: TargetLeavings = attrs.field(init=False)
     _quarantine_sync: QuarantineSync | None = None
-    _target_release: TargetRelease = attrs.field(factory=TargetRelease)
     _is_stopping: bool = False
 
     @_limits.default
@@ -126,6 +118,7 @@
             decision_log=self._decision_log,
             account=self._limits.account,
         )
+        self._leavings = TargetLeavings(self, self._clock, self._controllers.registration)
         self._fleet = FleetView(
             owner=self,
             clock=self._clock,
@@ -310,60 +303,30 @@
 
     # The leaving of targets, which the store and other nodes keep for the node beside the target.
 
-    def attach_leaving_sync(self, sync: LeavingSync) -> None:
-        """Set the task that stores leavings; withhold the target until it has read the latest."""
-        self._leaving_sync = sync
-        self._target_release.begin()
-        self._controllers.registration.withhold()
-
-    def on_leaving_recovered(self, start_id: str) -> None:
-        """Record which start of the target had left before this node's start, and use any other."""
-        if start_id:
-            notice = TargetNotice(start_id, 0.0, True, _RECOVERED_LEAVING_MS)
-            self._target_dispatcher.on_target_notice(notice)
-        if self._target_release.on_store_answer():
-            self._release_target(is_known=True)
-
-    def _release_target(self, is_known: bool) -> None:
-        registration = self._controllers.registration
-        registration.release()
-        log(
-            TARGET_RELEASED,
-            is_known=is_known,
-            start=registration.start_id,
-            is_leaving=registration.is_leaving,
-        )
-        if registration.service:
-            self.publish()
-
-    def on_leaving_stored(self, start_id: str) -> None:
-        """Record that the store keeps the leaving of a start."""
-        self._leaving_receipts.on_stored(start_id)
-        self._answer_decided_leavings(self._clock.now_ms())
+    @property
+    def leavings(self) -> TargetLeavings:
+        """Return what answers leavings of the local target and withholds one that left."""
+        return self._leavings
 
     def on_store_restored(self) -> None:
         """Store again what has to outlive all nodes, which the store's copy may not have."""
-        if self._leaving_sync is not None:
-            self._leaving_sync.on_store_restored()
+        self._leavings.on_store_restored()
         if self._quarantine_sync is not None:
             self._quarantine_sync.on_store_restored()
 
-    def answer_leaving(self, start_id: str, answer: LeavingAnswer) -> None:
-        """Acknowledge the leaving of a start of the local target once the store keeps it."""
-        now_ms = self._clock.now_ms()
-        notice = self._controllers.registration.leaving_notice(now_ms)
-        if notice is None or notice.start_id != start_id:
-            # A later start has taken its place, so that it cannot be used again.
-            answer(True)
-            return
+    def send_leaving_notice(self, notice: LeavingNotice) -> int:
+        """Send a notice to all linked nodes; return their number."""
         self._links.broadcast(notice)
-        asked_nodes = {link.node_id for link in self._links.open_links}
-        self._leaving_receipts.hold(
-            now_ms, start_id, len(asked_nodes), self._fleet.is_alone, answer
-        )
-        if self._leaving_sync is not None:
-            self._leaving_sync.keep(start_id)
-        self._answer_decided_leavings(now_ms)
+        return len({link.node_id for link in self._links.open_links})
+
+    @property
+    def is_alone(self) -> bool:
+        """Return whether no other node has been known since the start."""
+        return self._fleet.is_alone
+
+    def on_target_notice(self, notice: TargetNotice) -> None:
+        """Apply what is known of the target from before this node's start."""
+        self._target_dispatcher.on_target_notice(notice)
 
     def on_leaving_notice(self, notice: LeavingNotice, link: PeerLink) -> None:
         """Keep that another node's target is leaving."""
@@ -371,23 +334,6 @@
         memory.on_leaving(self._clock.now_ms(), link.node_id, notice)
         link.send(LeavingReceipt(notice.start_id))
 
-    def on_leaving_receipt(self, receipt: LeavingReceipt, link: PeerLink) -> None:
-        """Record that another node keeps the leaving of the local target."""
-        self._leaving_receipts.on_receipt(receipt.start_id, link.node_id)
-        self._answer_decided_leavings(self._clock.now_ms())
-
-    def _answer_decided_leavings(self, now_ms: Millis) -> None:
-        for leaving in self._leaving_receipts.take_decided(now_ms):
-            log(
-                TARGET_LEAVING_ANSWERED,
-                start=leaving.start_id,
-                is_acknowledged=leaving.is_acknowledged,
-                kept_by=leaving.kept_by,
-                waited_ms=round(leaving.waited_ms, 1),
-            )
-            for answer in leaving.answers:
-                answer(leaving.is_acknowledged)
-
     def _open_links_to_restarted_nodes(self, now_ms: Millis) -> None:
         """Open missing links to nodes that may have forgotten that their target is leaving."""
         for node_id in self._controllers.entry.statement_memory.leaving_nodes(now_ms):
@@ -468,7 +414,7 @@
         self._controllers.nested_routes.set_service_count(len(table.services))
         self._controllers.budget.set_service_count(len(table.services))
         self._controllers.entry.set_table(table)
-        self._target_release.on_table(self._clock.now_ms())
+        self._leavings.on_table()
 
     def on_node_changed(self, node_id: str, drops_statistics: bool) -> None:
         """Record an added, changed or removed node; drop its statistics if ``drops_statistics``."""
@@ -519,7 +465,7 @@
         self._limits.tick(now_ms)
         self._controllers.entry.tick(now_ms)
         self._target_dispatcher.tick(now_ms)
-        self._answer_decided_leavings(now_ms)
+        self._leavings.tick(now_ms)
 
     def tick_links(self, now_ms: Millis) -> None:
         """Probe links with answers due, close silent ones, and report calls that got no link."""
@@ -537,8 +483,7 @@
         for connection in list(self._caller_connections):
             connection.close_if_timed_out(now_ms, self.table.limits)
         self._close_unread(now_ms)
-        if self._target_release.take_overdue(now_ms):
-            self._release_target(is_known=False)
+        self._leavings.tick_maintenance(now_ms)
         self._target_dispatcher.tick_maintenance(now_ms)
         self._fleet.tick_maintenance(now_ms)
         self._open_links_to_restarted_nodes(now_ms)
@@ -689,7 +634,7 @@
 
 @handle_message.register
 def _(message: TargetNotice, node: MeshNode, link: PeerLink) -> None:
-    node.target_dispatcher.on_target_notice(message)
+    node.on_target_notice(message)
 
 
 @handle_message.register
@@ -699,7 +644,7 @@
 
 @handle_message.register
 def _(message: LeavingReceipt, node: MeshNode, link: PeerLink) -> None:
-    node.on_leaving_receipt(message, link)
+    node.leavings.on_receipt(message, link.node_id)
 
 
 @handle_message.register
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -111,7 +111,7 @@
             sync = self._create_sync(node, store)
             node.fleet.attach_store(sync)
             leaving_sync = self._create_leaving_sync(node, store)
-            node.attach_leaving_sync(leaving_sync)
+            node.leavings.attach_sync(leaving_sync)
             quarantine_sync = self._create_quarantine_sync(node, store)
             node.attach_quarantine_sync(quarantine_sync)
             self._listen(nursery, node)
@@ -173,7 +173,7 @@
 
     def _create_leaving_sync(self, node: MeshNode, store: Store) -> LeavingSync:
         key = self._environment.keys.leavings + self._options.node_id
-        return LeavingSync(store=store, sink=node, random=self._random, key=key)
+        return LeavingSync(store=store, sink=node.leavings, random=self._random, key=key)
 
     def _create_quarantine_sync(self, node: MeshNode, store: Store) -> QuarantineSync:
         return QuarantineSync(
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -119,7 +119,7 @@
         status = 200 if is_acknowledged else PEER_UNREACHABLE.status
         connection.respond(_create_empty_response(status))
 
-    node.answer_leaving(start_id, answer)
+    node.leavings.answer(start_id, answer)
 
 
 def _decode_start_time(body: bytes) -> int | None:
--- a/tests/test_leaving_sync.py
+++ b/tests/test_leaving_sync.py
@@ -207,12 +207,12 @@
         for recovered, service in (("", "shop"), ("i@4", "shop"), ("i@5", ""), ("j@9", "shop")):
             with self.subTest(recovered):
                 node = make_node()
-                node.attach_leaving_sync(_make_sync(SharedStore(), RecordingNode()))
+                node.leavings.attach_sync(_make_sync(SharedStore(), RecordingNode()))
                 registration = node.controllers.registration
                 node.target_dispatcher.on_announcement(_announce(TARGET_ADDRESS))
                 self.assertEqual("", registration.service)
                 self.assertFalse(registration.accepts(0.0, "shop"))
-                node.on_leaving_recovered(recovered)
+                node.leavings.on_leaving_recovered(recovered)
                 self.assertEqual(service, registration.service)
                 self.assertEqual(bool(service), registration.accepts(0.0, "shop"))
 
@@ -230,14 +230,14 @@
 
     def test_leaving_that_the_store_reports_late_still_ends_the_use(self) -> None:
         node = make_node()
-        node.attach_leaving_sync(_make_sync(SharedStore(), RecordingNode()))
+        node.leavings.attach_sync(_make_sync(SharedStore(), RecordingNode()))
         node.fleet.on_store_items((), is_snapshot=True)
         node.target_dispatcher.on_announcement(_announce(TARGET_ADDRESS))
         node.on_table(node.table)
         node.tick_maintenance(node.now_ms() + 10_000.0)
         registration = node.controllers.registration
         self.assertEqual("shop", registration.service)
-        node.on_leaving_recovered("i@5")
+        node.leavings.on_leaving_recovered("i@5")
         self.assertEqual("", registration.service)
         self.assertFalse(registration.accepts(node.now_ms(), "shop"))
 
--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -255,7 +255,7 @@
     def _answers(self, node: MeshNode) -> list[bool]:
         answers: list[bool] = []
         node.controllers.registration.on_leave(node.now_ms(), "a@9")
-        node.answer_leaving("a@9", answers.append)
+        node.leavings.answer("a@9", answers.append)
         return answers
 
     def test_node_that_no_store_has_told_of_others_acknowledges_once_it_is_stored(self) -> None:
@@ -264,7 +264,7 @@
         node.fleet.on_store_items((), is_snapshot=True)
         answers = self._answers(node)
         self.assertEqual([], answers)
-        node.on_leaving_stored("a@9")
+        node.leavings.on_leaving_stored("a@9")
         self.assertEqual([True], answers)
 
     def test_node_that_has_forgotten_the_others_does_not(self) -> None:
@@ -278,7 +278,7 @@
             node.fleet.tick_maintenance(node.now_ms() + second * 1_000.0)
         self.assertEqual([], node.controllers.directory.others)
         answers = self._answers(node)
-        node.on_leaving_stored("a@9")
+        node.leavings.on_leaving_stored("a@9")
         self.assertEqual([], answers)
 
 
