Store a leaving from before the node's start again after a restore of the store

A node that had read its target's leaving from the store took it for stored, but did not write it again when the store came back from an older copy: only leavings that the process itself had stored were. Found by reading; the test fails without the change.

Measured: test_leaving_from_before_the_start_is_stored_again_too passes, the other 11 of its file as before.

--- a/gooseberrydock/mesh/leaving_sync.py
+++ b/gooseberrydock/mesh/leaving_sync.py
@@ -76,7 +76,9 @@
         item = await self._read()
         self._stored_start = self._decode(item) if item is not None else ""
         self._sink.on_leaving_recovered(self._stored_start)
-        if self._wanted_start and self._wanted_start == self._stored_start:
+        if not self._wanted_start:
+            self._wanted_start = self._stored_start
+        elif self._wanted_start == self._stored_start:
             self._sink.on_leaving_stored(self._stored_start)
 
     async def _write_wanted(self) -> None:
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -14,11 +14,7 @@
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.connection_limit import Listening
 from gooseberrydock.errorcodes import ErrorCode
-from gooseberrydock.events import (
-    CONNECTIONS_LIMITED,
-    LOAD_STATE,
-    WORK_CUT,
-)
+from gooseberrydock.events import CONNECTIONS_LIMITED, LOAD_STATE, WORK_CUT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse, problem_response
 from gooseberrydock.logs import log
 from gooseberrydock.members import Member, MemberState
--- a/tests/test_leaving_sync.py
+++ b/tests/test_leaving_sync.py
@@ -147,6 +147,24 @@
 
         _run(main)
 
+    def test_leaving_from_before_the_start_is_stored_again_too(self) -> None:
+        async def main() -> None:
+            store, node = SharedStore(), RecordingNode()
+            await trio.sleep(10.0)
+            await _play(store, "a@9")
+            async with trio.open_nursery() as nursery:
+                sync = _make_sync(store, node)
+                nursery.start_soon(sync.run)
+                await trio.sleep(1.0)
+                store.restore(age_s=8.0)
+                self.assertIsNone(store.current(_KEY))
+                sync.on_store_restored()
+                await trio.sleep(2.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(["a@9"], (await _play(store)).recovered)
+
+        _run(main)
+
     def test_leaving_is_stored_although_answers_are_lost(self) -> None:
         async def main() -> None:
             store = CountedStore(SharedStore(), loses_write_answers=2)
