End a listener without an error if a connection arrives while it is closed

Cause: the listener's task had been woken for a connection when the stop closed the listener. The accept then failed with EBADF, which counted as a lack of descriptors, so that the task waited a moment and then for a socket that is closed.

Change: a listener knows that it is closed, and its task ends. The new test fails before with the same error.

--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -334,6 +334,7 @@
     _accept_pending: Callable[[], None] | None = None
     _open_streams: set[Stream] = attrs.field(factory=set)
     _ending_streams: list[Stream] = attrs.field(factory=list)
+    _is_closed: bool = False
 
     @property
     def has_open_connections(self) -> bool:
@@ -359,7 +360,7 @@
         self._socket.listen(_BACKLOG)
         async with trio.open_nursery() as nursery:
             self._accept_pending = partial(self._accept_all, handler, nursery)
-            while True:
+            while not self._is_closed:
                 try:
                     await trio.lowlevel.wait_readable(self._socket)
                     self._accept_one(handler, nursery)
@@ -368,6 +369,9 @@
                 except trio.ClosedResourceError:
                     return
                 except OSError as error:
+                    if self._is_closed:
+                        # Another task closed it between the wake-up and the accept.
+                        return
                     # No file descriptor is left; connections that end release some.
                     _DESCRIPTORS_EXHAUSTED.log(_CLOCK.now_ms(), peer="", detail=str(error))
                     await trio.sleep(_ACCEPT_RETRY_DELAY_S)
@@ -409,6 +413,7 @@
         """Stop accepting connections; open and established ones are not affected."""
         if self._accept_pending is not None:
             self._accept_pending()
+        self._is_closed = True
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
 
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -1,14 +1,17 @@
 """Tests of how connections end: what has reached a socket is answered, and answers arrive whole."""
 
 import contextlib
+import errno
 import socket
 import threading
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import attrs
 import trio
+import trio.testing
 
 from gooseberrydock.clock import system_clock
 from gooseberrydock.errorcodes import ErrorCode
@@ -25,7 +28,7 @@
 from gooseberrydock.mesh.exchange import Exchange
 from gooseberrydock.mesh.model import DEFAULT_LIMITS
 from gooseberrydock.mesh.target_connections import TargetPool
-from gooseberrydock.stream import Stream, listen
+from gooseberrydock.stream import Listener, Stream, listen
 
 _ANY_PORT = Address("127.0.0.1", 0)
 _REQUEST = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -176,9 +179,37 @@
         self._run(scenario)
 
 
+async def _ignore(stream: Stream) -> None:
+    """Serve nothing."""
+
+
 class ListenerCases(unittest.TestCase):
     """The end of a listener."""
 
+    def test_listener_that_is_closed_while_a_connection_arrives_ends_without_an_error(self) -> None:
+        # Guards against a stopping process that ends by an error, with its requests unanswered.
+        closed: list[Listener] = []
+
+        def close_before_accept(listener: Listener, *_: object) -> None:
+            # The close itself accepts what is pending too.
+            if not closed:
+                closed.append(listener)
+                listener.close()
+            raise OSError(errno.EBADF, "Bad file descriptor")
+
+        async def main() -> None:
+            listener = listen(_ANY_PORT)
+            address = attrs.astuple(listener.address)
+            with mock.patch.object(Listener, "_accept_one", close_before_accept):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(listener.serve, _ignore)
+                    await trio.testing.wait_all_tasks_blocked()
+                    with trio.fail_after(5.0), socket.create_connection(address):
+                        while nursery.child_tasks:
+                            await trio.sleep(_TRANSMISSION_S)
+
+        trio.run(main)
+
     def test_established_connection_is_served_after_the_listener_closed(self) -> None:
         async def main() -> bytes:
             server = _Server(HttpResponse(200, [], b"ok"), uses_mesh=True)
