Soak: do not take a late answer of an earlier start for a statement of the present one

Trace: the server stated its leaving until its restart at 6.0 s of the run. The only answer from it that node-2 passed on after the statement and before q388 is that of q244, at 6.2 s or later, from a request that began before the restart; q283 came after it. The check had dropped what it knew at the restart and then recorded this answer against the new start, which never stated a leaving: a leaving of an earlier start does not bind the next one (docs/PLATFORM.md), so that the run of q388 is allowed.

Change: an answer that states a leaving counts only while the present start states it. It binds that start as before.

--- a/tests/soak_statements.py
+++ b/tests/soak_statements.py
@@ -87,9 +87,14 @@
         if limit is not None and header_value(response.headers, b"server-limit"):
             limit.passed_at.setdefault(origin, now_s)
             limit.first_named_at = min(limit.first_named_at, now_s)
-        if header_value(response.headers, b"server-leaving"):
+        if header_value(response.headers, b"server-leaving") and self._is_leaving(server_id):
             self._leaving_passed_at.setdefault((server_id, origin), now_s)
 
+    def _is_leaving(self, server_id: str) -> bool:
+        """Return whether the present start of a server states it; a late answer is of another."""
+        servers = [node.target for node in self._fleet.nodes]
+        return any(item.states_leaving for item in servers if item.instance_id == server_id)
+
     def on_run(self, node: FleetNode, origin: Origin, sent_s: float, request_id: str) -> None:
         """Check a run against what its server stated."""
         server_id = node.target.instance_id
