Bound the chunk framing of answers, which costs processor time

Cause: an answer was bounded by the bytes of its body only. Endless chunks of a byte cost 8 million chunks, 0.8 s of the node's processor, until the answer is given up.

Change: the framing may take a quarter of the largest body, in both clients. Requests of callers are not bounded in this way, since a body within the limits may come in any chunks.

Tests: bounds as before, a row more. On the code before, 'chunks of a byte' failed in both parsers' tests and in that of the own client.

--- a/gooseberrydock/defaults.py
+++ b/gooseberrydock/defaults.py
@@ -7,6 +7,8 @@
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_DATAGRAM_BYTES: Final = 1400
 MAX_PEER_MESSAGE_BYTES: Final = 8 * 1024 * 1024
+MAX_FRAMING_SHARE: Final = 0.25
+"""Chunk framing accepted in an answer, as a share of the largest body; each chunk costs time."""
 RECEIVE_BYTES: Final = 64 * 1024
 MEMORY_MB: Final = 300
 """Memory of a node process, in millions of bytes."""
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -44,6 +44,7 @@
     _on_failure: FailureHandler | None = None
     _head: h11.Response | None = None
     _body: bytearray = attrs.field(factory=bytearray)
+    _received_bytes: int = 0
 
     @property
     def is_usable(self) -> bool:
@@ -61,6 +62,7 @@
         self._on_failure = on_failure
         self._head = None
         self._body = bytearray()
+        self._received_bytes = 0
         headers = [(b"host", str(self._address).encode()), *request.headers]
         headers.append((b"content-length", str(len(request.body)).encode()))
         head = h11.Request(method=request.method, target=request.path, headers=headers)
@@ -96,9 +98,10 @@
         if self._on_response is None:
             # The bytes belong to no request, or an idle connection has ended.
             return False
+        self._received_bytes += len(data)
         try:
             self._h11.receive_data(data)
-            return self._parse()
+            return self._parse() and not self._exceeds_framing_limit()
         except h11.RemoteProtocolError:
             if data:
                 self._fail(TARGET_PROTOCOL)
@@ -124,6 +127,14 @@
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return False
 
+    def _exceeds_framing_limit(self) -> bool:
+        """Fail the request if the framing of its answer, with the head, is too long."""
+        max_bytes = defaults.MAX_HEADER_BYTES + defaults.MAX_FRAMING_SHARE * self._max_body_bytes
+        if self._on_response is None or self._received_bytes - len(self._body) <= max_bytes:
+            return False
+        self._fail(TARGET_OVERSIZE)
+        return True
+
     def _finish_response(self) -> bool:
         """Pass a complete answer to its handler; return whether the connection can be reused."""
         head, handler = self._head, self._on_response
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -14,6 +14,7 @@
 import attrs
 import httptools
 
+from gooseberrydock import defaults
 from gooseberrydock.errorcodes import (
     MALFORMED_REQUEST,
     OVERSIZE_HEADERS,
@@ -275,6 +276,12 @@
     _is_self_delimited: bool = True
     _has_invalid_data: bool = False
     _informational_responses: int = 0
+    _body_wire_bytes: int = 0
+
+    def on_message_begin(self) -> None:
+        """Reset the state for a new message."""
+        _MessageReader.on_message_begin(self)
+        self._body_wire_bytes = 0
 
     def __attrs_post_init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -288,6 +295,7 @@
         """Parse bytes and return the responses that they complete."""
         try:
             self._feed_parser(data)
+            self._check_framing(len(data))
         except GooseberrydockError:
             self._has_invalid_data = True
             # A complete response remains valid, whatever bytes follow it.
@@ -296,6 +304,16 @@
         messages, self._complete_messages = self._complete_messages, []
         return messages
 
+    def _check_framing(self, size: int) -> None:
+        """Bound the bytes of a body's chunk framing; the head in the first bytes counts too."""
+        if not self._in_body:
+            return
+        self._body_wire_bytes += size
+        max_framing_bytes = defaults.MAX_FRAMING_SHARE * self._max_body_bytes
+        max_framing_bytes += self._max_header_bytes
+        if self._body_wire_bytes - self._body_size > max_framing_bytes:
+            raise _response_error(TARGET_OVERSIZE, "the chunks of the body are too small")
+
     def finish(self) -> HttpResponse:
         """Return the response delimited by the end of its connection; raise if it is truncated."""
         if self._in_body and not self._is_self_delimited:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,12 @@
 from hypothesis import strategies as st
 
 from gooseberrydock import defaults
-from gooseberrydock.errorcodes import TARGET_LOST, TARGET_PROTOCOL, TARGET_TRUNCATED
+from gooseberrydock.errorcodes import (
+    TARGET_LOST,
+    TARGET_OVERSIZE,
+    TARGET_PROTOCOL,
+    TARGET_TRUNCATED,
+)
 from gooseberrydock.http_client import ClientPool, fetch, fetch_result
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.http_server import HttpConnection, serve_http
@@ -153,6 +158,11 @@
     ("closed at once", b"", TARGET_LOST),
     ("cut off in the body", b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc", TARGET_TRUNCATED),
     ("not HTTP", b"nonsense\r\n\r\n", TARGET_PROTOCOL),
+    (
+        "chunks of a byte",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + b"1\r\nb\r\n" * 40_000,
+        TARGET_OVERSIZE,
+    ),
     ("no status", b"HTTP/1.1 700 x\r\ncontent-length: 0\r\n\r\n", TARGET_PROTOCOL),
 ]
 
--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -61,6 +61,7 @@
     ("informational responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     ("body without length", _HEAD + b"\r\n", b"b" * 64),
     ("chunks", _CHUNKED_HEAD, b"4\r\nbody\r\n" * 8),
+    ("chunks of a byte", _CHUNKED_HEAD, b"1\r\nb\r\n" * 8),
     ("chunk extension", _CHUNKED_HEAD + b"4;a=", b"x" * 64),
     ("trailer lines", _CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 8),
     ("trailer value", _CHUNKED_HEAD + b"0\r\nA: ", b"v" * 64),
@@ -184,6 +185,23 @@
                         self.assertEqual([], reader.feed(repeated))
                 self.assertIn(caught.exception.code, (TARGET_OVERSIZE, TARGET_PROTOCOL))
 
+    def test_chunks_of_a_byte_are_refused_at_a_number_of_chunks(self) -> None:
+        # Each chunk costs processor time, and only the bytes of the body were bounded.
+        reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        reader.feed(_CHUNKED_HEAD)
+        framing = b"1\r\n\r\n"
+        most_chunks = (_MAX_HEADER_BYTES + _MAX_BODY_BYTES) // len(framing)
+        with self.assertRaises(GooseberrydockError) as caught:
+            for _ in range(most_chunks):
+                reader.feed(b"1\r\nb\r\n")
+        self.assertIs(TARGET_OVERSIZE, caught.exception.code)
+
+    def test_framing_of_earlier_answers_does_not_count(self) -> None:
+        reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        answer = _CHUNKED_HEAD + b"10\r\n" + b"x" * 16 + b"\r\n0\r\n\r\n"
+        complete = [reader.feed(answer[at : at + 7]) for _ in range(90) for at in range(0, 77, 7)]
+        self.assertEqual([b"x" * 16] * 90, [item.body for part in complete for item in part])
+
     def test_bytes_that_are_no_answer_are_refused(self) -> None:
         reader = ResponseReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
         with self.assertRaises(GooseberrydockError) as caught:
