Refuse heartbeats and starts that name no target of this platform

Cause, first part: any text was taken for an instance ID, also one that cannot be written into the head of a request or that ends it (CR, LF), and a heartbeat without zone or version was taken for one of the target.

Change: an instance ID is 1 to 256 visible ASCII characters without a slash. It is checked in one module, start_ids, for PUT, DELETE, the starts in the store and those that other nodes send. All fields that the protocol lists are required. A deregistration with a start time that is none, or with a body that cannot be read, is refused.

Related: JSON may nest deeper than the interpreter's stack, hold Infinity, or strings that cannot be encoded. On the own interface a register or store answer like this, or an announcement of a service named '\ud800', raised an error that no task handled. All decoders now use one list of exceptions, which moves to decoding.py.

--- a/gooseberrydock/configuration.py
+++ b/gooseberrydock/configuration.py
@@ -12,6 +12,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import Millis
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error
 from gooseberrydock.errorcodes import CONFIGURATION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
 
@@ -160,8 +161,8 @@
     try:
         plain = json.loads(_decompress(payload))
         return _configuration_from_plain(plain)
-    except (ValueError, KeyError, TypeError, AttributeError, zlib.error) as error:
-        raise _invalid(f"{type(error).__name__}: {error}") from error
+    except (*MALFORMED_INPUT, zlib.error) as error:
+        raise _invalid(describe_error(error)) from error
 
 
 def _decompress(payload: bytes) -> bytes:
--- a/gooseberrydock/platform/decoding.py
+++ b/gooseberrydock/decoding.py
@@ -1,4 +1,4 @@
-"""Helpers of the decoders of the platform's formats: exception types and required strings."""
+"""Helpers of the decoders of outside formats: exception types and required strings."""
 
 from typing import Final
 
@@ -20,7 +20,11 @@
 
 
 def require_string(value: object) -> str:
-    """Return a value that is a non-empty string, or raise one of ``MALFORMED_INPUT``."""
+    """Return a value that is a non-empty string, or raise one of ``MALFORMED_INPUT``.
+
+    A JSON string may have lone surrogates, which cannot be encoded when the value is passed on.
+    """
     if not isinstance(value, str) or not value:
         raise ValueError("a required value is missing, empty or not a string")
+    value.encode()
     return value
--- a/gooseberrydock/mesh/leaving_sync.py
+++ b/gooseberrydock/mesh/leaving_sync.py
@@ -20,7 +20,7 @@
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.store import Lease, Store, StoreItem
 from gooseberrydock.mesh.store_calls import await_answer, repeat_until_done
-from gooseberrydock.mesh.target_registration import parse_start_id
+from gooseberrydock.start_ids import parse_start_id
 
 _LEAVING_TTL_MS: Final[Millis] = 600_000.0
 """Lease TTL of a leaving; it has to outlast a host that is without power for some minutes."""
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -13,6 +13,7 @@
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Address
 from gooseberrydock.messages import LeavingNotice, TargetNotice
+from gooseberrydock.start_ids import format_start_id, parse_start_id
 
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
@@ -320,17 +321,6 @@
         self._note_leaving(self.start_id, leaving_since)
 
 
-def format_start_id(instance_id: str, started_wall_ms: int) -> str:
-    """Return what identifies a start of a target."""
-    return f"{instance_id}@{started_wall_ms}"
-
-
-def parse_start_id(start_id: str) -> tuple[str, int]:
-    """Return the instance ID and the start time of a start."""
-    instance_id, _, started_wall_ms = start_id.rpartition("@")
-    return instance_id, int(started_wall_ms)
-
-
 def create_target_registration(address: Address, drain_ms: Millis) -> TargetRegistration:
     """Create a registration for the target at an address."""
     return TargetRegistration(address, drain_ms)
--- a/gooseberrydock/owner_register.py
+++ b/gooseberrydock/owner_register.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error
 from gooseberrydock.errorcodes import STORE_PROTOCOL
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.members import Member
@@ -136,8 +137,8 @@
             pending=None if pending is None else _members_from_plain(pending),
             pending_since=int(plain["pending_since"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        detail = f"register: {type(error).__name__}: {error}"
+    except MALFORMED_INPUT as error:
+        detail = f"register: {describe_error(error)}"
         raise GooseberrydockError(STORE_PROTOCOL, Step.STORE, peer, detail) from error
 
 
--- a/gooseberrydock/platform/configuration.py
+++ b/gooseberrydock/platform/configuration.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any, Final
 
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error, require_string
 from gooseberrydock.errorcodes import CONFIGURATION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.mesh.model import (
@@ -13,7 +14,6 @@
     ServiceShare,
     create_route_table,
 )
-from gooseberrydock.platform.decoding import MALFORMED_INPUT, describe_error, require_string
 
 TABLE_KEY: Final = "op/config"
 _REQUEST_KINDS: Final = {
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -5,12 +5,12 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error, require_string
 from gooseberrydock.errorcodes import OPTION_INVALID
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.members import Address, parse_address
 from gooseberrydock.memory_account import BYTES_PER_MB
 from gooseberrydock.mesh.options import HeaderNames, MeshOptions, RetryBudgetOptions
-from gooseberrydock.platform.decoding import MALFORMED_INPUT, describe_error, require_string
 
 SETTINGS_PATH_VARIABLE: Final = "GOOSEBERRYDOCK_CONFIG"
 METRICS_PORT_OFFSET: Final = 1
--- a/gooseberrydock/platform/store.py
+++ b/gooseberrydock/platform/store.py
@@ -11,6 +11,7 @@
 import trio
 
 from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error
 from gooseberrydock.errorcodes import (
     CONFIGURATION_CONFLICT,
     LEASE_ENDED,
@@ -25,7 +26,6 @@
 from gooseberrydock.http_messages import JSON_HEADER, HttpRequest, HttpResponse, header_value
 from gooseberrydock.members import Address
 from gooseberrydock.mesh.store import Lease, StoreChanges, StoreItem
-from gooseberrydock.platform.decoding import MALFORMED_INPUT, describe_error
 
 _Decoded = TypeVar("_Decoded")
 
--- a/gooseberrydock/store_client.py
+++ b/gooseberrydock/store_client.py
@@ -13,6 +13,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error
 from gooseberrydock.errorcodes import STORE_PROTOCOL, STORE_UNAVAILABLE
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_client import ClientPool, fetch
@@ -88,8 +89,8 @@
             entry: dict[str, Any] = json.loads(response.body)[0]
             value = base64.b64decode(entry["Value"] or "", validate=True)
             return StoredValue(value, int(entry["ModifyIndex"]), watch_index)
-        except (ValueError, KeyError, IndexError, TypeError) as error:
-            raise self._error(f"{type(error).__name__}: {error}") from error
+        except MALFORMED_INPUT as error:
+            raise self._error(describe_error(error)) from error
 
     def _watch_index(self, response: HttpResponse) -> int:
         for name, value in response.headers:
--- a/gooseberrydock/store_watch.py
+++ b/gooseberrydock/store_watch.py
@@ -18,6 +18,7 @@
 from gooseberrydock import defaults
 from gooseberrydock.backoff import Backoff
 from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.decoding import MALFORMED_INPUT
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import STORE_BACK, STORE_LOST, STORE_RESTORED
 from gooseberrydock.logs import log
@@ -129,7 +130,7 @@
     try:
         table = json.loads(value or b"{}")
         return {str(domain): [str(item) for item in items] for domain, items in table.items()}
-    except (ValueError, AttributeError, TypeError):
+    except MALFORMED_INPUT:
         return {}
 
 
--- a/gooseberrydock/target_client.py
+++ b/gooseberrydock/target_client.py
@@ -9,6 +9,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import Millis
+from gooseberrydock.decoding import MALFORMED_INPUT, describe_error
 from gooseberrydock.errorcodes import INVALID_ANNOUNCEMENT, ErrorCode
 from gooseberrydock.errors import GooseberrydockError, Step
 from gooseberrydock.http_client import ClientPool, PendingRequest
@@ -43,14 +44,16 @@
         ipaddress.ip_address(address.host)
         if not isinstance(service, str) or not service or "/" in service:
             raise ValueError("service must be a non-empty string without a slash")
+        # The name is sent to other nodes, and a JSON string may have what cannot be encoded.
+        service.encode()
         if type(slots) is not int or not 0 < slots <= _MAX_SLOTS:
             raise ValueError("slots must be a positive integer within the allowed range")
         is_cold = fields.get("cold", False)
         if type(is_cold) is not bool:
             raise ValueError("cold must be true or false")
         return Announcement(service, address, slots, is_cold)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        detail = f"{type(error).__name__}: {error}"
+    except MALFORMED_INPUT as error:
+        detail = describe_error(error)
         raise GooseberrydockError(INVALID_ANNOUNCEMENT, Step.TARGET, detail=detail) from error
 
 
--- a/gooseberrydock/wire.py
+++ b/gooseberrydock/wire.py
@@ -6,7 +6,6 @@
 """
 
 import math
-import re
 from collections.abc import Callable
 from functools import singledispatch
 from typing import Any, Final
@@ -19,6 +18,7 @@
 from gooseberrydock.http_messages import Headers
 from gooseberrydock.messages import PeerMessage
 from gooseberrydock.outcomes import Outcome
+from gooseberrydock.start_ids import parse_start_id
 
 TAG_CALL: Final = 1
 TAG_ANSWER: Final = 2
@@ -49,7 +49,6 @@
 
 _MAX_STATUS: Final = 599
 _MAX_HASH: Final = 2**64 - 1
-_START_ID_PATTERN: Final = re.compile(r".+@[0-9]{1,20}", re.ASCII | re.DOTALL)
 
 
 class _FieldError(ValueError):
@@ -514,8 +513,10 @@
 
 
 def _check_start_id(start_id: str) -> None:
-    if _START_ID_PATTERN.fullmatch(start_id) is None:
-        raise _FieldError("a start of a target is not an ID and a start time")
+    try:
+        parse_start_id(start_id)
+    except ValueError as error:
+        raise _FieldError(str(error)) from error
 
 
 def _check_route_values(values: dict[Any, Any]) -> None:
@@ -606,6 +607,8 @@
         raise _FieldError("field 2 is not a valid run result") from error
     _check_status(array[4])
     report = messages.TargetReport(*array[8:18])
+    if report.start_id:
+        _check_start_id(report.start_id)
     headers = _to_headers(array[5])
     return messages.RoutedAnswer(
         array[1], result, array[3], array[4], headers, array[6], array[7], report, array[18]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 
 from gooseberrydock.errorcodes import (
     CONFIGURATION_CONFLICT,
+    INVALID_ANNOUNCEMENT,
     LEASE_ENDED,
     STORE_HISTORY_GONE,
     STORE_REFUSED,
@@ -20,7 +21,11 @@
 from gooseberrydock.mesh.model import RequestKind
 from gooseberrydock.mesh.options import MeshOptions
 from gooseberrydock.mesh.target_registration import TargetState
-from gooseberrydock.platform.announcements import decode_announcement
+from gooseberrydock.platform.announcements import (
+    decode_announcement,
+    decode_instance_id,
+    decode_start_time,
+)
 from gooseberrydock.platform.configuration import decode_table
 from gooseberrydock.platform.settings import decode_settings
 from gooseberrydock.platform.store import PlatformStore
@@ -84,6 +89,21 @@
     ("cold time too large for a float", {"coldLeftMs": 10**400}),
     ("cold time above the limit", {"coldLeftMs": 1e300}),
     ("start time as fraction", {"born": 1.5}),
+    ("zone is not a text", {"zone": 3}),
+    ("no version", {"version": None}),
+    ("service that cannot be encoded", {"service": "\ud800"}),
+]
+BAD_INSTANCE_IDS: list[tuple[str, str]] = [
+    ("nothing", ""),
+    ("not UTF-8", "i-%FF%FE%FD"),
+    ("not Latin-1", "i-%E2%82%AC"),
+    ("not ASCII", "i-%C3%A9"),
+    ("line end", "i-1%0D%0Ax: y"),
+    ("NUL", "i-%00"),
+    ("space", "i%20-1"),
+    ("slash", "a%2Fb"),
+    ("slash, not encoded", "a/b"),
+    ("too long", "i" * 14_000),
 ]
 _JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
@@ -152,6 +172,30 @@
             with self.subTest(title), self.assertRaises(GooseberrydockError):
                 decode_announcement("i-1", json.dumps({**_HEARTBEAT, **change}).encode())
 
+    def test_heartbeat_without_any_of_its_fields_is_refused(self) -> None:
+        # Guards against a heartbeat of another writer that is taken for one of the target.
+        for name in sorted(set(_HEARTBEAT) - {"born"}):
+            with self.subTest(name), self.assertRaises(GooseberrydockError) as caught:
+                fields = {key: value for key, value in _HEARTBEAT.items() if key != name}
+                decode_announcement("i-1", json.dumps(fields).encode())
+            self.assertIs(INVALID_ANNOUNCEMENT, caught.exception.code)
+
+    def test_what_is_no_instance_id_is_refused(self) -> None:
+        # Guards against an ID that cannot be written into the head of a request, or that ends it.
+        for title, text in BAD_INSTANCE_IDS:
+            with self.subTest(title), self.assertRaises(GooseberrydockError) as caught:
+                decode_instance_id(f"/-/instances/{text}")
+            self.assertIs(INVALID_ANNOUNCEMENT, caught.exception.code)
+        self.assertEqual("i-7f3a:1@b", decode_instance_id("/-/instances/i-7f3a%3A1@b"))
+
+    def test_deregistration_states_a_start_time_or_none(self) -> None:
+        for body, expected in ((b"", None), (b"{}", None), (b'{"born": 17}', 17)):
+            with self.subTest(body=body):
+                self.assertEqual(expected, decode_start_time(body))
+        for body in (b"x", b"[]", b'"born"', b'{"born": "17"}', b'{"born": null}', b"[" * 60_000):
+            with self.subTest(body=body[:9]), self.assertRaises(GooseberrydockError):
+                decode_start_time(body)
+
     @given(st.sampled_from(sorted(_HEARTBEAT)), _JSON)
     def test_any_value_of_a_field(self, name: str, value: Any) -> None:
         """Decode an announcement with any value in one field, or raise a coded error."""
