Contain errors of one call or link, and give the slot back at once

Calls that failed in the node kept their slots until their deadlines.

Cause, second part: callbacks ran outside of the handler of errors. The task of a link reported its lost calls in a 'finally' around the handler, one of them was sent again and raised, and the error reached the nursery of the process. A start of a run that raised left the run in its slot.

Change: a run, a request and a message each end alone by an error (events 1006, codes 222 'not run' and 409 'unknown'). A request whose head cannot be written, or would hold a further line, is refused before any of it is sent. The tasks of links, of connections to targets in both call paths, of drained streams, of the timers, gossip and owner register of the own interface and those that keep facts in the store handle the errors of their callbacks.

--- a/gooseberrydock/errorcodes.py
+++ b/gooseberrydock/errorcodes.py
@@ -140,6 +140,9 @@
 MEMORY_SHORT: Final = _register(
     221, "memory-short", 503, _NOT_RUN, "The node has no memory for the request now"
 )
+CALL_NOT_STARTED: Final = _register(
+    222, "call-not-started", 503, _NOT_RUN, "An error in the node ended the call before its start"
+)
 
 PEER_LOST: Final = _register(
     300, "peer-lost", 502, _UNKNOWN, "The link to the target's node closed during the call"
@@ -187,6 +190,9 @@
 STATEMENT_INVALID: Final = _register(
     408, "statement-invalid", 502, _UNKNOWN, "The target's answer names an invalid request rate"
 )
+CALL_BROKEN_OFF: Final = _register(
+    409, "call-broken-off", 502, _UNKNOWN, "An error in the node ended the call during its run"
+)
 
 STORE_UNAVAILABLE: Final = _register(
     500, "store-unavailable", 503, _UNKNOWN, "The key-value service did not answer"
--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -59,6 +59,9 @@
     _ERROR,
     "A connection was closed because of an internal error in this program",
 )
+CALL_FAULT: Final = _register(
+    1006, "call-fault", _ERROR, "A call was ended because of an internal error in this program"
+)
 TARGET_ANNOUNCED: Final = _register(
     1100, "target-announced", _INFO, "The local target announced itself"
 )
--- a/gooseberrydock/gossip_socket.py
+++ b/gooseberrydock/gossip_socket.py
@@ -10,7 +10,7 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import GOSSIP_REFUSED
 from gooseberrydock.gossip import GossipMessage, decode_gossip, encode_gossip
-from gooseberrydock.logs import log
+from gooseberrydock.logs import log, log_and_suppress_errors
 from gooseberrydock.members import Address
 from gooseberrydock.membership import SendGossip
 
@@ -69,7 +69,8 @@
             except GooseberrydockError as error:
                 log(GOSSIP_REFUSED, peer=str(address), code=error.code.number)
                 continue
-            self.send(handler(gossip, address))
+            with log_and_suppress_errors(str(address)):
+                self.send(handler(gossip, address))
 
 
 def bind_gossip(address: Address, key: bytes) -> GossipSocket:
--- a/gooseberrydock/http_client.py
+++ b/gooseberrydock/http_client.py
@@ -191,11 +191,14 @@
         connection = self._take_idle()
         if connection is not None:
             pending.connection = connection
-            connection.start(request, on_response, on_failure)
-        else:
-            self._nursery.start_soon(
-                partial(self._start_on_new_connection, pending, request, on_response, on_failure)
-            )
+            with log_and_suppress_errors(str(self._address)):
+                connection.start(request, on_response, on_failure)
+                return pending
+            # None of it was sent; the attempt on a new connection reports the failure.
+            connection.abort()
+        self._nursery.start_soon(
+            partial(self._start_on_new_connection, pending, request, on_response, on_failure)
+        )
         return pending
 
     def close(self) -> None:
@@ -220,28 +223,37 @@
         on_failure: FailureHandler,
     ) -> None:
         """Open a connection, send the request on it, and read it until it ends."""
+        with log_and_suppress_errors(str(self._address)):
+            connection = await self._open_connection(pending, on_failure)
+            if connection is None:
+                return
+            try:
+                connection.start(request, on_response, on_failure)
+                await connection.run()
+            finally:
+                self._open_connections -= 1
+                if connection in self._idle_connections:
+                    self._idle_connections.remove(connection)
+                connection.fail_pending()
+
+    async def _open_connection(
+        self, pending: "PendingRequest", on_failure: FailureHandler
+    ) -> ClientConnection | None:
+        """Open a connection; return None if its request was aborted, or has failed without one."""
         stream = await connect(self._address, self._nursery, defaults.CONNECT_TIMEOUT_MS)
-        if pending.is_aborted:
-            if stream is not None:
-                stream.close()
-            return
         if stream is None:
-            on_failure(TARGET_UNREACHABLE)
-            return
+            if not pending.is_aborted:
+                on_failure(TARGET_UNREACHABLE)
+            return None
+        if pending.is_aborted:
+            stream.close()
+            return None
         connection = ClientConnection(
             stream, self._address, self._idle_connections.append, self._max_body_bytes
         )
         pending.connection = connection
         self._open_connections += 1
-        try:
-            with log_and_suppress_errors(str(self._address)):
-                connection.start(request, on_response, on_failure)
-                await connection.run()
-        finally:
-            connection.fail_pending()
-            self._open_connections -= 1
-            if connection in self._idle_connections:
-                self._idle_connections.remove(connection)
+        return connection
 
 
 @attrs.define(eq=False)
--- a/gooseberrydock/logs.py
+++ b/gooseberrydock/logs.py
@@ -119,11 +119,16 @@
         self._logged_at, self._suppressed = now_ms, 0
 
 
+def log_fault(event: LogEvent, error: Exception, **fields: object) -> None:
+    """Log an internal error that is being handled, with the end of its trace."""
+    trace = traceback.format_exc(limit=_TRACEBACK_LIMIT)
+    log(event, **fields, fault=f"{type(error).__name__}: {error}", trace=trace)
+
+
 @contextmanager
 def log_and_suppress_errors(peer: str) -> Iterator[None]:
     """Log an error in the handling of one connection instead of ending the whole process."""
     try:
         yield
     except Exception as error:
-        trace = traceback.format_exc(limit=_TRACEBACK_LIMIT)
-        log(CONNECTION_FAULT, peer=peer, fault=f"{type(error).__name__}: {error}", trace=trace)
+        log_fault(CONNECTION_FAULT, error, peer=peer)
--- a/gooseberrydock/mesh/entry.py
+++ b/gooseberrydock/mesh/entry.py
@@ -8,13 +8,15 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import attrs
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.errorcodes import (
+    CALL_BROKEN_OFF,
+    CALL_NOT_STARTED,
     DEADLINE_PASSED,
     MALFORMED_REQUEST,
     NO_CONFIGURATION,
@@ -33,7 +35,9 @@
     ErrorCode,
     error_code,
 )
+from gooseberrydock.events import CALL_FAULT
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
+from gooseberrydock.logs import log_fault
 from gooseberrydock.members import Member
 from gooseberrydock.mesh.call_graph import CallGraph
 from gooseberrydock.mesh.directory import Directory
@@ -170,7 +174,7 @@
         self._exchanges[exchange.exchange_id] = exchange
         heapq.heappush(self._deadlines, (exchange.deadline_at, exchange.exchange_id))
         self._budget.on_request(exchange.service, self._makes_calls(exchange))
-        self._send(now_ms, exchange)
+        self._try_step(self._send, now_ms, exchange)
         return None if exchange.is_done else exchange
 
     def may_repeat(self, request: HttpRequest) -> bool:
@@ -207,8 +211,10 @@
     def on_answer(self, now_ms: Millis, answer: RoutedAnswer) -> None:
         """Handle the answer of a target's node."""
         exchange = self._calls.pop(answer.call_id, None)
-        if exchange is None:
-            return
+        if exchange is not None:
+            self._try_step(self._handle_answer, now_ms, exchange, answer)
+
+    def _handle_answer(self, now_ms: Millis, exchange: Exchange, answer: RoutedAnswer) -> None:
         node_id, route = exchange.node_id, exchange.route
         has_failed = answer.result is RunResult.UNKNOWN or (
             answer.result is RunResult.ANSWERED and answer.status >= _SERVER_ERROR
@@ -246,13 +252,13 @@
             exchange = self._remove_lost_call(call_id)
             if exchange is not None:
                 exchange.refusals += 1
-                self._retry_undispatched(now_ms, exchange, PEER_UNREACHABLE)
+                self._try_step(self._retry_undispatched, now_ms, exchange, PEER_UNREACHABLE)
         for call_id in sent:
             exchange = self._remove_lost_call(call_id)
             if exchange is not None:
                 exchange.may_have_run = True
                 exchange.target_attempts += 1
-                self._on_unknown(now_ms, exchange, code)
+                self._try_step(self._on_unknown, now_ms, exchange, code)
 
     def on_calls_silent(self, now_ms: Millis, node_id: str, call_ids: list[int]) -> list[int]:
         """Handle the silence of a node; return the calls whose answers are still awaited.
@@ -287,16 +293,36 @@
         self._retry_overdue(now_ms)
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             exchange = self._exchanges.get(heapq.heappop(self._deadlines)[1])
-            if exchange is None:
-                continue
-            if exchange.call_id:
-                # The call is in flight: only the target's node knows whether it has started.
-                exchange.may_have_run = True
-                self._cancel_call(exchange)
-            if exchange.may_have_run:
-                self._record_duration(now_ms, exchange)
-            code = DEADLINE_PASSED if exchange.may_have_run else NOT_DISPATCHED
-            self._refuse(now_ms, exchange, code)
+            if exchange is not None:
+                self._try_step(self._expire, now_ms, exchange)
+
+    def _expire(self, now_ms: Millis, exchange: Exchange) -> None:
+        if exchange.call_id:
+            # The call is in flight: only the target's node knows whether it has started.
+            exchange.may_have_run = True
+            self._cancel_call(exchange)
+        if exchange.may_have_run:
+            self._record_duration(now_ms, exchange)
+        code = DEADLINE_PASSED if exchange.may_have_run else NOT_DISPATCHED
+        self._refuse(now_ms, exchange, code)
+
+    def _try_step(
+        self, step: Callable[..., None], now_ms: Millis, exchange: Exchange, *values: object
+    ) -> None:
+        """Perform a step of handling a request; an error of it ends this request only."""
+        try:
+            step(now_ms, exchange, *values)
+        except Exception as error:
+            log_fault(CALL_FAULT, error, request=exchange.request_id, route=exchange.route.name)
+            if not exchange.is_done:
+                self._end_faulty(now_ms, exchange)
+
+    def _end_faulty(self, now_ms: Millis, exchange: Exchange) -> None:
+        if exchange.call_id:
+            exchange.may_have_run = True
+            self._cancel_call(exchange)
+        code = CALL_BROKEN_OFF if exchange.may_have_run else CALL_NOT_STARTED
+        self._refuse(now_ms, exchange, code)
 
     def _open(self, now_ms: Millis, caller: Caller, request: HttpRequest) -> Exchange:
         return Exchange(
@@ -392,13 +418,16 @@
             exchange = self._calls.get(heapq.heappop(self._response_timeouts)[1])
             if exchange is None or self._may_be_queued(now_ms, exchange):
                 continue
-            if self._try_acquire_retry(now_ms, exchange):
-                exchange.target_attempts += 1
-                exchange.may_have_run = True
-                exchange.last_code = TARGET_TIMEOUT
-                self._cancel_call(exchange)
-                self._host_selector.on_response_timeout(exchange.node_id)
-                self._send(now_ms, exchange)
+            self._try_step(self._retry_late_call, now_ms, exchange)
+
+    def _retry_late_call(self, now_ms: Millis, exchange: Exchange) -> None:
+        if self._try_acquire_retry(now_ms, exchange):
+            exchange.target_attempts += 1
+            exchange.may_have_run = True
+            exchange.last_code = TARGET_TIMEOUT
+            self._cancel_call(exchange)
+            self._host_selector.on_response_timeout(exchange.node_id)
+            self._send(now_ms, exchange)
 
     def _may_be_queued(self, now_ms: Millis, exchange: Exchange) -> bool:
         """Return whether the call may still be waiting for a slot at its target."""
@@ -499,16 +528,18 @@
         """Send the deferred requests that have a usable host now; defer or refuse the others."""
         deferred, self._deferred = self._deferred, []
         for exchange in deferred:
-            if exchange.is_done:
-                continue
-            hosts = self._directory.hosts_of(exchange.service)
-            is_in_time = self._has_time_left(now_ms, exchange)
-            if is_in_time and self._host_selector.has_usable(now_ms, hosts):
-                exchange.tried.clear()
-                exchange.refusals = 0
-                self._send(now_ms, exchange)
-            else:
-                self._defer_or_refuse(now_ms, exchange)
+            if not exchange.is_done:
+                self._try_step(self._resume, now_ms, exchange)
+
+    def _resume(self, now_ms: Millis, exchange: Exchange) -> None:
+        hosts = self._directory.hosts_of(exchange.service)
+        is_in_time = self._has_time_left(now_ms, exchange)
+        if is_in_time and self._host_selector.has_usable(now_ms, hosts):
+            exchange.tried.clear()
+            exchange.refusals = 0
+            self._send(now_ms, exchange)
+        else:
+            self._defer_or_refuse(now_ms, exchange)
 
     def _refuse(self, now_ms: Millis, exchange: Exchange, code: ErrorCode) -> None:
         """Send an error generated by the node itself; report "not run" only if it is certain."""
--- a/gooseberrydock/mesh/run.py
+++ b/gooseberrydock/mesh/run.py
@@ -228,6 +228,10 @@
             self._reload(node)
 
     def _reload(self, node: MeshNode) -> None:
+        with log_and_suppress_errors("settings"):
+            self._apply_settings(node)
+
+    def _apply_settings(self, node: MeshNode) -> None:
         wanted = self._environment.reload()
         if wanted is not None:
             change = apply_settings(node.options, wanted)
--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -39,7 +39,7 @@
     STORE_SILENT,
     WATCH_ROLE_CHANGED,
 )
-from gooseberrydock.logs import log
+from gooseberrydock.logs import log, log_and_suppress_errors
 from gooseberrydock.members import Member, encode_member
 from gooseberrydock.mesh.read_pacing import ReadPacer
 from gooseberrydock.mesh.store import Lease, Store, StoreChanges, StoreItem
@@ -345,9 +345,10 @@
             self._check_own_record(changes)
 
     def _apply(self, items: tuple[StoreItem, ...], is_snapshot: bool) -> None:
-        may_reappear = self._sink.on_store_items(items, is_snapshot)
-        if may_reappear:
-            self._pacer.read_fast(self._clock.now_ms())
+        with log_and_suppress_errors(self._node_prefix):
+            may_reappear = self._sink.on_store_items(items, is_snapshot)
+            if may_reappear:
+                self._pacer.read_fast(self._clock.now_ms())
 
     def _forward(self, after: int, upto: int, items: tuple[StoreItem, ...]) -> None:
         """Forward changes of records to the nodes that do not watch."""
--- a/gooseberrydock/mesh/target_connections.py
+++ b/gooseberrydock/mesh/target_connections.py
@@ -232,6 +232,10 @@
         else:
             self._fail(TARGET_LOST)
 
+    def fail_pending(self) -> None:
+        """Report the request in progress as lost, if an error ended its connection."""
+        self._fail(TARGET_LOST)
+
     def _fail(self, code: ErrorCode) -> None:
         observer, self._observer = self._observer, None
         self._stream.close()
@@ -292,7 +296,11 @@
         connection = self._take_idle(is_idempotent)
         if connection is not None:
             pending.connection = connection
-            connection.start(data, observer, body)
+            try:
+                connection.start(data, observer, body)
+            except Exception:
+                connection.abort()
+                raise
         else:
             self._nursery.start_soon(self._start_on_new_connection, pending, data, observer, body)
         return pending
@@ -305,11 +313,12 @@
         self._nursery.start_soon(self._check, on_unreachable)
 
     async def _check(self, on_unreachable: Callable[[], None]) -> None:
-        stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True)
-        if stream is not None:
-            stream.close()
-        else:
-            on_unreachable()
+        with log_and_suppress_errors(str(self._address)):
+            stream = await connect(self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True)
+            if stream is not None:
+                stream.close()
+            else:
+                on_unreachable()
 
     def close_idle(self) -> None:
         """Close all idle connections, as they may lead to another instance."""
@@ -348,29 +357,41 @@
         self, pending: PendingRun, data: bytes, observer: RunObserver, body: RelayedBody | None
     ) -> None:
         """Open a connection, send the request on it, and read from it until it closes."""
+        with log_and_suppress_errors(str(self._address)):
+            connection = await self._open_connection(pending, observer)
+            if connection is None:
+                return
+            try:
+                connection.start(data, observer, body)
+                # This task must not keep the request for as long as the connection is open.
+                del pending, data, observer, body
+                await connection.run()
+            except Exception:
+                connection.fail_pending()
+                raise
+            finally:
+                self._open -= 1
+                connection.abort()
+
+    async def _open_connection(
+        self, pending: PendingRun, observer: RunObserver
+    ) -> TargetConnection | None:
+        """Open a connection; return None if its request was aborted, or has failed without one."""
         stream = await connect(
             self._address, self._nursery, _CONNECT_TIMEOUT_MS, is_local=True, account=self._account
         )
-        if pending.is_aborted:
-            if stream is not None:
-                stream.close()
-            return
         if stream is None:
-            observer.on_failure(TARGET_UNREACHABLE, was_sent=False)
-            return
+            if not pending.is_aborted:
+                observer.on_failure(TARGET_UNREACHABLE, was_sent=False)
+            return None
+        if pending.is_aborted:
+            stream.close()
+            return None
         connection = TargetConnection(stream, self._clock, self._return_to_idle, self._account)
         pending.connection = connection
         self._open += 1
         self._opened += 1
-        try:
-            with log_and_suppress_errors(str(self._address)):
-                connection.start(data, observer, body)
-                # This task must not keep the request for as long as the connection is open.
-                del pending, data, observer, body
-                await connection.run()
-        finally:
-            self._open -= 1
-            stream.close()
+        return connection
 
 
 def _idle_timeout(response: HttpResponse) -> Millis:
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -12,6 +12,8 @@
 
 from gooseberrydock.clock import Clock, Millis
 from gooseberrydock.errorcodes import (
+    CALL_BROKEN_OFF,
+    CALL_NOT_STARTED,
     MEMORY_SHORT,
     NO_TARGET,
     NODE_LEAVING,
@@ -23,6 +25,7 @@
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
     ANNOUNCEMENT_REFUSED,
+    CALL_FAULT,
     QUARANTINE_LIFTED,
     REQUEST_QUARANTINED,
     STATEMENT_REFUSED,
@@ -34,7 +37,7 @@
     TARGET_STATES_LEAVING,
 )
 from gooseberrydock.http_messages import Headers, header_value
-from gooseberrydock.logs import log
+from gooseberrydock.logs import log, log_fault
 from gooseberrydock.memory_account import MemoryAccount
 from gooseberrydock.mesh.admission_queue import Ticket
 from gooseberrydock.mesh.body_transfer import WINDOW_BYTES, RelayedBody
@@ -214,21 +217,48 @@
 
     def _refuse(self, link_id: str, call: RoutedCall, code: ErrorCode) -> None:
         """Answer a call that has not been sent to the target."""
+        self._answer_without_target(link_id, call, code, was_sent=False)
+
+    def _answer_without_target(
+        self, link_id: str, call: RoutedCall, code: ErrorCode, was_sent: bool
+    ) -> None:
+        """Answer a call with a code of this node, as not run unless it may have been sent."""
+        result = RunResult.UNKNOWN if was_sent else RunResult.NOT_RUN
+        report = self._report(call.route)
         answer = RoutedAnswer(
-            call.call_id,
-            RunResult.NOT_RUN,
-            code.number,
-            code.status,
-            [],
-            b"",
-            False,
-            self._report(call.route),
+            call.call_id, result, code.number, code.status, [], b"", was_sent, report
         )
         self._owner.answer_call(link_id, answer)
 
     # Runs.
 
     def _start_run(self, run: Run) -> None:
+        """Send a run to the target; an error ends this run only and gives its slot back."""
+        try:
+            self._send_run(run)
+        except Exception as error:
+            self._end_faulty(run, error)
+
+    def on_run_fault(self, run: Run, error: Exception) -> None:
+        """End a run because of an error in this program, and start waiting calls."""
+        self._end_faulty(run, error)
+        self._start_waiting_calls()
+
+    def _end_faulty(self, run: Run, error: Exception) -> None:
+        """Log an error, release the slot of its run and answer the call, unless it has ended."""
+        ticket = run.ticket
+        log_fault(CALL_FAULT, error, request=ticket.request_id, route=ticket.call.route)
+        if ticket.run_id not in self._runs:
+            return
+        if run.pending is not None:
+            run.pending.abort()
+        self._remove_run(run, has_completed=False)
+        if run.was_started:
+            self._answer_without_target(ticket.link_id, ticket.call, CALL_BROKEN_OFF, was_sent=True)
+        else:
+            self._refuse(ticket.link_id, ticket.call, CALL_NOT_STARTED)
+
+    def _send_run(self, run: Run) -> None:
         """Send a run to the target, or refuse it if the target no longer accepts it."""
         now_ms = self._clock.now_ms()
         call = run.ticket.call
@@ -249,12 +279,13 @@
             self._refuse(run.ticket.link_id, call, MEMORY_SHORT)
             return
         remaining_ms = run.ticket.deadline_at - now_ms
+        data = request_bytes(call, self._header_names, registration.instance_id, remaining_ms)
         run.start_id = registration.start_id
         if call.body_bytes:
             run.body = self._create_body(run.ticket)
             self._account.charge(WINDOW_BYTES)
         self._sent += 1
-        data = request_bytes(call, self._header_names, registration.instance_id, remaining_ms)
+        run.was_started = True
         is_idempotent = self._owner.is_idempotent(call.route)
         run.pending = self._pool.start(data, run, is_idempotent, run.body)
 
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -23,6 +23,8 @@
 
 _NO_REPORT: Final = TargetReport(0, 0, 0.0, 1.0)
 """Placeholder, which the dispatcher replaces with the report of the admission queue."""
+_OWN_LINES: Final = 4
+"""Lines of each request besides the headers of its call and the length of its body."""
 _BODILESS_METHODS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
 
@@ -47,13 +49,16 @@
     def on_run_lost(self, run: "Run") -> None:
         """Record that a run lost its connection to the target."""
 
+    def on_run_fault(self, run: "Run", error: Exception) -> None:
+        """End a run because of an error in this program."""
+
 
 @attrs.define(eq=False)
 class Run:
     """State of one call from the admission queue to its answer.
 
-    ``start_id`` is the start of the target to which the call was sent. ``body`` is a long body,
-    which is passed on as it arrives.
+    ``start_id`` is the start of the target to which the call was sent; ``was_started`` is true once
+    any of it may have been sent. ``body`` is a long body, which is passed on as it arrives.
     """
 
     ticket: Ticket
@@ -61,6 +66,7 @@
     _header_names: HeaderNames
     pending: PendingRun | None = None
     start_id: str = ""
+    was_started: bool = False
     body: RelayedBody | None = None
 
     def accepts(self, response: HttpResponse) -> bool:
@@ -73,6 +79,12 @@
 
     def on_response(self, response: HttpResponse) -> None:
         """Answer the call according to the classification of the target's answer."""
+        try:
+            self._conclude(response)
+        except Exception as error:
+            self._owner.on_run_fault(self, error)
+
+    def _conclude(self, response: HttpResponse) -> None:
         classification = classify_answer(response, self._header_names)
         if classification.is_other_instance:
             self._owner.on_other_instance()
@@ -97,6 +109,12 @@
 
     def on_failure(self, code: ErrorCode, was_sent: bool) -> None:
         """Answer the call as not run if it was not sent, and as unknown otherwise."""
+        try:
+            self._fail(code, was_sent)
+        except Exception as error:
+            self._owner.on_run_fault(self, error)
+
+    def _fail(self, code: ErrorCode, was_sent: bool) -> None:
         self._owner.on_call_failed(self.ticket, code, 0)
         if code is TARGET_UNREACHABLE:
             self._owner.on_target_unreachable()
@@ -133,7 +151,10 @@
 def request_bytes(
     call: RoutedCall, header_names: HeaderNames, instance_id: str, remaining_ms: Millis
 ) -> bytes:
-    """Return the serialized request to the target, without a body that is sent in parts."""
+    """Return the serialized request to the target, without a body that is sent in parts.
+
+    Raises ``ValueError`` if a field of the call cannot be written into the head of a request.
+    """
     parts = [
         call.method.encode("ascii"),
         b" ",
@@ -146,7 +167,11 @@
     parts += (header_names.expected_instance, b": ", instance_id.encode("latin-1"), b"\r\n")
     parts += (header_names.caller_service, b": ", call.caller_service.encode("latin-1"), b"\r\n")
     body_bytes = call.body_bytes or len(call.body)
+    lines = len(call.headers) + _OWN_LINES
     if body_bytes or call.method not in _BODILESS_METHODS:
         parts.append(b"content-length: %d\r\n" % body_bytes)
-    parts += (b"\r\n", call.body)
-    return b"".join(parts)
+        lines += 1
+    head = b"".join(parts)
+    if head.count(b"\n") != lines or head.count(b"\r") != lines or b"\0" in head:
+        raise ValueError("a field of the call has a line end or a zero byte")
+    return b"".join((head, b"\r\n", call.body))
--- a/gooseberrydock/node.py
+++ b/gooseberrydock/node.py
@@ -9,9 +9,10 @@
 from gooseberrydock import messages
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
 from gooseberrydock.connection_limit import Listening
-from gooseberrydock.errorcodes import ErrorCode
+from gooseberrydock.errorcodes import CALL_NOT_STARTED, ErrorCode
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import (
+    CALL_FAULT,
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_REFUSED,
     MEMBER_CHANGED,
@@ -31,7 +32,7 @@
     problem_response,
 )
 from gooseberrydock.http_server import HttpConnection, run_limited, serve_http
-from gooseberrydock.logs import log
+from gooseberrydock.logs import log, log_and_suppress_errors, log_fault
 from gooseberrydock.members import Address, Member, MemberState, decode_member
 from gooseberrydock.membership import SendGossip, create_membership
 from gooseberrydock.node_core import NodeCore, create_node_core
@@ -189,7 +190,11 @@
 
     def run_on_target(self, run_id: int, request: HttpRequest) -> None:
         """Send a request to the local target."""
-        self._target.run(self._core, self._clock.now_ms, run_id, request)
+        try:
+            self._target.run(self._core, self._clock.now_ms, run_id, request)
+        except Exception as error:
+            log_fault(CALL_FAULT, error, run=run_id)
+            self._core.on_target_failed(self._clock.now_ms(), run_id, CALL_NOT_STARTED)
 
     def cancel_on_target(self, run_id: int) -> None:
         """Cancel a request on the local target."""
@@ -217,11 +222,12 @@
 
     async def _check_crash(self) -> None:
         """Check whether the target crashed or only a connection was lost."""
-        await trio.sleep(_CRASH_CHECK_DELAY_MS / MS_PER_SECOND)
-        is_reachable = await self._target.is_reachable()
-        self._is_checking_crash = False
-        for fingerprint in self._core.on_crash_checked(self._clock.now_ms(), is_reachable):
-            log(REQUEST_QUARANTINED, fingerprint=f"{fingerprint:016x}")
+        with log_and_suppress_errors("target"):
+            await trio.sleep(_CRASH_CHECK_DELAY_MS / MS_PER_SECOND)
+            is_reachable = await self._target.is_reachable()
+            self._is_checking_crash = False
+            for fingerprint in self._core.on_crash_checked(self._clock.now_ms(), is_reachable):
+                log(REQUEST_QUARANTINED, fingerprint=f"{fingerprint:016x}")
 
     # Callers and the local target.
 
--- a/gooseberrydock/node_tasks.py
+++ b/gooseberrydock/node_tasks.py
@@ -10,6 +10,7 @@
 
 from gooseberrydock import defaults
 from gooseberrydock.clock import MS_PER_SECOND, Millis
+from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.members import Address
 from gooseberrydock.node import Node
 from gooseberrydock.store_watch import StoreWatch
@@ -46,10 +47,11 @@
         """Run the timers of calls, links and announcements, more often with calls in flight."""
         while True:
             now_ms = self._node.now_ms()
-            self._node.core.tick(now_ms)
-            self._node.links.tick(now_ms)
-            self._node.check_announcement(now_ms)
-            self._node.limits.tick(now_ms)
+            with log_and_suppress_errors("call timers"):
+                self._node.core.tick(now_ms)
+                self._node.links.tick(now_ms)
+                self._node.check_announcement(now_ms)
+                self._node.limits.tick(now_ms)
             is_busy = self._node.core.is_busy or self._node.limits.account.incomplete
             wait_ms = defaults.BUSY_TICK_MS if is_busy else defaults.IDLE_TICK_MS
             await trio.sleep(wait_ms / MS_PER_SECOND)
@@ -58,9 +60,10 @@
         """Run the timers of membership."""
         while True:
             now_ms = self._node.now_ms()
-            sends = self._node.core.membership.tick(now_ms)
-            self._node.handle_member_changes(now_ms)
-            self._node.gossip.send(sends)
+            with log_and_suppress_errors("membership timers"):
+                sends = self._node.core.membership.tick(now_ms)
+                self._node.handle_member_changes(now_ms)
+                self._node.gossip.send(sends)
             await trio.sleep(_GOSSIP_TICK_INTERVAL_MS / MS_PER_SECOND)
 
     async def run_member_sync(self) -> None:
@@ -71,7 +74,8 @@
             period_ms = min(2 * period_ms, defaults.MEMBER_SYNC_PERIOD_MS)
             live = self._node.core.membership.live_members()
             if live:
-                self._node.request_member_sync(self._random.choice(live).node_id)
+                with log_and_suppress_errors("member sync"):
+                    self._node.request_member_sync(self._random.choice(live).node_id)
 
     async def join(self, watch: StoreWatch | None) -> None:
         """Ping the seeds from the settings, then also those from the store, until one answers."""
--- a/gooseberrydock/ownership_loop.py
+++ b/gooseberrydock/ownership_loop.py
@@ -12,6 +12,7 @@
 
 from gooseberrydock.clock import MS_PER_SECOND, Clock, Millis
 from gooseberrydock.errors import GooseberrydockError
+from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.messages import OwnerHeartbeat, OwnerRegister, PeerMessage
 from gooseberrydock.node_core import NodeCore
 from gooseberrydock.owner_register import (
@@ -39,7 +40,8 @@
     async def run(self) -> None:
         """Run the controller's timers."""
         while True:
-            self._perform_actions(self._core.tick_ownership(self._clock.now_ms()))
+            with log_and_suppress_errors(self._key):
+                self._perform_actions(self._core.tick_ownership(self._clock.now_ms()))
             await trio.sleep(_TICK_MS / MS_PER_SECOND)
 
     def on_heartbeat(self, node_id: str, heartbeat: OwnerHeartbeat) -> None:
@@ -77,8 +79,9 @@
             self._core.ownership.on_store_call_failed(self._clock.wall_ms())
             return
         wall_ms = self._clock.wall_ms()
-        actions = self._core.ownership.on_read(wall_ms, began_ms, register, stored.modify_index)
-        self._perform_actions(actions)
+        with log_and_suppress_errors(self._key):
+            actions = self._core.ownership.on_read(wall_ms, began_ms, register, stored.modify_index)
+            self._perform_actions(actions)
 
     async def _swap(self, store: StoreClient, action: SwapRegister) -> None:
         payload = encode_register(action.register)
@@ -89,7 +92,9 @@
             self._core.ownership.on_store_call_failed(self._clock.wall_ms())
             return
         wall_ms = self._clock.wall_ms()
-        self._perform_actions(self._core.ownership.on_swapped(wall_ms, action.register, is_done))
+        with log_and_suppress_errors(self._key):
+            actions = self._core.ownership.on_swapped(wall_ms, action.register, is_done)
+            self._perform_actions(actions)
 
     @property
     def _key(self) -> str:
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -35,8 +35,8 @@
     ErrorCode,
 )
 from gooseberrydock.errors import GooseberrydockError, Step
-from gooseberrydock.events import LINK_REFUSED, LINK_SILENT
-from gooseberrydock.logs import log, log_and_suppress_errors
+from gooseberrydock.events import CALL_FAULT, LINK_REFUSED, LINK_SILENT
+from gooseberrydock.logs import log, log_and_suppress_errors, log_fault
 from gooseberrydock.members import Address
 from gooseberrydock.memory_account import MemoryAccount
 from gooseberrydock.messages import (
@@ -313,7 +313,14 @@
             if not message.is_reply:
                 self._write(KeepAlive(message.token, is_reply=True))
             return
-        self._links.on_message(self, message)
+        try:
+            self._links.on_message(self, message)
+        except GooseberrydockError:
+            # The peer broke the protocol.
+            raise
+        except Exception as error:
+            # The other calls on this link go on.
+            log_fault(CALL_FAULT, error, peer=self._node_id, kind=type(message).__name__)
 
     def _on_hello(self, hello: Hello) -> None:
         """Process the peer's handshake message and answer it.
@@ -356,7 +363,8 @@
         self._is_ready = True
         self._links.on_ready(self)
         for message in self.take_unsent_messages():
-            self.send(message)
+            with log_and_suppress_errors(self._node_id):
+                self.send(message)
 
     def _track(self, message: PeerMessage) -> None:
         """Record which calls are unanswered, since silence matters only while there are any."""
@@ -490,7 +498,8 @@
             self._links_by_node[link.node_id] = link
             if current_link is not None:
                 for message in current_link.take_unsent_messages():
-                    link.send(message)
+                    with log_and_suppress_errors(link.node_id):
+                        link.send(message)
 
     def has_link(self, node_id: str) -> bool:
         """Return whether there is a link to a node, open or being opened."""
@@ -520,15 +529,19 @@
     def tick(self, now_ms: Millis) -> None:
         """Close links that went silent, and report calls that waited too long for a new link."""
         for link in list(self._links_by_id.values()):
-            overdue_calls = link.take_overdue_calls(now_ms)
-            if overdue_calls:
-                self._on_lost(link, overdue_calls, [], PEER_UNREACHABLE)
-            if link.is_retired:
-                if not link.unanswered_call_count:
-                    self._close_link(link, PEER_SILENT)
-            elif link.check_silence(now_ms):
-                log(LINK_SILENT, peer=link.node_id, calls_due=link.unanswered_call_count)
-                self._retire_or_close(link)
+            with log_and_suppress_errors(link.node_id):
+                self._tick_link(now_ms, link)
+
+    def _tick_link(self, now_ms: Millis, link: PeerLink) -> None:
+        overdue_calls = link.take_overdue_calls(now_ms)
+        if overdue_calls:
+            self._on_lost(link, overdue_calls, [], PEER_UNREACHABLE)
+        if link.is_retired:
+            if not link.unanswered_call_count:
+                self._close_link(link, PEER_SILENT)
+        elif link.check_silence(now_ms):
+            log(LINK_SILENT, peer=link.node_id, calls_due=link.unanswered_call_count)
+            self._retire_or_close(link)
 
     def _retire_or_close(self, link: PeerLink) -> None:
         """Let new calls use another link; keep this one while answers on it are awaited."""
@@ -561,13 +574,13 @@
         return link
 
     async def _run_client(self, link: PeerLink) -> None:
-        address = self._find_address(link.node_id)
-        try:
-            if address is not None:
-                with log_and_suppress_errors(link.node_id):
+        with log_and_suppress_errors(link.node_id):
+            try:
+                address = self._find_address(link.node_id)
+                if address is not None:
                     await link.run_client(address)
-        finally:
-            self._close_link(link, PEER_LOST)
+            finally:
+                self._close_link(link, PEER_LOST)
 
     def _close_link(self, link: PeerLink, code: ErrorCode) -> None:
         """Close a link and report its unsent and unanswered calls, once."""
--- a/gooseberrydock/store_watch.py
+++ b/gooseberrydock/store_watch.py
@@ -21,7 +21,7 @@
 from gooseberrydock.decoding import MALFORMED_INPUT
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.events import STORE_BACK, STORE_LOST, STORE_RESTORED
-from gooseberrydock.logs import log
+from gooseberrydock.logs import log, log_and_suppress_errors
 from gooseberrydock.members import Address, parse_address
 from gooseberrydock.store_client import StoreClient, StoredValue
 
@@ -61,9 +61,10 @@
             self._record_success()
             backoff.reset()
             index = 0 if stored.watch_index < index else stored.watch_index
-            if stored.value is not None:
-                self._on_payload(stored.value)
-            await self._repair_restored_store(stored)
+            with log_and_suppress_errors(defaults.CONFIGURATION_KEY):
+                if stored.value is not None:
+                    self._on_payload(stored.value)
+                await self._repair_restored_store(stored)
             await trio.sleep(_MIN_WATCH_PERIOD_MS / MS_PER_SECOND)
 
     async def _repair_restored_store(self, stored: StoredValue) -> None:
--- a/gooseberrydock/stream.py
+++ b/gooseberrydock/stream.py
@@ -275,7 +275,8 @@
         if self.is_closed:
             return
         if self.on_drained is not None:
-            self.on_drained()
+            with log_and_suppress_errors(self.peer_host):
+                self.on_drained()
         if self._unsent:
             return
         if self._closes_when_flushed:
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -68,7 +68,8 @@
     return [message.call_id for message in messages if isinstance(message, Call)]
 
 
-def _call(call_id: int) -> Call:
+def make_peer_call(call_id: int) -> Call:
+    """Create a call between two nodes."""
     return Call(call_id, "s", "o", "POST", "/o", [], b"", _CONTEXT)
 
 
@@ -82,7 +83,7 @@
                 listener = listen(_ANY_PORT)
                 nursery.start_soon(listener.serve, b.links.serve)
                 a.address = listener.address
-                a.links.send("b", _call(1))
+                a.links.send("b", make_peer_call(1))
                 await a.wait_for(a.messages)  # type: ignore[arg-type]
                 self.assertEqual(a.links.open_links[0].unanswered_call_count, 0)
                 nursery.cancel_scope.cancel()
@@ -100,7 +101,7 @@
             listener = listen(_ANY_PORT)
             nursery.start_soon(listener.serve, b.links.serve)
             a.address = listener.address
-            a.links.send("b", _call(1))
+            a.links.send("b", make_peer_call(1))
             await a.wait_for(a.lost)  # type: ignore[arg-type]
             self.assertEqual(a.lost[0][:2], ([1], []))
             self.assertEqual(b.messages, [])
@@ -117,14 +118,14 @@
                     relay.serve, _relay(nursery, listener.address, stalled_connections)
                 )
                 a.address = relay.address
-                a.links.send("b", _call(1))
+                a.links.send("b", make_peer_call(1))
                 await a.wait_for(a.messages)  # type: ignore[arg-type]
                 stalled_connections.update(_RELAYED_CONNECTIONS)
-                a.links.send("b", _call(2))
+                a.links.send("b", make_peer_call(2))
                 await a.wait_for(a.lost)  # type: ignore[arg-type]
                 self.assertEqual(a.lost, [([], [2], PEER_SILENT)])
                 a.messages.clear()
-                a.links.send("b", _call(3))
+                a.links.send("b", make_peer_call(3))
                 await a.wait_for(a.messages)  # type: ignore[arg-type]
                 nursery.cancel_scope.cancel()
 
@@ -150,7 +151,7 @@
                 )
                 a.address = relay.address
                 for call_id in (2, 3, 4):
-                    a.links.send("b", _call(call_id))
+                    a.links.send("b", make_peer_call(call_id))
                 await b.wait_for(b.messages)  # type: ignore[arg-type]
                 stalled_connections.update(_RELAYED_CONNECTIONS)
                 await a.wait_for(silent)  # type: ignore[arg-type]
@@ -181,9 +182,9 @@
                 unresponsive, listener = listen(_ANY_PORT), listen(_ANY_PORT)
                 a.address, b.address = unresponsive.address, listener.address
                 nursery.start_soon(listener.serve, a.links.serve)
-                a.links.send("b", _call(1))
+                a.links.send("b", make_peer_call(1))
                 await trio.sleep(0.05)
-                b.links.send("a", _call(9))
+                b.links.send("a", make_peer_call(9))
                 await b.wait_for(b.messages)  # type: ignore[arg-type]
                 with trio.fail_after(0.5):
                     while _call_ids(b.messages) != [1]:
@@ -199,7 +200,7 @@
                 a = _NodeFixture(nursery, "a", _KEY)
                 unresponsive = listen(_ANY_PORT)
                 a.address = unresponsive.address
-                a.links.send("b", _call(1))
+                a.links.send("b", make_peer_call(1))
                 with trio.fail_after(0.5):
                     await a.wait_for(a.lost)  # type: ignore[arg-type]
                 self.assertEqual([([1], [], PEER_UNREACHABLE)], a.lost)
@@ -215,7 +216,7 @@
                 listener = listen(_ANY_PORT)
                 nursery.start_soon(listener.serve, b.links.serve)
                 a.address = listener.address
-                a.links.send("b", _call(1))
+                a.links.send("b", make_peer_call(1))
                 with trio.move_on_after(2.5):
                     await a.wait_for(a.lost)  # type: ignore[arg-type]
                 self.assertEqual(a.lost, [])
