Use the start that goes on if the target disowns a later one

Cause: the later 'born' wins, whatever the target answers. And its refusals (421) without Request-Id and Not-Executed were taken for late copies of earlier answers, so that nothing told the registration.

Change: a start for which the target answers as another instance is disowned; the next heartbeat of another start that has not left takes its place. A 421 that names another instance than the expected one counts as the answer: it proves that the request did not run, since a connection leads to one process.

--- a/gooseberrydock/events.py
+++ b/gooseberrydock/events.py
@@ -134,6 +134,12 @@
     _INFO,
     "Requests with this fingerprint are no longer quarantined, since a target answered one",
 )
+TARGET_DISOWNED: Final = _register(
+    1116,
+    "target-disowned",
+    _WARNING,
+    "The target answered that it is another instance than the one that announced itself last",
+)
 MEMBER_CHANGED: Final = _register(
     1200, "member-changed", _INFO, "The record of a member changed or was removed"
 )
--- a/gooseberrydock/mesh/options.py
+++ b/gooseberrydock/mesh/options.py
@@ -17,7 +17,8 @@
 
     ``response_signature`` is a header in every complete answer of a target; if it is empty,
     targets do not mark their answers. In ``rate_limit`` an answer names the requests per
-    second that its target takes, in ``leaving`` it states that the target is leaving.
+    second that its target takes, in ``leaving`` it states that the target is leaving, and in
+    ``instance`` it names the instance that the target is.
     """
 
     request_id: bytes = b"gooseberrydock-request-id"
@@ -28,6 +29,7 @@
     response_signature: bytes = b""
     rate_limit: bytes = b"gooseberrydock-rate-limit"
     leaving: bytes = b"gooseberrydock-leaving"
+    instance: bytes = b"gooseberrydock-instance"
 
 
 @attrs.frozen
--- a/gooseberrydock/mesh/target_answers.py
+++ b/gooseberrydock/mesh/target_answers.py
@@ -9,7 +9,7 @@
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.messages import RunResult
 
-_MISDIRECTED_REQUEST: Final = 421
+MISDIRECTED_REQUEST: Final = 421
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 """Statuses from which a caller concludes that its request has not run and never will."""
 _MAX_STATUS: Final = 599
@@ -35,7 +35,7 @@
 def classify_answer(response: HttpResponse, header_names: HeaderNames) -> AnswerClassification:
     """Return the classification of a target's answer."""
     status = response.status
-    if status == _MISDIRECTED_REQUEST:
+    if status == MISDIRECTED_REQUEST:
         return _OTHER_INSTANCE
     if header_value(response.headers, header_names.not_executed):
         return _NOT_RUN
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -31,6 +31,7 @@
     STATEMENT_REFUSED,
     TARGET_CHANGED,
     TARGET_CRASHED,
+    TARGET_DISOWNED,
     TARGET_LEAVING,
     TARGET_RATE_LIMIT_CHANGED,
     TARGET_STATE_RECOVERED,
@@ -306,6 +307,7 @@
             duration_ms = now_ms - ticket.started_at
             self._controllers.stop_plan.runs.on_end(now_ms, ticket.call.route, duration_ms)
         if answer.result is RunResult.ANSWERED:
+            self._controllers.registration.on_answered(run.start_id)
             self._on_answered(ticket)
         self._remove_run(run, has_completed=answer.result is RunResult.ANSWERED)
         answer.report = self._report(run.ticket.call.route)
@@ -379,12 +381,12 @@
                 f"neither in the route table nor this node's own service: {announcement.service}"
             )
             return False
-        previous_id, previous_start = registration.instance_id, registration.start_id
+        previous = registration.current
         if registration.on_announcement(self._clock.now_ms(), announcement):
-            if registration.instance_id != previous_id:
+            if previous is None or registration.instance_id != previous.instance_id:
                 self._pool.close_idle()
                 self._controllers.admission_queue.reset_run_times()
-            if registration.start_id != previous_start:
+            if previous is not None and announcement.is_later_start(previous):
                 self._on_target_dead("later start")
             self._controllers.admission_queue.set_rate_limit(
                 self._clock.now_ms(), registration.rate_limit
@@ -465,20 +467,26 @@
             report.start_id = registration.start_id
         return report
 
-    def on_other_instance(self) -> None:
-        """Record that the announced instance is not at the target's address."""
-        registration = self._controllers.registration
-        if registration.on_mismatch(registration.instance_id):
-            self._on_target_dead("other instance")
-            self._pool.close_idle()
-            self._owner.publish()
+    def on_other_instance(self, run: Run) -> None:
+        """Record that the target is another instance than the one that a run was sent to."""
+        if self._controllers.registration.on_disowned(run.start_id):
+            log(TARGET_DISOWNED, start=run.start_id)
+            self._withdraw_target()
+
+    def _withdraw_target(self) -> None:
+        """Stop using a target that is not at its address, until it announces itself."""
+        self._on_target_dead("other instance")
+        self._pool.close_idle()
+        self._owner.publish()
 
     def on_target_unreachable(self) -> None:
         """Record a failed connection attempt; a target with open connections may merely be full."""
         if self._pool.open_connections:
             return
         self._on_target_dead("refused connection")
-        self.on_other_instance()
+        registration = self._controllers.registration
+        if registration.on_mismatch(registration.instance_id):
+            self._withdraw_target()
 
     def on_run_lost(self, run: Run) -> None:
         """Record that a run lost its connection and may have crashed the target."""
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -18,6 +18,7 @@
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
 
+_MAX_DISOWNED_STARTS: Final = 8
 _MAX_NOTED_STARTS: Final = 8
 """Starts of the target of which is kept what they stated, besides the current one."""
 
@@ -51,6 +52,11 @@
         """Return what identifies this start of the target."""
         return format_start_id(self.instance_id, self.started_wall_ms)
 
+    def is_later_start(self, other: "InstanceAnnouncement") -> bool:
+        """Return whether this is another start, which began no earlier."""
+        is_same = self.start_id == other.start_id
+        return not is_same and self.started_wall_ms >= other.started_wall_ms
+
 
 @attrs.define
 class _NotedStatement:
@@ -80,6 +86,8 @@
     _leaving_since: Millis = 0.0
     _cold_until: Millis = 0.0
     _mismatched_id: str = ""
+    _disowned: dict[str, None] = attrs.field(factory=dict)
+    """Starts for which the target answered that it is another instance, the latest at the end."""
     _rate_limit: float | None = None
     _has_answered: bool = False
     _noted: dict[str, _NotedStatement] = attrs.field(factory=dict)
@@ -278,6 +286,24 @@
         self._mismatched_id = instance_id
         return True
 
+    def on_disowned(self, start_id: str) -> bool:
+        """Record that the target answered a request for a start as another instance.
+
+        The heartbeat of that start may be from another writer. Returns whether the current start
+        becomes unusable by this.
+        """
+        is_current = parse_start_id(start_id)[0] == self.instance_id
+        disowned = self.start_id if is_current else start_id
+        self._disowned.pop(disowned, None)
+        self._disowned[disowned] = None
+        if len(self._disowned) > _MAX_DISOWNED_STARTS:
+            del self._disowned[next(iter(self._disowned))]
+        return is_current and self.on_mismatch(self.instance_id)
+
+    def on_answered(self, start_id: str) -> None:
+        """Record that the target answered a request for a start as its own."""
+        self._disowned.pop(start_id, None)
+
     def on_rate_limit(self, start_id: str, rate_limit: float | None) -> bool:
         """Record the limit that a start of the target named; return whether this is a change."""
         if not start_id or start_id != self.start_id:
@@ -293,10 +319,17 @@
         return parse_start_id(start_id)[1] < current.started_wall_ms
 
     def _may_replace(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
+        has_new_left = self._noted_leaving_since(new) is not None
+        is_new_disowned = new.start_id in self._disowned
+        if current.start_id in self._disowned and not is_new_disowned and not has_new_left:
+            # The target is another instance than the current one, which may be a later start.
+            return True
+        if is_new_disowned and current.start_id not in self._disowned and not self._is_mismatched:
+            return False
         if new.started_wall_ms != current.started_wall_ms:
             return new.started_wall_ms > current.started_wall_ms
         # Equal times do not show which start is the later one, but not one that has left.
-        return self._noted_leaving_since(new) is None
+        return not has_new_left
 
     def _replace_current(
         self, now_ms: Millis, current: InstanceAnnouncement | None, new: InstanceAnnouncement
--- a/gooseberrydock/mesh/target_run.py
+++ b/gooseberrydock/mesh/target_run.py
@@ -17,9 +17,10 @@
 from gooseberrydock.mesh.admission_queue import Ticket
 from gooseberrydock.mesh.body_transfer import RelayedBody
 from gooseberrydock.mesh.options import HeaderNames
-from gooseberrydock.mesh.target_answers import classify_answer
+from gooseberrydock.mesh.target_answers import MISDIRECTED_REQUEST, classify_answer
 from gooseberrydock.mesh.target_connections import PendingRun
 from gooseberrydock.messages import RoutedAnswer, RoutedCall, RunResult, TargetReport
+from gooseberrydock.start_ids import parse_start_id
 
 _NO_REPORT: Final = TargetReport(0, 0, 0.0, 1.0)
 """Placeholder, which the dispatcher replaces with the report of the admission queue."""
@@ -40,8 +41,8 @@
     def on_call_failed(self, ticket: Ticket, code: ErrorCode, status: int) -> None:
         """Record that the target gave no usable answer."""
 
-    def on_other_instance(self) -> None:
-        """Record that the announced instance is not at the target's address."""
+    def on_other_instance(self, run: "Run") -> None:
+        """Record that the target is another instance than the one that a run was sent to."""
 
     def on_target_unreachable(self) -> None:
         """Record that the target accepted no connection."""
@@ -70,12 +71,24 @@
     body: RelayedBody | None = None
 
     def accepts(self, response: HttpResponse) -> bool:
-        """Return whether a response belongs to this call, by the request ID that targets echo."""
+        """Return whether a response belongs to this call, by the request ID that targets echo.
+
+        One without it may be a late copy of an earlier response. It counts if it proves that this
+        call did not run: the process at the other end is another instance than the expected one.
+        """
         own_id = self.ticket.request_id
         echoed = header_value(response.headers, self._header_names.request_id)
         if echoed:
             return echoed == own_id
-        return bool(header_value(response.headers, self._header_names.not_executed)) or not own_id
+        if header_value(response.headers, self._header_names.not_executed) or not own_id:
+            return True
+        return self._is_of_other_instance(response)
+
+    def _is_of_other_instance(self, response: HttpResponse) -> bool:
+        if response.status != MISDIRECTED_REQUEST or not self.start_id:
+            return False
+        instance_id = header_value(response.headers, self._header_names.instance)
+        return bool(instance_id) and instance_id != parse_start_id(self.start_id)[0]
 
     def on_response(self, response: HttpResponse) -> None:
         """Answer the call according to the classification of the target's answer."""
@@ -87,7 +100,7 @@
     def _conclude(self, response: HttpResponse) -> None:
         classification = classify_answer(response, self._header_names)
         if classification.is_other_instance:
-            self._owner.on_other_instance()
+            self._owner.on_other_instance(self)
         else:
             is_intact = classification.result is RunResult.ANSWERED
             self._owner.on_answer_headers(self, response.headers, is_intact)
--- a/gooseberrydock/platform/settings.py
+++ b/gooseberrydock/platform/settings.py
@@ -30,6 +30,7 @@
     response_signature=b"server-seal",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    instance=b"instance-id",
 )
 
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -265,7 +265,9 @@
     def _on_request(self, connection: HttpConnection, request: HttpRequest) -> None:
         expected = header_value(request.headers, b"expected-instance")
         if expected and expected != self.instance_id:
-            connection.respond(HttpResponse(421, [(b"instance-id", b"other")], b""))
+            connection.respond(
+                HttpResponse(421, [(b"instance-id", self.instance_id.encode())], b"")
+            )
             return
         self.runs.append(request)
         self.run_times_s.append(trio.current_time())
--- a/tests/test_mesh_node.py
+++ b/tests/test_mesh_node.py
@@ -259,7 +259,7 @@
             for call in calls:
                 dispatcher.on_call("link-1", call)
             self.assertEqual(3, dispatcher.in_flight)
-            dispatcher.on_other_instance()
+            dispatcher.on_other_instance(dispatcher.runs[0])
             dispatcher.on_cancel("link-1", Cancel(1))
         self.assertEqual([2, 3], [answer.call_id for answer in answers])
         self.assertEqual({RunResult.NOT_RUN}, {answer.result for answer in answers})
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import attrs
 from hypothesis import given
@@ -21,12 +22,15 @@
     TargetState,
     create_target_registration,
 )
+from gooseberrydock.mesh.target_run import Run
 from gooseberrydock.messages import RoutedCall, RunResult
 
 _ADDRESS = Address("10.0.0.1", 80)
 _DRAIN_MS = 2_000.0
 _FIRST = InstanceAnnouncement("i-1", "shop", _ADDRESS, 1_000, 1, TargetState.READY, 10, 0.0)
 
+_FOREIGN = attrs.evolve(_FIRST, instance_id="i-foreign", started_wall_ms=9_000)
+
 
 def _create_registration() -> TargetRegistration:
     registration = create_target_registration(_ADDRESS, _DRAIN_MS)
@@ -117,6 +121,73 @@
         registration.on_announcement(2.0, _create_announcement(sequence=2))
         self.assertTrue(registration.accepts(3.0, "shop"))
 
+    def test_start_that_goes_on_is_used_after_the_target_disowned_a_later_one(self) -> None:
+        # Guards against a heartbeat of another writer that keeps a sound target out of use.
+        registration = _create_registration()
+        registration.on_announcement(1.0, _FOREIGN)
+        registration.on_announcement(2.0, _create_announcement(sequence=2))
+        self.assertEqual(_FOREIGN.start_id, registration.start_id)
+        self.assertTrue(registration.on_disowned(_FOREIGN.start_id))
+        self.assertFalse(registration.accepts(3.0, "shop"))
+        self.assertTrue(registration.on_announcement(4.0, _create_announcement(sequence=3)))
+        self.assertEqual(_FIRST.start_id, registration.start_id)
+        self.assertTrue(registration.accepts(5.0, "shop"))
+
+    def test_disowned_start_does_not_replace_one_that_the_target_answers_as(self) -> None:
+        # Guards against a second heartbeat of the same other writer.
+        registration = _create_registration()
+        registration.on_announcement(1.0, _FOREIGN)
+        registration.on_disowned(_FOREIGN.start_id)
+        registration.on_announcement(2.0, _create_announcement(sequence=2))
+        registration.on_announcement(3.0, attrs.evolve(_FOREIGN, sequence=7))
+        self.assertEqual(_FIRST.start_id, registration.start_id)
+        self.assertTrue(registration.accepts(4.0, "shop"))
+
+    def test_disowned_start_is_used_if_the_other_one_is_gone(self) -> None:
+        for end in ("disowned", "unreachable"):
+            with self.subTest(end):
+                registration = _create_registration()
+                registration.on_announcement(1.0, _FOREIGN)
+                registration.on_disowned(_FOREIGN.start_id)
+                registration.on_announcement(2.0, _create_announcement(sequence=2))
+                if end == "disowned":
+                    registration.on_disowned(_FIRST.start_id)
+                else:
+                    registration.on_mismatch("i-1")
+                registration.on_announcement(3.0, attrs.evolve(_FOREIGN, sequence=7))
+                self.assertEqual(_FOREIGN.start_id, registration.start_id)
+
+    def test_answer_to_a_request_for_an_earlier_instance_disowns_only_that(self) -> None:
+        registration = _create_registration()
+        registration.on_announcement(1.0, _FOREIGN)
+        self.assertFalse(registration.on_disowned(_FIRST.start_id))
+        self.assertTrue(registration.accepts(2.0, "shop"))
+
+    def test_start_that_left_is_not_used_after_a_later_one_was_disowned(self) -> None:
+        # Guards against a leaving that is undone by the heartbeat of another writer.
+        registration = _create_registration()
+        registration.on_announcement(1.0, _FOREIGN)
+        registration.on_leave(2.0, _FIRST.start_id)
+        registration.on_disowned(_FOREIGN.start_id)
+        registration.on_announcement(3.0, _create_announcement(sequence=3))
+        self.assertEqual("", registration.service)
+        self.assertFalse(registration.accepts(3.0 + _DRAIN_MS, "shop"))
+
+    def test_unreachable_target_does_not_bring_an_earlier_start_back(self) -> None:
+        # A late heartbeat of a start that crashed says nothing of the one after it.
+        registration = _create_registration()
+        later = _create_announcement(instance_id="i-2", started_wall_ms=2_000)
+        registration.on_announcement(1.0, later)
+        registration.on_mismatch("i-2")
+        registration.on_announcement(2.0, _create_announcement(sequence=9))
+        self.assertEqual(later.start_id, registration.start_id)
+
+    def test_disowned_starts_are_bounded(self) -> None:
+        registration = _create_registration()
+        for number in range(1_000):
+            registration.on_disowned(f"i-x@{number}")
+        self.assertLess(len(registration._disowned), 20)
+
 
 def _create_ticket(
     admission_queue: AdmissionQueue,
@@ -335,9 +406,32 @@
 ]
 
 
+_REQUEST_ID, _OTHER, _OWN = _NAMES.request_id, (_NAMES.instance, b"i-2"), (_NAMES.instance, b"i-1")
+_OWNERSHIP: list[tuple[str, int, Headers, bool]] = [
+    ("the own ID", 200, [(_REQUEST_ID, b"r1")], True),
+    ("another ID", 421, [(_REQUEST_ID, b"r0"), _OTHER], False),
+    ("no ID, not executed", 503, [(_NAMES.not_executed, b"1")], True),
+    ("no ID", 200, [_SIGNATURE], False),
+    ("no ID, from another instance", 421, [_OTHER], True),
+    ("no ID, maybe a late copy from the expected instance", 421, [_OWN], False),
+    ("no ID, from an instance without a name", 421, [], False),
+    ("no ID, another instance that does not refuse", 200, [_OTHER], False),
+]
+"""Responses to the request r1, which was sent to the instance i-1."""
+
+
 class AnswerCases(unittest.TestCase):
     """What a target's answer says about its request."""
 
+    def test_response_belongs_to_a_request_by_its_id_or_by_the_instance_that_refuses(self) -> None:
+        # Guards against a refusal by another instance that is waited for until the deadline.
+        ticket = _create_ticket(_create_admission_queue(), 1)
+        ticket.request_id = "r1"
+        run = Run(ticket, mock.Mock(), _NAMES, start_id="i-1@1000")
+        for title, status, headers, expected in _OWNERSHIP:
+            with self.subTest(title):
+                self.assertIs(expected, run.accepts(HttpResponse(status, headers, b"")))
+
     def test_answers_are_classified_by_status_and_headers(self) -> None:
         for title, status, headers, expected in _ANSWERS:
             with self.subTest(title):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -208,12 +208,14 @@
         self._dispatcher = self._node.target_dispatcher
         self._dispatcher.on_announcement(self._announced)
 
-    def _lose_run(self, start_id: str = "i@5") -> None:
+    def _create_run(self, start_id: str = "i@5") -> Run:
         queue = self._node.admission_queue
         ticket = queue.create_ticket(0.0, 1, "link", make_call("/bad"))
         queue.submit(0.0, ticket)
-        run = Run(ticket, self._dispatcher, HeaderNames(), start_id=start_id)
-        run.on_failure(TARGET_LOST, was_sent=True)
+        return Run(ticket, self._dispatcher, HeaderNames(), start_id=start_id)
+
+    def _lose_run(self, start_id: str = "i@5") -> None:
+        self._create_run(start_id).on_failure(TARGET_LOST, was_sent=True)
 
     def _is_put_down_to_runs(self) -> bool:
         """Return whether the death was noticed, so that the lost run is a suspect."""
@@ -234,7 +236,7 @@
 
     def test_other_instance_at_the_address_shows_it(self) -> None:
         self._lose_run()
-        self._dispatcher.on_other_instance()
+        self._dispatcher.on_other_instance(self._create_run())
         self.assertTrue(self._is_put_down_to_runs())
 
     def test_refused_connection_shows_it(self) -> None:
