Keep the latest start of each instance that left, everywhere

Cause: each place kept one start, chosen by what the node knew at that moment. The leaving was applied to the start in use, the store and other nodes did not get it; and an older leaving could replace a newer one.

Change: one rule (left_starts) for the registration, other nodes and the store. Every leaving is stored before it is acknowledged. Without a start time it means any start of the ID until now, and its repetition means the same.

--- a/gooseberrydock/mesh/leaving_receipts.py
+++ b/gooseberrydock/mesh/leaving_receipts.py
@@ -15,6 +15,8 @@
 import attrs
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.mesh.target_registration import NamedLeaving
+from gooseberrydock.start_ids import binds
 
 _WANTED_RECEIPTS: Final = 2
 """Nodes whose receipts are waited for; one of them may fail with this node."""
@@ -29,6 +31,7 @@
 class _PendingLeaving:
     """A leaving that is not answered yet."""
 
+    kept_start_id: str
     since: Millis
     wanted_receipts: int
     answers: list[LeavingAnswer] = attrs.field(factory=list)
@@ -55,12 +58,18 @@
     _pending: dict[str, _PendingLeaving] = attrs.field(factory=dict)
 
     def hold(
-        self, now_ms: Millis, start_id: str, asked_nodes: int, is_alone: bool, answer: LeavingAnswer
+        self,
+        now_ms: Millis,
+        leaving: NamedLeaving,
+        asked_nodes: int,
+        is_alone: bool,
+        answer: LeavingAnswer,
     ) -> None:
         """Hold an answer back until the leaving is kept; no other node is known if alone."""
         # A link that opens in the meantime brings a receipt too.
         wanted = 0 if is_alone else max(1, min(asked_nodes, _WANTED_RECEIPTS))
-        pending = self._pending.setdefault(start_id, _PendingLeaving(now_ms, wanted))
+        new = _PendingLeaving(leaving.kept_start_id, now_ms, wanted)
+        pending = self._pending.setdefault(leaving.start_id, new)
         pending.wanted_receipts = wanted
         pending.answers.append(answer)
 
@@ -72,9 +81,9 @@
 
     def on_stored(self, start_id: str) -> None:
         """Record that the store keeps the leaving of a start."""
-        pending = self._pending.get(start_id)
-        if pending is not None:
-            pending.is_stored = True
+        for pending in self._pending.values():
+            if binds(start_id, pending.kept_start_id):
+                pending.is_stored = True
 
     def take_decided(self, now_ms: Millis) -> list[DecidedLeaving]:
         """Return the leavings to be answered now: confirmed ones and those that waited enough."""
--- a/gooseberrydock/mesh/node.py
+++ b/gooseberrydock/mesh/node.py
@@ -426,11 +426,9 @@
 
     def _on_link_opened(self, link: PeerLink) -> None:
         memory = self._controllers.entry.statement_memory
-        notice = memory.notice_for(self._clock.now_ms(), link.node_id)
-        if notice is not None:
+        for notice in memory.notices_for(self._clock.now_ms(), link.node_id):
             link.send(notice)
-        own_notice = self._controllers.registration.leaving_notice(self._clock.now_ms())
-        if own_notice is not None:
+        for own_notice in self._controllers.registration.leaving_notices(self._clock.now_ms()):
             link.send(own_notice)
         quarantines = self._controllers.crash_watch.current_notice(self._clock.now_ms())
         if quarantines is not None:
--- a/gooseberrydock/mesh/statement_memory.py
+++ b/gooseberrydock/mesh/statement_memory.py
@@ -2,7 +2,7 @@
 
 The node beside a target forgets what the target stated when it restarts, and the target's answers
 state it again only after requests. The nodes that passed such answers on still know it, and so do
-those to which the node sent that its target is leaving. They send it as the first message on each
+those to which the node sent that its target is leaving. They send it as the first messages on each
 new link to that node. Performs no I/O.
 """
 
@@ -11,84 +11,75 @@
 import attrs
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.mesh.left_starts import LeftStarts
 from gooseberrydock.messages import LeavingNotice, TargetNotice, TargetReport
 
 _MEMORY_MS: Final[Millis] = 60_000.0
-"""Time after the last answer for which a statement is kept; a leaving target ends long before."""
+"""Time for which a limit is kept after the last answer, and a leaving after it began; a leaving
+target ends long before."""
 
 
 @attrs.define
-class RememberedStatement:
-    """Latest statement of one start of a target; ``leaving_since`` is None if it stays."""
+class RememberedLimit:
+    """Latest rate limit that one start of a target named."""
 
     start_id: str
     heard_at: Millis
-    rate_limit: float = 0.0
-    leaving_since: Millis | None = None
+    rate_limit: float
 
 
 @attrs.define
 class StatementMemory:
-    """Remember by node what its target stated in answers to this node's requests."""
+    """Remember by node what its target stated in answers, and which of its starts have left."""
 
-    _by_node: dict[str, RememberedStatement] = attrs.field(factory=dict)
+    _limits: dict[str, RememberedLimit] = attrs.field(factory=dict)
+    _left: dict[str, LeftStarts] = attrs.field(factory=dict)
 
     def on_report(
         self, now_ms: Millis, node_id: str, report: TargetReport, is_answer: bool
     ) -> None:
         """Record the report of a node; one without an answer may come from a restarted node."""
-        if not report.start_id:
-            if is_answer:
-                self._on_nothing_stated(node_id)
-            return
-        known = self._statement_of(now_ms, node_id, report.start_id)
-        known.rate_limit = report.rate_limit
-        if report.is_leaving and known.leaving_since is None:
-            known.leaving_since = now_ms
+        if report.is_leaving and report.start_id:
+            self._add_left(now_ms, node_id, report.start_id, now_ms)
+        if report.start_id and report.rate_limit:
+            if node_id not in self._limits:
+                self._drop_old(now_ms)
+            self._limits[node_id] = RememberedLimit(report.start_id, now_ms, report.rate_limit)
+        elif report.start_id or is_answer:
+            self._limits.pop(node_id, None)
 
     def on_leaving(self, now_ms: Millis, node_id: str, notice: LeavingNotice) -> None:
         """Record that a node's target is leaving."""
-        known = self._statement_of(now_ms, node_id, notice.start_id)
-        leaving_since = now_ms - notice.leaving_for_ms
-        if known.leaving_since is None or leaving_since < known.leaving_since:
-            known.leaving_since = leaving_since
-
-    def _statement_of(self, now_ms: Millis, node_id: str, start_id: str) -> RememberedStatement:
-        """Return what is kept of a start, which takes the place of the node's earlier starts."""
-        known = self._by_node.get(node_id)
-        if known is None or known.start_id != start_id:
+        self._add_left(now_ms, node_id, notice.start_id, now_ms - notice.leaving_for_ms)
+
+    def _add_left(self, now_ms: Millis, node_id: str, start_id: str, leaving_since: Millis) -> None:
+        if node_id not in self._left:
             self._drop_old(now_ms)
-            known = self._by_node[node_id] = RememberedStatement(start_id, now_ms)
-        known.heard_at = now_ms
-        return known
-
-    def notice_for(self, now_ms: Millis, node_id: str) -> TargetNotice | None:
-        """Return what a node's target stated lately, or None."""
-        known = self._by_node.get(node_id)
-        if known is None or now_ms - known.heard_at > _MEMORY_MS:
-            return None
-        is_leaving = known.leaving_since is not None
-        leaving_for_ms = now_ms - known.leaving_since if known.leaving_since is not None else 0.0
-        return TargetNotice(known.start_id, known.rate_limit, is_leaving, leaving_for_ms)
+            self._left[node_id] = LeftStarts()
+        self._left[node_id].add(start_id, leaving_since)
+
+    def notices_for(self, now_ms: Millis, node_id: str) -> list[TargetNotice]:
+        """Return what a node's target stated lately."""
+        self._drop_old(now_ms)
+        notices = []
+        limit = self._limits.get(node_id)
+        if limit is not None:
+            notices.append(TargetNotice(limit.start_id, limit.rate_limit, False, 0.0))
+        for left in self._left.get(node_id, LeftStarts()).all:
+            leaving_for_ms = max(0.0, now_ms - left.leaving_since)
+            notices.append(TargetNotice(left.start_id, 0.0, True, leaving_for_ms))
+        return notices
 
     def leaving_nodes(self, now_ms: Millis) -> list[str]:
         """Return the nodes whose target stated lately that it is leaving."""
-        oldest_ms = now_ms - _MEMORY_MS
-        return [
-            node_id
-            for node_id, known in self._by_node.items()
-            if known.leaving_since is not None and known.heard_at >= oldest_ms
-        ]
+        self._drop_old(now_ms)
+        return list(self._left)
 
     def _drop_old(self, now_ms: Millis) -> None:
         oldest_ms = now_ms - _MEMORY_MS
-        self._by_node = {
-            node_id: known
-            for node_id, known in self._by_node.items()
-            if known.heard_at >= oldest_ms
+        self._limits = {
+            node_id: limit for node_id, limit in self._limits.items() if limit.heard_at >= oldest_ms
         }
-
-    def _on_nothing_stated(self, node_id: str) -> None:
-        known = self._by_node.get(node_id)
-        if known is not None and known.leaving_since is None:
-            del self._by_node[node_id]
+        for left in self._left.values():
+            left.drop_before(oldest_ms)
+        self._left = {node_id: left for node_id, left in self._left.items() if left.all}
--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -47,7 +47,7 @@
 from gooseberrydock.mesh.model import AcceptedWork
 from gooseberrydock.mesh.options import HeaderNames
 from gooseberrydock.mesh.target_connections import TargetPool
-from gooseberrydock.mesh.target_registration import InstanceAnnouncement
+from gooseberrydock.mesh.target_registration import InstanceAnnouncement, NamedLeaving
 from gooseberrydock.mesh.target_run import Run, request_bytes
 from gooseberrydock.mesh.target_statements import read_statement
 from gooseberrydock.messages import (
@@ -402,14 +402,15 @@
             self._owner.publish()
         return True
 
-    def on_target_leaving(self, instance_id: str, started_wall_ms: int | None) -> str:
-        """Record that a target leaves without having announced it; return which start this is."""
+    def on_target_leaving(self, instance_id: str, started_wall_ms: int | None) -> NamedLeaving:
+        """Record that a target deregisters; return which starts this means."""
         registration = self._controllers.registration
-        start_id = registration.name_start(instance_id, started_wall_ms, self._clock.wall_ms())
-        if registration.on_leave(self._clock.now_ms(), start_id):
-            log(TARGET_LEAVING, instance=instance_id)
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        leaving = registration.name_leaving(now_ms, wall_ms, instance_id, started_wall_ms)
+        if registration.on_leave(now_ms, leaving.start_id):
+            log(TARGET_LEAVING, instance=instance_id, start=leaving.start_id)
             self._owner.publish()
-        return start_id
+        return leaving
 
     def on_invalid_announcement(self, detail: str) -> None:
         """Log an announcement that is invalid or names no target of this node."""
--- a/gooseberrydock/mesh/target_leavings.py
+++ b/gooseberrydock/mesh/target_leavings.py
@@ -13,7 +13,7 @@
 from gooseberrydock.logs import log
 from gooseberrydock.mesh.leaving_receipts import LeavingAnswer, LeavingReceipts
 from gooseberrydock.mesh.leaving_sync import LeavingSync
-from gooseberrydock.mesh.target_registration import TargetRegistration
+from gooseberrydock.mesh.target_registration import NamedLeaving, TargetRegistration
 from gooseberrydock.mesh.target_release import TargetRelease
 from gooseberrydock.messages import LeavingNotice, LeavingReceipt, TargetNotice
 
@@ -55,18 +55,19 @@
         self._release.begin()
         self._registration.withhold()
 
-    def answer(self, start_id: str, answer: LeavingAnswer) -> None:
-        """Acknowledge the leaving of a start of the local target once the store keeps it."""
+    def answer(self, leaving: NamedLeaving, answer: LeavingAnswer) -> None:
+        """Acknowledge a leaving of the local target once the store keeps it."""
         now_ms = self._clock.now_ms()
-        notice = self._registration.leaving_notice(now_ms)
-        if notice is None or notice.start_id != start_id:
-            # A later start has taken its place, so that it cannot be used again.
-            answer(True)
+        notice = self._registration.leaving_notice(now_ms, leaving.start_id)
+        if notice is None:
+            # It was not recorded before, which is an error of this program.
+            answer(False)
             return
         asked_nodes = self._owner.send_leaving_notice(notice)
-        self._receipts.hold(now_ms, start_id, asked_nodes, self._owner.is_alone, answer)
+        held = attrs.evolve(leaving, start_id=notice.start_id)
+        self._receipts.hold(now_ms, held, asked_nodes, self._owner.is_alone, answer)
         if self._sync is not None:
-            self._sync.keep(start_id)
+            self._sync.keep(leaving.kept_start_id)
         self._answer_decided(now_ms)
 
     def on_receipt(self, receipt: LeavingReceipt, node_id: str) -> None:
@@ -79,9 +80,9 @@
         self._receipts.on_stored(start_id)
         self._answer_decided(self._clock.now_ms())
 
-    def on_leaving_recovered(self, start_id: str) -> None:
-        """Record which start of the target had left before this node's start, and use any other."""
-        if start_id:
+    def on_leaving_recovered(self, start_ids: tuple[str, ...]) -> None:
+        """Record which starts of the target had left before this node's start; use any other."""
+        for start_id in start_ids:
             notice = TargetNotice(start_id, 0.0, True, _RECOVERED_LEAVING_MS)
             self._owner.on_target_notice(notice)
         if self._release.on_store_answer():
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -12,15 +12,22 @@
 
 from gooseberrydock.clock import Millis
 from gooseberrydock.members import Address
+from gooseberrydock.mesh.left_starts import LeftStart, LeftStarts
 from gooseberrydock.messages import LeavingNotice, TargetNotice
-from gooseberrydock.start_ids import format_start_id, parse_start_id
+from gooseberrydock.start_ids import binds, format_start_id, parse_start_id
 
 _DRAIN_MARGIN_MS: Final[Millis] = 700.0
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
 
 _MAX_DISOWNED_STARTS: Final = 8
-_MAX_NOTED_STARTS: Final = 8
-"""Starts of the target of which is kept what they stated, besides the current one."""
+_MAX_LIMITED_STARTS: Final = 8
+"""Starts whose rate limits are kept as other nodes know them."""
+_MAX_DEREGISTERED_IDS: Final = 8
+_REPETITION_MS: Final[Millis] = 3_000.0
+"""Time after a deregistration without a start time within which another one repeats it. A target
+repeats its call when it has waited a second for the answer."""
+_NOTICE_MS: Final[Millis] = 60_000.0
+"""Time after a leaving for which other nodes are told of it; a target ends long before."""
 
 
 class TargetState(enum.Enum):
@@ -58,21 +65,25 @@
         return not is_same and self.started_wall_ms >= other.started_wall_ms
 
 
-@attrs.define
-class _NotedStatement:
-    """What one start has stated to any node: its lowest limit, and when it began to leave."""
+@attrs.frozen
+class NamedLeaving:
+    """Leaving that a target announces.
 
-    rate_limit: float | None = None
-    leaving_since: Millis | None = None
+    It binds ``start_id`` and all earlier starts of the same ID. ``kept_start_id`` is the start
+    whose leaving has to be stored before it is acknowledged; it is an earlier one where a target
+    that has announced its leaving deregisters without its start time.
+    """
 
-    def add_rate_limit(self, rate_limit: float) -> None:
-        """Add a limit that another node knows."""
-        self.rate_limit = min(rate_limit, self.rate_limit or rate_limit)
+    start_id: str
+    kept_start_id: str
 
-    def add_leaving(self, leaving_since: Millis) -> None:
-        """Add that the start is leaving; the earliest time counts."""
-        if self.leaving_since is None or leaving_since < self.leaving_since:
-            self.leaving_since = leaving_since
+
+@attrs.frozen
+class _Deregistration:
+    """Deregistration without a start time: the start that it was taken for, and when it came."""
+
+    start_id: str
+    received_at: Millis
 
 
 @attrs.define
@@ -90,8 +101,10 @@
     """Starts for which the target answered that it is another instance, the latest at the end."""
     _rate_limit: float | None = None
     _has_answered: bool = False
-    _noted: dict[str, _NotedStatement] = attrs.field(factory=dict)
-    _last_left_start: str = ""
+    _left: LeftStarts = attrs.field(factory=LeftStarts)
+    _limits_of_others: dict[str, float] = attrs.field(factory=dict)
+    """Rate limits by start that other nodes know, also of starts that are not announced yet."""
+    _deregistrations: dict[str, _Deregistration] = attrs.field(factory=dict)
     _is_withheld: bool = False
 
     @property
@@ -166,18 +179,15 @@
 
     def on_announcement(self, now_ms: Millis, announcement: InstanceAnnouncement) -> bool:
         """Process an announcement; return whether the state of the target has changed."""
-        current = self._current
         if announcement.address != self._address:
             return False
-        if announcement.state is TargetState.LEAVING:
-            self._note_leaving(announcement.start_id, now_ms)
-        if current is None or announcement.start_id != current.start_id:
-            return self._replace_current(now_ms, current, announcement)
         has_changed = False
-        if announcement.state is TargetState.LEAVING and not self._is_leaving:
+        if announcement.state is TargetState.LEAVING:
             # Leaving takes effect and persists even if a later announcement arrived first.
-            self._set_leaving(now_ms)
-            has_changed = True
+            has_changed = self._note_leaving(announcement.start_id, now_ms)
+        current = self._current
+        if current is None or announcement.start_id != current.start_id:
+            return self._replace_current(now_ms, current, announcement) or has_changed
         if announcement.sequence > current.sequence:
             has_changed = (
                 has_changed or announcement.slots != current.slots or bool(self._mismatched_id)
@@ -187,94 +197,102 @@
             self._cold_until = now_ms + announcement.cold_left_ms
         return has_changed
 
-    def name_start(self, instance_id: str, started_wall_ms: int | None, wall_ms: Millis) -> str:
-        """Return the start that a target means which may not say when it started.
+    def name_leaving(
+        self, now_ms: Millis, wall_ms: Millis, instance_id: str, started_wall_ms: int | None
+    ) -> NamedLeaving:
+        """Return which starts a deregistration means, which may not say when its start began.
 
-        Without that, it means the current start if the ID is the same, else any start until now.
+        Without that, it means any start of the ID until now: the latest one may not have announced
+        itself. A repetition means what the first call did, since a later start may have begun.
         """
-        if started_wall_ms is None:
-            is_current = self.instance_id == instance_id
-            return self.start_id if is_current else format_start_id(instance_id, int(wall_ms))
-        return format_start_id(instance_id, started_wall_ms)
+        if started_wall_ms is not None:
+            start_id = format_start_id(instance_id, started_wall_ms)
+            return NamedLeaving(start_id, start_id)
+        known = self._deregistrations.pop(instance_id, None)
+        if known is None or now_ms - known.received_at > _REPETITION_MS:
+            start_id = format_start_id(instance_id, self._latest_start_time(instance_id, wall_ms))
+        else:
+            start_id = known.start_id
+        self._deregistrations[instance_id] = _Deregistration(start_id, now_ms)
+        if len(self._deregistrations) > _MAX_DEREGISTERED_IDS:
+            del self._deregistrations[next(iter(self._deregistrations))]
+        is_announced = self.instance_id == instance_id and self._is_leaving
+        return NamedLeaving(start_id, self.start_id if is_announced else start_id)
+
+    def _latest_start_time(self, instance_id: str, wall_ms: Millis) -> int:
+        current = self._current
+        if current is None or current.instance_id != instance_id:
+            return int(wall_ms)
+        return max(int(wall_ms), current.started_wall_ms)
 
     def on_leave(self, now_ms: Millis, start_id: str) -> bool:
         """Record that a start leaves without prior notice; return whether the state changed.
 
         This binds the named start and all earlier ones of its ID, known or not.
         """
-        self._note_leaving(start_id, now_ms)
-        return self._apply_noted_leaving()
+        return self._note_leaving(start_id, now_ms)
 
     def on_stated_leaving(self, now_ms: Millis, start_id: str) -> bool:
         """Record that a start of the target leaves by its answers; return whether this is new."""
         if not start_id or start_id != self.start_id or self._is_leaving:
             return False
-        self._set_leaving(now_ms)
-        return True
+        return self._note_leaving(start_id, now_ms)
 
     def on_notice(self, now_ms: Millis, notice: TargetNotice) -> bool:
         """Record what another node knows of a start; return whether this target's state changed."""
-        # Another start may not have announced itself to this node yet.
-        if notice.rate_limit:
-            self._noted_statement(notice.start_id).add_rate_limit(notice.rate_limit)
+        has_changed = False
         if notice.is_leaving:
-            self._note_leaving(notice.start_id, now_ms - notice.leaving_for_ms)
-        return self._apply_noted()
-
-    def leaving_notice(self, now_ms: Millis) -> LeavingNotice | None:
-        """Return the latest leaving that other nodes have to know, or None."""
-        noted = self._noted.get(self._last_left_start)
-        if noted is None or noted.leaving_since is None:
-            return None
-        return LeavingNotice(self._last_left_start, max(0.0, now_ms - noted.leaving_since))
-
-    def _note_leaving(self, start_id: str, leaving_since: Millis) -> None:
-        """Keep that a start is leaving, whether it is known or not."""
-        self._noted_statement(start_id).add_leaving(leaving_since)
-        if self._current is None or not self._has_ended(start_id, self._current):
-            self._last_left_start = start_id
-
-    def _noted_statement(self, start_id: str) -> _NotedStatement:
-        noted = self._noted.pop(start_id, None) or _NotedStatement()
-        self._noted[start_id] = noted
-        if len(self._noted) > _MAX_NOTED_STARTS:
-            del self._noted[next(key for key in self._noted if key != self.start_id)]
-        return noted
-
-    def _noted_leaving_since(self, announcement: InstanceAnnouncement) -> Millis | None:
-        """Return since when a start is known to leave: a leaving binds earlier starts too."""
-        times = [
-            noted.leaving_since
-            for start_id, noted in self._noted.items()
-            if noted.leaving_since is not None
-            and parse_start_id(start_id)[0] == announcement.instance_id
-            and parse_start_id(start_id)[1] >= announcement.started_wall_ms
-        ]
-        return min(times, default=None)
-
-    def _apply_noted(self) -> bool:
-        """Apply what is noted of the current start; return whether the state changed."""
-        has_changed = self._apply_noted_leaving()
-        noted = self._noted.get(self.start_id)
-        # A limit that others know counts only until the target answers itself.
-        if noted is not None and not self._has_answered and noted.rate_limit != self._rate_limit:
-            self._rate_limit = noted.rate_limit
-            has_changed = True
-        return has_changed
+            has_changed = self._note_leaving(notice.start_id, now_ms - notice.leaving_for_ms)
+        if notice.rate_limit:
+            self._note_limit(notice.start_id, notice.rate_limit)
+        return self._apply_limit_of_others() or has_changed
 
-    def _apply_noted_leaving(self) -> bool:
-        leaving_since = self._noted_leaving_since(self._current) if self._current else None
-        if leaving_since is None:
+    def leaving_notice(self, now_ms: Millis, start_id: str) -> LeavingNotice | None:
+        """Return what other nodes have to know of the leaving of a start, None if it stays."""
+        left = self._left.find(start_id)
+        return _create_notice(now_ms, left) if left is not None else None
+
+    def leaving_notices(self, now_ms: Millis) -> list[LeavingNotice]:
+        """Return the leavings that other nodes have to know."""
+        earliest = now_ms - _NOTICE_MS
+        recent = [left for left in self._left.all if left.leaving_since > earliest]
+        return [_create_notice(now_ms, left) for left in recent]
+
+    def has_left(self, start_id: str) -> bool:
+        """Return whether a start of the target announced or stated that it leaves."""
+        return self._left.find(start_id) is not None
+
+    def _note_leaving(self, start_id: str, leaving_since: Millis) -> bool:
+        """Keep that a start is leaving, known or not; return whether the state changed."""
+        self._left.add(start_id, leaving_since)
+        if self._current is None or not binds(start_id, self._current.start_id):
             return False
         was_leaving = self._is_leaving
-        if not was_leaving or leaving_since < self._leaving_since:
-            self._set_leaving(leaving_since)
+        self._set_leaving(leaving_since)
         return not was_leaving
 
-    def has_left(self, start_id: str) -> bool:
-        """Return whether a start of the target announced or stated that it leaves."""
-        noted = self._noted.get(start_id)
-        return noted is not None and noted.leaving_since is not None
+    def _set_leaving(self, leaving_since: Millis) -> None:
+        self._leaving_since = (
+            min(leaving_since, self._leaving_since) if self._is_leaving else leaving_since
+        )
+        self._is_leaving = True
+
+    def _note_limit(self, start_id: str, rate_limit: float) -> None:
+        """Keep the lowest limit that other nodes know of a start."""
+        known = self._limits_of_others.pop(start_id, rate_limit)
+        self._limits_of_others[start_id] = min(rate_limit, known)
+        if len(self._limits_of_others) > _MAX_LIMITED_STARTS:
+            oldest = next(key for key in self._limits_of_others if key != self.start_id)
+            del self._limits_of_others[oldest]
+
+    def _apply_limit_of_others(self) -> bool:
+        """Apply what other nodes know of the current start; return whether the state changed."""
+        rate_limit = self._limits_of_others.get(self.start_id)
+        # It counts only until the target answers itself.
+        if rate_limit is None or self._has_answered or rate_limit == self._rate_limit:
+            return False
+        self._rate_limit = rate_limit
+        return True
 
     def on_mismatch(self, instance_id: str) -> bool:
         """Record that the instance is not at its address until it announces itself again.
@@ -314,12 +332,8 @@
         self._rate_limit = rate_limit
         return True
 
-    def _has_ended(self, start_id: str, current: InstanceAnnouncement) -> bool:
-        """Return whether a start is over because the current one began later at its address."""
-        return parse_start_id(start_id)[1] < current.started_wall_ms
-
     def _may_replace(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
-        has_new_left = self._noted_leaving_since(new) is not None
+        has_new_left = self.has_left(new.start_id)
         is_new_disowned = new.start_id in self._disowned
         if current.start_id in self._disowned and not is_new_disowned and not has_new_left:
             # The target is another instance than the current one, which may be a later start.
@@ -343,15 +357,15 @@
         self._mismatched_id = ""
         self._rate_limit = None
         self._has_answered = False
-        self._apply_noted()
-        if not self._is_leaving:
-            self._last_left_start = ""
+        left = self._left.find(new.start_id)
+        if left is not None:
+            self._set_leaving(left.leaving_since)
+        self._apply_limit_of_others()
         return True
 
-    def _set_leaving(self, leaving_since: Millis) -> None:
-        self._is_leaving = True
-        self._leaving_since = leaving_since
-        self._note_leaving(self.start_id, leaving_since)
+
+def _create_notice(now_ms: Millis, left: LeftStart) -> LeavingNotice:
+    return LeavingNotice(left.start_id, max(0.0, now_ms - left.leaving_since))
 
 
 def create_target_registration(address: Address, drain_ms: Millis) -> TargetRegistration:
--- a/gooseberrydock/platform/announcements.py
+++ b/gooseberrydock/platform/announcements.py
@@ -16,7 +16,11 @@
 from gooseberrydock.http_server import HttpConnection, serve_http
 from gooseberrydock.members import parse_address
 from gooseberrydock.mesh.node import MeshNode
-from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
+from gooseberrydock.mesh.target_registration import (
+    InstanceAnnouncement,
+    NamedLeaving,
+    TargetState,
+)
 from gooseberrydock.start_ids import require_instance_id
 from gooseberrydock.stream import Stream
 
@@ -134,7 +138,8 @@
     announcement = decode_announcement(instance_id, body)
     is_accepted = node.target_dispatcher.on_announcement(announcement)
     if is_accepted and announcement.state is TargetState.LEAVING:
-        _answer_leaving(node, connection, announcement.start_id)
+        leaving = NamedLeaving(announcement.start_id, announcement.start_id)
+        _answer_leaving(node, connection, leaving)
     else:
         status = 200 if is_accepted else INVALID_ANNOUNCEMENT.status
         connection.respond(_create_empty_response(status))
@@ -143,19 +148,19 @@
 def _handle_leaving(
     node: MeshNode, connection: HttpConnection, instance_id: str, body: bytes
 ) -> None:
-    start_id = node.target_dispatcher.on_target_leaving(instance_id, decode_start_time(body))
-    _answer_leaving(node, connection, start_id)
+    leaving = node.target_dispatcher.on_target_leaving(instance_id, decode_start_time(body))
+    _answer_leaving(node, connection, leaving)
 
 
 _HANDLERS: Final = {"PUT": _handle_heartbeat, "DELETE": _handle_leaving}
 
 
-def _answer_leaving(node: MeshNode, connection: HttpConnection, start_id: str) -> None:
+def _answer_leaving(node: MeshNode, connection: HttpConnection, leaving: NamedLeaving) -> None:
     def answer(is_acknowledged: bool) -> None:
         status = 200 if is_acknowledged else PEER_UNREACHABLE.status
         connection.respond(_create_empty_response(status))
 
-    node.leavings.answer(start_id, answer)
+    node.leavings.answer(leaving, answer)
 
 
 def _create_empty_response(status: int) -> HttpResponse:
--- a/gooseberrydock/start_ids.py
+++ b/gooseberrydock/start_ids.py
@@ -23,6 +23,13 @@
     return f"{instance_id}@{started_wall_ms}"
 
 
+def binds(left_start_id: str, start_id: str) -> bool:
+    """Return whether the leaving of one start binds another, which may be an earlier one."""
+    left_id, left_started_ms = parse_start_id(left_start_id)
+    instance_id, started_ms = parse_start_id(start_id)
+    return left_id == instance_id and left_started_ms >= started_ms
+
+
 def parse_start_id(start_id: str) -> tuple[str, int]:
     """Return the instance ID and the start time of a start; raise ``ValueError`` for another text.
 
