Read the body of a request that offers another protocol

Cause: the parser reports such a request as complete at its head and leaves the decision about the offer to its user. The reader took the report for the end of the request.

Change: the offer is not accepted. The head is parsed again without it by a new parser, then what follows the head; limits and checks hold.

--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -30,6 +30,8 @@
 
 _CONTENT_LENGTH: Final = b"content-length"
 _TRANSFER_ENCODING: Final = b"transfer-encoding"
+_UPGRADE: Final = b"upgrade"
+_CONNECT: Final = b"CONNECT"
 _MIN_STATUS: Final = 100
 _MAX_STATUS: Final = 599
 _MAX_INFORMATIONAL_RESPONSES: Final = 16
@@ -89,7 +91,7 @@
     def _feed_parser(self, data: bytes) -> None:
         """Parse bytes, raising a coded error if they are not a valid message."""
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
             self._collect_body()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__
@@ -98,6 +100,9 @@
             raise self._malformed(str(error)) from error
         self._check_progress(len(data))
 
+    def _parse(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
     def _check_progress(self, size: int) -> None:
         """Bound the bytes fed since the last part of a body or the end of a message.
 
@@ -187,6 +192,7 @@
     _request_target: bytes = b""
     _complete_messages: list[HttpRequest] = attrs.field(factory=list)
     _expects_continue: bool = False
+    _offers_upgrade: bool = False
     _is_closing: bool = False
     _error: GooseberrydockError | None = None
 
@@ -223,6 +229,34 @@
         messages, self._complete_messages = self._complete_messages, []
         return messages
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; a body that follows an offer of another protocol is parsed like any other.
+
+        The parser ends a request with such an offer at its head. The offer is not accepted, so the
+        head is parsed again without it, by a new parser, and what follows it after that.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                if not self._offers_upgrade:
+                    raise
+                self._offers_upgrade = False
+                data = self._head_without_offer() + data[error.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
+    def _head_without_offer(self) -> bytes:
+        """Return the head of the message in progress without its Upgrade headers."""
+        parser, target = self._parser, self._request_target
+        self._request_target = b""
+        version = parser.get_http_version().encode("ascii")
+        parts = [parser.get_method(), b" ", target, b" HTTP/", version, b"\r\n"]
+        for name, value in self._headers:
+            if name != _UPGRADE:
+                parts += (name, b": ", value, b"\r\n")
+        return b"".join((*parts, b"\r\n"))
+
     def on_url(self, part: bytes) -> None:
         """Add a part of the request target."""
         self._add_header_bytes(len(part))
@@ -245,6 +279,9 @@
 
     def on_message_complete(self) -> None:
         """Add the complete request to those that ``feed`` returns."""
+        if self._parser.should_upgrade() and self._parser.get_method() != _CONNECT:
+            self._offers_upgrade = True
+            return
         self._has_progressed = True
         self._in_body = False
         self._is_closing = not self._parser.should_keep_alive()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -154,6 +154,29 @@
         self.assertIn(b" 200 ", second)
 
 
+class UpgradeTest(unittest.TestCase):
+    """Requests that offer another protocol, which a server may ignore."""
+
+    def test_body_behind_an_offer_is_read_and_the_next_request_served(self) -> None:
+        # Guards the own interface against the fault of review/11, which it did not have.
+        async def test(address: Address) -> None:
+            offer = b"connection: upgrade\r\nupgrade: h2c\r\n"
+            data = _VALID_REQUEST.replace(b"host: x\r\n", b"host: x\r\n" + offer)
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            async with stream:
+                for _ in range(2):
+                    await stream.send_all(data)
+                    received = b""
+                    with trio.fail_after(5):
+                        while not received.endswith(b"\r\n\r\nhi"):
+                            part = await stream.receive_some(65_536)
+                            self.assertTrue(part)
+                            received += part
+                    self.assertEqual(1, received.count(b"HTTP/1.1 200"))
+
+        _with_server(test)
+
+
 FAILED_ANSWERS = [
     ("closed at once", b"", TARGET_LOST),
     ("cut off in the body", b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc", TARGET_TRUNCATED),
--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -19,6 +19,8 @@
 )
 from gooseberrydock.errors import GooseberrydockError
 from gooseberrydock.http_parsing import RequestReader, ResponseReader
+from gooseberrydock.mesh.options import HeaderNames
+from gooseberrydock.mesh.request_headers import create_request_headers
 
 _MAX_HEADER_BYTES = 1_000
 _MAX_BODY_BYTES = 2_000
@@ -28,6 +30,12 @@
 )
 _FIXED_LENGTH_REQUEST = b"POST /a/b?c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabcde"
 
+UPGRADE_OFFERS = [
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n",
+    b"Upgrade: websocket\r\nConnection: keep-alive, Upgrade\r\n",
+    b"Connection: upgrade\r\nUpgrade: a\r\nUPGRADE: b\r\n",
+]
+
 INVALID_REQUESTS: list[tuple[str, bytes, ErrorCode]] = [
     ("no HTTP", b"\x00\x01 hello\r\n\r\n", MALFORMED_REQUEST),
     (
@@ -109,6 +117,50 @@
         self.assertEqual([body], [item.body for item in reader.feed(first + b"GET /a HTTP/1.1")])
         self.assertEqual(["/a"], [item.path for item in reader.feed(b"\r\nHost: x\r\n\r\n")])
 
+    def test_body_of_a_request_that_offers_another_protocol_is_read(self) -> None:
+        # Guards against review/11: a target ran such a request with an empty body.
+        for offer in UPGRADE_OFFERS:
+            for plain in (_FIXED_LENGTH_REQUEST, _CHUNKED_REQUEST):
+                data = plain.replace(b"Host: x\r\n", b"Host: x\r\n" + offer)
+                for size in (1, 7, len(data) - 3, 3 * len(data)):
+                    with self.subTest(offer=offer, plain=plain, size=size):
+                        self._check_offer(plain, data + plain + data, size)
+
+    def _check_offer(self, plain: bytes, data: bytes, size: int) -> None:
+        expected = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES).feed(plain)[0]
+        reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        complete = [
+            item for at in range(0, len(data), size) for item in reader.feed(data[at : at + size])
+        ]
+        self.assertIsNone(reader.error)
+        self.assertEqual(
+            [(expected.method, expected.path, expected.body)] * 3,
+            [(item.method, item.path, item.body) for item in complete],
+        )
+        self.assertTrue(reader.is_between_messages)
+        self.assertFalse(reader.is_closing)
+        names = HeaderNames()
+        forwarded = create_request_headers(names).forwarded(complete[0].headers)
+        self.assertEqual([(b"host", b"x")], forwarded)
+
+    def test_limits_hold_for_a_request_that_offers_another_protocol(self) -> None:
+        offer = b"Connection: upgrade\r\nUpgrade: h2c\r\n"
+        for head, code in (
+            (b"Content-Length: 2001\r\n", OVERSIZE_REQUEST),
+            (b"A: " + b"x" * 1_001 + b"\r\n", OVERSIZE_HEADERS),
+            (b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", MALFORMED_REQUEST),
+        ):
+            reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+            with self.subTest(head[:20]), self.assertRaises(GooseberrydockError) as caught:
+                reader.feed(b"POST / HTTP/1.1\r\n" + offer + head + b"\r\n")
+            self.assertIs(code, caught.exception.code)
+
+    def test_connect_opens_no_tunnel(self) -> None:
+        reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+        complete = reader.feed(b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+        self.assertEqual(["CONNECT"], [item.method for item in complete])
+        self.assertIsNotNone(reader.error)
+
     def test_close_header_is_recognized(self) -> None:
         reader = RequestReader(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
         reader.feed(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
