Wait at least a millisecond between two polls of the records

Cause: each round waits for 0.9 to 1.1 of what is left until the poll, which may come below the clock's resolution.

Change: the least wait, as for the read of the route table.

Evidence: test_poll_that_is_almost_due_lets_the_clock_advance fails on the code before (waited 0 ms).

--- a/gooseberrydock/mesh/store_sync.py
+++ b/gooseberrydock/mesh/store_sync.py
@@ -333,7 +333,7 @@
         interval_ms = self._plan.poll_interval_ms(now_ms, prefix.has_items)
         due_ms = prefix.polled_at + interval_ms - now_ms
         wait_ms = min(due_ms * self._random.uniform(0.9, 1.1), self._plan.check_interval_ms(now_ms))
-        with trio.move_on_after(max(0.0, wait_ms) / MS_PER_SECOND):
+        with trio.move_on_after(max(_MIN_WAIT_MS, wait_ms) / MS_PER_SECOND):
             await prefix.woken.wait()
         prefix.woken = trio.Event()
 
--- a/tests/test_watch_plan.py
+++ b/tests/test_watch_plan.py
@@ -7,6 +7,7 @@
 
 from tests.mesh_helpers import make_member
 from tests.store_fleet import (
+    CLOCK,
     OLD_READ_AGE_S,
     PREFIX,
     SharedStore,
@@ -118,6 +119,21 @@
 
         run_store_fleet(scenario)
 
+    def test_poll_that_is_almost_due_lets_the_clock_advance(self) -> None:
+        # Guards against a wait below the clock's resolution, so that a poll went round without end.
+        async def scenario(fleet: StoreFleet) -> None:
+            node = next(item for item in fleet.nodes if item not in fleet.watching)
+            records, plan = node.sync._records, node.sync._plan
+            for remaining_ms in (0.0, 1e-13, 1e-9):
+                interval_ms = plan.poll_interval_ms(CLOCK.now_ms(), records.has_items)
+                records.polled_at = CLOCK.now_ms() - interval_ms + remaining_ms
+                records.woken = trio.Event()
+                waits_since = CLOCK.now_ms()
+                await node.sync._wait_for_poll(records)
+                self.assertGreaterEqual(CLOCK.now_ms() - waits_since, 0.5)
+
+        run_store_fleet(scenario)
+
     def test_starting_node_does_not_use_a_table_that_was_replaced(self) -> None:
         async def scenario(fleet: StoreFleet) -> None:
             fleet.store.put("table", b"2")
