Free a request at once if invalid bytes follow it

Cause: the reader stored an exception. Its traceback leads to frames that hold the request; that cycle lasts until a collection of the oldest generation, every 30 s. For errors of callbacks there was a second cycle, by a local variable.

Change: what is stored has no traceback, and no frame of the parser holds an error that leads back to it.

--- a/gooseberrydock/errors.py
+++ b/gooseberrydock/errors.py
@@ -50,6 +50,10 @@
         """Return the details that the code's title does not state."""
         return self._detail
 
+    def without_trace(self) -> "GooseberrydockError":
+        """Return the same failure without its traceback, whose frames keep what they refer to."""
+        return GooseberrydockError(self._code, self._step, self._peer, self._detail)
+
     def __str__(self) -> str:
         where = f" at {self._peer}" if self._peer else ""
         detail = f": {self._detail}" if self._detail else ""
--- a/gooseberrydock/http_parsing.py
+++ b/gooseberrydock/http_parsing.py
@@ -94,15 +94,22 @@
             self._parse(data)
             self._collect_body()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            cause = error.__context__
-            if isinstance(cause, GooseberrydockError):
-                raise cause from None
-            raise self._malformed(str(error)) from error
+            raise self._as_coded(error) from None
         self._check_progress(len(data))
 
     def _parse(self, data: bytes) -> None:
         self._parser.feed_data(data)
 
+    def _as_coded(self, error: Exception) -> GooseberrydockError:
+        """Return the error of a callback, or one for bytes that the parser does not accept.
+
+        The caller must keep neither: its frame, which tracebacks refer to, would keep the message.
+        """
+        cause = error.__context__
+        if isinstance(cause, GooseberrydockError):
+            return cause.without_trace()
+        return self._malformed(str(error))
+
     def _check_progress(self, size: int) -> None:
         """Bound the bytes fed since the last part of a body or the end of a message.
 
@@ -225,7 +232,7 @@
         except GooseberrydockError as error:
             if not self._complete_messages:
                 raise
-            self._error = error
+            self._error = error.without_trace()
         messages, self._complete_messages = self._complete_messages, []
         return messages
 
--- a/tests/test_http_parsing.py
+++ b/tests/test_http_parsing.py
@@ -3,7 +3,9 @@
 A parser returns complete messages only, and no bytes that belong to another message.
 """
 
+import gc
 import unittest
+import weakref
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -79,6 +81,23 @@
 _VALID_RESPONSE = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"
 
 
+def _is_freed(
+    reader_type: type[RequestReader] | type[ResponseReader], message: bytes, rest: bytes
+) -> bool:
+    """Return whether a message is freed at once, without a collection, if invalid bytes follow."""
+    reader = reader_type(_MAX_HEADER_BYTES, _MAX_BODY_BYTES)
+    is_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        complete = reader.feed(message + rest)
+        reference = weakref.ref(complete[0])
+        del complete
+        return reference() is None
+    finally:
+        if is_enabled:
+            gc.enable()
+
+
 class RequestReaderTest(unittest.TestCase):
     """Requests that callers send."""
 
@@ -110,6 +129,13 @@
         assert reader.error is not None
         self.assertIs(MALFORMED_REQUEST, reader.error.code)
 
+    def test_requests_before_invalid_bytes_are_not_kept(self) -> None:
+        # Guards against review/13: bodies stayed in memory until the next full garbage collection.
+        for rest in (b"\x00\x01\r\n", b"GET / HTTP/1.1\r\nA: " + b"x" * 1_001 + b"\r\n\r\n"):
+            with self.subTest(rest[:9]):
+                self.assertTrue(_is_freed(RequestReader, _FIXED_LENGTH_REQUEST, rest))
+                self.assertTrue(_is_freed(ResponseReader, _VALID_RESPONSE, rest))
+
     def test_long_body_does_not_count_as_header_of_the_next_request(self) -> None:
         body = b"x" * 1_900
         first = b"POST / HTTP/1.1\r\nContent-Length: 1900\r\n\r\n" + body
