Count a connection with unsent answers as sending, not as idle

Cause: what a connection does was derived from its requests alone. Once its answers were handed to the stream it counted as waiting, for longer than the crowd; with 'Connection: close' even as closing. The idle timeout made the same mistake.

Change: a connection with unsent bytes is sending. It is displaced after idle ones and incomplete bodies, the one without progress for longest first, and the idle timeout does not run. Own interface likewise.

--- a/gooseberrydock/connection_limit.py
+++ b/gooseberrydock/connection_limit.py
@@ -2,8 +2,8 @@
 
 Links, the store and the target need descriptors too. Over the bound, the connection that has made
 its node wait longest is closed: one that is closing anyway, then one that is idle or stuck in a
-head, then one with an incomplete body. One with an unanswered request is not closed; if all are
-such, it is the new one. Performs no I/O.
+head, then one with an incomplete body, then one whose caller is still reading its answers. One with
+an unanswered request is not closed; if all are such, it is the new one. Performs no I/O.
 """
 
 import enum
@@ -23,7 +23,8 @@
     CLOSING = 0
     WAITING_FOR_REQUEST = 1
     READING_BODY = 2
-    SERVING = 3
+    SENDING = 3
+    SERVING = 4
 
 
 class LimitedConnection(Protocol):
@@ -35,7 +36,7 @@
 
     @property
     def active_since(self) -> Millis:
-        """Return since when it does that."""
+        """Return since when it does that without progress of its caller."""
 
     @property
     def has_unread_bytes(self) -> bool:
--- a/gooseberrydock/http_server.py
+++ b/gooseberrydock/http_server.py
@@ -101,10 +101,12 @@
     @property
     def activity(self) -> Activity:
         """Return what the connection does."""
-        if self._stream.is_finishing:
-            return Activity.CLOSING
         if self._is_request_pending:
             return Activity.SERVING
+        if self._stream.unsent_bytes:
+            return Activity.SENDING
+        if self._stream.is_finishing:
+            return Activity.CLOSING
         return Activity.READING_BODY if self._head is not None else Activity.WAITING_FOR_REQUEST
 
     @property
--- a/gooseberrydock/mesh/caller_connections.py
+++ b/gooseberrydock/mesh/caller_connections.py
@@ -156,7 +156,7 @@
         """Read until the caller or this node closes the connection."""
         stream = self._stream
         stream.on_drained = self.advance
-        self._last_active_at = self._clock.now_ms()
+        self._last_active_at = self._unread_since = self._clock.now_ms()
         try:
             while data := await stream.receive():
                 self._last_active_at = self._clock.now_ms()
@@ -217,16 +217,20 @@
     @property
     def activity(self) -> Activity:
         """Return what the connection does."""
-        if self._stream.is_finishing:
-            return Activity.CLOSING
         if self._requests:
             return Activity.SERVING
+        if self._stream.unsent_bytes:
+            return Activity.SENDING
+        if self._stream.is_finishing:
+            return Activity.CLOSING
         is_in_body = not self._reader.is_between_messages and not self._reader.is_in_head
         return Activity.READING_BODY if is_in_body else Activity.WAITING_FOR_REQUEST
 
     @property
     def active_since(self) -> Millis:
         """Return since when the connection waits for its caller."""
+        if self.activity is Activity.SENDING:
+            return self._unread_since
         return self._message_began_at if self._is_message_timed else self._last_active_at
 
     @property
@@ -258,7 +262,7 @@
                 # What has arrived is read first; this process may have been paused.
                 return
             self._reject(GooseberrydockError(SLOW_REQUEST, Step.ENTRY, self._stream.peer_host))
-        elif idle_ms > limits.idle_timeout_ms:
+        elif idle_ms > limits.idle_timeout_ms and not self._stream.unsent_bytes:
             if self.is_idle and not self._stream.is_finishing:
                 self.close_if_idle()
             else:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from gooseberrydock.clock import ManualTime, manual_clock
+from gooseberrydock.connection_limit import Activity
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.memory_account import MemoryAccount, create_memory_account
 from gooseberrydock.mesh.caller_connections import (
@@ -161,6 +162,50 @@
         trio.run(main)
 
 
+class SlowReaderCases(_FixtureCase):
+    """Callers that are still reading answers that the node has handed to their connection."""
+
+    def test_connection_is_sending_until_its_answers_are_taken(self) -> None:
+        # Guards against review/15: a caller that was reading counted as one that is idle.
+        async def scenario(fixture: _Fixture) -> None:
+            connection, stream = fixture.connection, fixture.stream
+            fixture.send("GET /a")
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertIs(Activity.SERVING, connection.activity)
+            fixture.sink.answer("/a")
+            stream.unsent_bytes = 900
+            for at in (1_000.0, 2_000.0, 2_500.0):
+                fixture.time.value_ms = at
+                stream.unsent_bytes = max(300, stream.unsent_bytes - 300)
+                connection.unread_answers(at)
+            self.assertIs(Activity.SENDING, connection.activity)
+            self.assertEqual(2_000.0, connection.active_since)
+            stream.is_finishing = True
+            self.assertIs(Activity.SENDING, connection.activity)
+            stream.unsent_bytes = 0
+            self.assertIs(Activity.CLOSING, connection.activity)
+
+        self._run(scenario)
+
+    def test_caller_that_reads_on_is_not_cut_at_the_idle_timeout(self) -> None:
+        # Guards against the same judgement by the timer: sending is not idle.
+        for reads_on in (True, False):
+
+            async def scenario(fixture: _Fixture, reads_on: bool = reads_on) -> None:
+                fixture.send("GET /now")
+                await trio.testing.wait_all_tasks_blocked()
+                fixture.stream.unsent_bytes = 1_000_000
+                for step in range(60):
+                    fixture.stream.unsent_bytes -= 1_000 if reads_on else 0
+                    now_ms = fixture.time.value_ms = step * 1_000.0
+                    fixture.connection.close_if_timed_out(now_ms, _LIMITS)
+                self.assertIs(not reads_on, fixture.stream.is_closed)
+                self.assertFalse(reads_on and fixture.stream.is_finishing)
+
+            with self.subTest(reads_on=reads_on):
+                self._run(scenario)
+
+
 class PipelineCases(_FixtureCase):
     """Requests that were sent before earlier ones were answered."""
 
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -51,6 +51,15 @@
         closing = _Connection(Activity.CLOSING, active_since=9.0)
         self.assertEqual([1], self._closed(_Connection(), closing, _Connection()))
 
+    def test_connection_that_sends_its_answers_goes_last(self) -> None:
+        # Guards against review/15: idle connections displaced callers that were reading.
+        sending = [_Connection(Activity.SENDING, active_since=at) for at in (1.0, 0.0)]
+        idle = _Connection(active_since=9.0)
+        body = _Connection(Activity.READING_BODY, active_since=9.0)
+        self.assertEqual([2], self._closed(*sending, idle, body, _Connection()))
+        self.assertEqual([2], self._closed(*sending, body, _Connection(Activity.SERVING)))
+        self.assertEqual([1], self._closed(*sending, _Connection(Activity.SERVING)))
+
     def test_connection_with_an_unanswered_request_is_not_closed(self) -> None:
         serving = [_Connection(Activity.SERVING) for _ in range(3)]
         self.assertEqual([3], self._closed(*serving, _Connection()))
