Contain errors of memory holders, and of messages that cannot be encoded

A change of the store that cannot be encoded for other nodes ended the task that watches the store. Found by reading.

Change: an error of a holder is logged where it is called. A message that cannot be encoded is dropped and logged; a call is refused by its sender.

Evidence: the two new tests of test_faults_contained fail on the code before.

--- a/gooseberrydock/memory_account.py
+++ b/gooseberrydock/memory_account.py
@@ -8,7 +8,8 @@
 never given up: they end by their deadlines and release their memory. Long bodies may use only a
 part of the account, so that short requests and answers are served beside them.
 
-Performs no I/O. Holders are told of grants and refusals by callbacks.
+Performs no I/O. Holders are told of grants and refusals by callbacks, whose errors do not reach the
+task that happened to give memory back.
 """
 
 import enum
@@ -19,6 +20,7 @@
 import attrs
 
 from gooseberrydock.clock import Millis
+from gooseberrydock.logs import log_and_suppress_errors
 from gooseberrydock.long_body import BLOCK_BYTES
 
 SHORT_BODY_BYTES: Final = BLOCK_BYTES
@@ -153,11 +155,13 @@
 
     def on_granted(self) -> None:
         """Notify the holder that it may read on."""
-        self._on_granted()
+        with log_and_suppress_errors("memory granted"):
+            self._on_granted()
 
     def on_refused(self, reason: Shortage) -> None:
         """Notify the holder that its body is given up."""
-        self._on_refused(reason)
+        with log_and_suppress_errors("memory refused"):
+            self._on_refused(reason)
 
 
 @attrs.define(eq=False)
@@ -227,7 +231,8 @@
     def _resume_readers(self) -> None:
         room = self.limit - self.held
         while self._readers and room > 0:
-            self._readers.popleft()()
+            with log_and_suppress_errors("room to read"):
+                self._readers.popleft()()
             room -= RECEIVE_BUFFER_BYTES
 
     def open_claim(
--- a/gooseberrydock/peer_links.py
+++ b/gooseberrydock/peer_links.py
@@ -137,8 +137,16 @@
         if not self._is_ready:
             self._unsent_messages.append(message)
             return
+        try:
+            data = wire.encode(message)
+        except Exception as error:
+            if isinstance(message, _CALL_TYPES):
+                # Its sender refuses it or sends it to another node.
+                raise
+            log_fault(CALL_FAULT, error, peer=self._node_id, kind=type(message).__name__)
+            return
         self._track(message)
-        self._write(message)
+        self._write_bytes(data)
 
     def unsent_calls(self) -> list[int]:
         """Return the ids of the calls that wait for the link to become ready."""
@@ -377,10 +385,13 @@
             self._unanswered_calls.discard(message.call_id)
 
     def _write(self, message: PeerMessage) -> None:
+        self._write_bytes(wire.encode(message))
+
+    def _write_bytes(self, data: bytes) -> None:
         if self._protocol is None:
             return
         try:
-            self._protocol.send_binary(wire.encode(message))
+            self._protocol.send_binary(data)
         except InvalidState:
             self.close()
             return
--- a/tests/test_faults_contained.py
+++ b/tests/test_faults_contained.py
@@ -21,14 +21,25 @@
 from gooseberrydock.http_client import ClientPool
 from gooseberrydock.http_messages import HttpRequest, HttpResponse
 from gooseberrydock.members import Address
-from gooseberrydock.memory_account import create_memory_account
+from gooseberrydock.memory_account import (
+    RECEIVE_BUFFER_BYTES,
+    ClaimKind,
+    create_memory_account,
+)
 from gooseberrydock.mesh.entry import Entry
 from gooseberrydock.mesh.node import MeshNode
 from gooseberrydock.mesh.store_calls import repeat_until_done
 from gooseberrydock.mesh.target_connections import PendingRun, TargetPool
 from gooseberrydock.mesh.target_dispatcher import TargetDispatcher
 from gooseberrydock.mesh.target_registration import InstanceAnnouncement, TargetState
-from gooseberrydock.messages import Call, PeerMessage, RoutedAnswer, RunResult
+from gooseberrydock.messages import (
+    Call,
+    PeerMessage,
+    RecordChange,
+    RecordChanges,
+    RoutedAnswer,
+    RunResult,
+)
 from gooseberrydock.peer_links import PeerLink, PeerLinks
 from gooseberrydock.stream import Stream, listen
 from tests.mesh_helpers import make_call, make_entry, make_request, make_route, make_table
@@ -243,6 +254,32 @@
         with self.assertLogs("gooseberrydock", "ERROR"):
             _run(scenario)
 
+    def test_message_that_cannot_be_encoded_is_not_sent_and_ends_nothing_else(self) -> None:
+        # Guards against text of the store that cannot be passed on, and ended the task that did it.
+        async def scenario(nursery: trio.Nursery) -> None:
+            received: list[PeerMessage] = []
+            listener = listen(_ANY_PORT)
+            a = _make_links(nursery, "a", lambda _: listener.address, _fail)
+            b = _make_links(
+                nursery, "b", lambda _: None, _fail, lambda _, item: received.append(item)
+            )
+            nursery.start_soon(listener.serve, b.serve)
+            a.send("b", make_peer_call(1))
+            while not received:
+                await trio.sleep(0.01)
+            link = a.open_links[0]
+            a.broadcast(RecordChanges(0, 0, 1, (RecordChange("\ud800", b"", 1),)))
+            with self.assertRaises(UnicodeEncodeError):
+                a.send("b", attrs.evolve(make_peer_call(2), service="\ud800"))
+            self.assertEqual([1], link.unanswered_calls())
+            a.send("b", make_peer_call(3))
+            while len(received) < 2:
+                await trio.sleep(0.01)
+            self.assertEqual([1, 3], [item.call_id for item in received if isinstance(item, Call)])
+
+        with self.assertLogs("gooseberrydock", "ERROR"):
+            _run(scenario)
+
     def test_error_in_the_handling_of_a_message_does_not_close_its_link(self) -> None:
         # Guards against the loss of all calls on a link for the error of one.
         async def scenario(nursery: trio.Nursery) -> None:
@@ -335,6 +372,28 @@
         self.assertNotIn(PEER_UNREACHABLE, [code for code, _ in effects.refusals])
 
 
+class MemoryCases(unittest.TestCase):
+    """Holders of memory, which are called by the task that gives some back."""
+
+    def test_error_of_a_holder_leaves_the_others_to_be_called(self) -> None:
+        # Guards against a task that is ended by the error of another caller's request.
+        account = create_memory_account(150_000_000)
+        held = account.limit - 3 * RECEIVE_BUFFER_BYTES
+        account.charge(held)
+        called: list[str] = []
+        claims = [
+            account.open_claim(0.0, ClaimKind.REQUEST, granted, _fail)
+            for granted in (_fail, lambda: called.append("granted"))
+        ]
+        for claim in claims:
+            claim.reserve(0.0, 4 * RECEIVE_BUFFER_BYTES)
+        account.call_when_room(_fail)
+        account.call_when_room(lambda: called.append("room"))
+        with self.assertLogs("gooseberrydock", "ERROR"):
+            account.charge(-held)
+        self.assertEqual({"granted", "room"}, set(called))
+
+
 class StoreTaskCases(unittest.TestCase):
     """Tasks that keep facts in the store."""
 
