Use the start that goes on if what replaced it is silent or leaving

Cause: the later 'born' wins, and only a refused request contradicts it.

Change: a start that goes on announcing itself takes the place of one that has been silent for 10 s. The leaving of another instance keeps the current start out of use until its next heartbeat. A start that has left comes back by neither.

Evidence: two tests of the registration and the new row of test_foreign_heartbeats fail on the code before.

--- a/gooseberrydock/mesh/target_dispatcher.py
+++ b/gooseberrydock/mesh/target_dispatcher.py
@@ -386,12 +386,13 @@
             if previous is None or registration.instance_id != previous.instance_id:
                 self._pool.close_idle()
                 self._controllers.admission_queue.reset_run_times()
-            if previous is not None and announcement.is_later_start(previous):
+            current = registration.current or announcement
+            if previous is not None and current.is_later_start(previous):
                 self._on_target_dead("later start")
             self._controllers.admission_queue.set_rate_limit(
                 self._clock.now_ms(), registration.rate_limit
             )
-            self._controllers.admission_queue.set_target(announcement.service, registration.slots)
+            self._controllers.admission_queue.set_target(current.service, current.slots)
             log(
                 TARGET_CHANGED,
                 instance=announcement.instance_id,
--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -26,6 +26,9 @@
 _REPETITION_MS: Final[Millis] = 3_000.0
 """Time after a deregistration without a start time within which another one repeats it. A target
 repeats its call when it has waited a second for the answer."""
+_SILENCE_MS: Final[Millis] = 10_000.0
+"""Time without an announcement after which another start that announces itself is used instead.
+It is some intervals of announcements, and longer than a late one is on its way."""
 _NOTICE_MS: Final[Millis] = 60_000.0
 """Time after a leaving for which other nodes are told of it; a target ends long before."""
 
@@ -93,6 +96,7 @@
     _address: Address
     _drain_ms: Millis
     _current: InstanceAnnouncement | None = None
+    _announced_at: Millis = 0.0
     _is_leaving: bool = False
     _leaving_since: Millis = 0.0
     _cold_until: Millis = 0.0
@@ -194,6 +198,7 @@
             )
             self._mismatched_id = ""
             self._current = announcement
+            self._announced_at = now_ms
             self._cold_until = now_ms + announcement.cold_left_ms
         return has_changed
 
@@ -332,11 +337,16 @@
         self._rate_limit = rate_limit
         return True
 
-    def _may_replace(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
+    def _may_replace(
+        self, now_ms: Millis, current: InstanceAnnouncement, new: InstanceAnnouncement
+    ) -> bool:
         has_new_left = self.has_left(new.start_id)
         is_new_disowned = new.start_id in self._disowned
-        if current.start_id in self._disowned and not is_new_disowned and not has_new_left:
-            # The target is another instance than the current one, which may be a later start.
+        is_current_doubtful = (
+            current.start_id in self._disowned or now_ms - self._announced_at > _SILENCE_MS
+        )
+        if is_current_doubtful and not is_new_disowned and not has_new_left:
+            # The current one may be a later start that another writer announced.
             return True
         if is_new_disowned and current.start_id not in self._disowned and not self._is_mismatched:
             return False
@@ -349,9 +359,13 @@
         self, now_ms: Millis, current: InstanceAnnouncement | None, new: InstanceAnnouncement
     ) -> bool:
         """Replace the current start unless the new one is older; return whether it was replaced."""
-        if current is not None and not self._may_replace(current, new):
+        if current is not None and not self._may_replace(now_ms, current, new):
             return False
+        if current is not None and self._ends_doubtfully(current, new):
+            # Unless the new one is from another writer, the current one does not go on.
+            return self.on_mismatch(current.instance_id)
         self._current = new
+        self._announced_at = now_ms
         self._cold_until = now_ms + new.cold_left_ms
         self._is_leaving = False
         self._mismatched_id = ""
@@ -363,6 +377,11 @@
         self._apply_limit_of_others()
         return True
 
+    def _ends_doubtfully(self, current: InstanceAnnouncement, new: InstanceAnnouncement) -> bool:
+        """Return whether all that shows the end of the current start is one that has left."""
+        is_other_id = new.instance_id != current.instance_id
+        return is_other_id and not self._is_leaving and self.has_left(new.start_id)
+
 
 def _create_notice(now_ms: Millis, left: LeftStart) -> LeavingNotice:
     return LeavingNotice(left.start_id, max(0.0, now_ms - left.leaving_since))
--- a/tests/test_foreign_heartbeats.py
+++ b/tests/test_foreign_heartbeats.py
@@ -24,6 +24,7 @@
     ("zone missing", "i-x", {"zone": None}, 400),
     ("version of another type", "i-x", {"version": 7}, 400),
     ("sound, of another instance", "i-x", {}, 200),
+    ("sound, of another instance that leaves", "i-z", {"state": "draining"}, 200),
 ]
 """Title, ID in the path, changes to the fields, and the status of the answer."""
 
@@ -40,7 +41,7 @@
             async with running_platform_fleet(Path(name)) as fleet:
                 for domain in ("z1", "z2"):
                     await fleet.add("shop", domain)
-                fleet.configure(_ROUTES, ["shop"])
+                fleet.configure(_ROUTES, ["shop", "web"])
                 await fleet.wait_until_known()
                 for node in fleet.nodes:
                     await fleet.wait_until_served(node, "/look/1")
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -187,6 +187,43 @@
         registration.on_announcement(2.0, _create_announcement(sequence=9))
         self.assertEqual(later.start_id, registration.start_id)
 
+    def test_start_that_goes_on_is_used_if_a_later_one_falls_silent(self) -> None:
+        # Guards against another writer's heartbeat that no answer of the target disowns.
+        of_same_id = attrs.evolve(_FOREIGN, instance_id="i-1")
+        for foreign in (of_same_id, _FOREIGN, attrs.evolve(_FOREIGN, service="bank")):
+            with self.subTest(foreign):
+                registration = _create_registration()
+                registration.on_announcement(1.0, foreign)
+                for second in range(1, 13):
+                    registration.on_announcement(
+                        second * 1_000.0, _create_announcement(sequence=1 + second)
+                    )
+                self.assertEqual(_FIRST.start_id, registration.start_id)
+                self.assertTrue(registration.accepts(13_000.0, "shop"))
+                self.assertTrue(registration.on_leave(13_000.0, _FIRST.start_id))
+
+    def test_late_announcement_does_not_replace_a_start_that_goes_on(self) -> None:
+        registration = _create_registration()
+        later = _create_announcement(instance_id="i-2", started_wall_ms=2_000)
+        for second in range(1, 30):
+            registration.on_announcement(second * 1_000.0, attrs.evolve(later, sequence=second))
+            registration.on_announcement(second * 1_000.0, _create_announcement(sequence=second))
+            self.assertEqual(later.start_id, registration.start_id)
+
+    def test_leaving_of_another_instance_keeps_the_current_one_out_until_it_goes_on(self) -> None:
+        # Guards against another writer's leaving, which ended the use of the target for good.
+        registration = _create_registration()
+        leaving = attrs.evolve(_FOREIGN, state=TargetState.LEAVING)
+        self.assertTrue(registration.on_announcement(1.0, leaving))
+        self.assertEqual("", registration.service)
+        self.assertFalse(registration.accepts(1.0, "shop"))
+        self.assertTrue(registration.on_announcement(2.0, _create_announcement(sequence=2)))
+        self.assertTrue(registration.accepts(3.0, "shop"))
+        registration.on_announcement(4.0, attrs.evolve(_FOREIGN, sequence=9))
+        self.assertFalse(registration.accepts(4.0 + _DRAIN_MS, "shop"))
+        registration.on_announcement(5.0, _create_announcement(sequence=3))
+        self.assertEqual("shop", registration.service)
+
     def test_disowned_starts_are_bounded(self) -> None:
         registration = _create_registration()
         for number in range(1_000):
