Soak: foreign heartbeats, and leavings of starts that were not announced

The soak's servers are announced by other writers too, and half of those that leave before a kill have started again and not announced themselves.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -7,7 +7,7 @@
 import json
 import urllib.parse
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from typing import Any
 
@@ -328,7 +328,19 @@
 
     async def announce_late(self, born: int, sequence: int) -> int:
         """Send the heartbeat of a start; return the status of the response, 0 without one."""
-        fields = {
+        fields = self._heartbeat_fields(born, sequence)
+        return await self._send_to_node("PUT", json.dumps(fields).encode())
+
+    async def announce_foreign(self, path_id: str, changes: Mapping[str, object]) -> int:
+        """Send a heartbeat of another writer, with an ID as it stands in the path.
+
+        Its fields are those of this target but for some changes. Return the status of the response.
+        """
+        fields = {**self._heartbeat_fields(self.born, 1), **changes}
+        return await self._send_to_node("PUT", json.dumps(fields).encode(), path_id)
+
+    def _heartbeat_fields(self, born: int, sequence: int) -> dict[str, object]:
+        return {
             "service": self.service,
             "address": str(self.address),
             "zone": "z1",
@@ -339,15 +351,15 @@
             "sequence": sequence,
             "born": born,
         }
-        return await self._send_to_node("PUT", json.dumps(fields).encode())
 
     async def leave(self, states_born: bool = True) -> int:
         """Send a deregistration; return the status of the response, 0 without a response."""
         body = json.dumps({"born": self.born}).encode() if states_born else b""
         return await self._send_to_node("DELETE", body)
 
-    async def _send_to_node(self, method: str, body: bytes) -> int:
-        request = HttpRequest(method, f"/-/instances/{self.instance_id}", [], body)
+    async def _send_to_node(self, method: str, body: bytes, path_id: str = "") -> int:
+        path = f"/-/instances/{path_id or self.instance_id}"
+        request = HttpRequest(method, path, [], body)
         response = await fetch_on_new_connection(self.control, self.nursery, request, 1.0)
         return response.status if response is not None else 0
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,6 +57,16 @@
 _PROXIED_PEERS: Final = ("store", "other nodes", "server")
 """Peers on a node's proxied links, in the order in which the fleet creates the proxies."""
 _DEFAULT_NODES: Final = 4
+_LEAVING_OF_NEW_START_SHARE: Final = 0.5
+"""Share of the leavings that come from a start which has not announced itself."""
+_FOREIGN_HEARTBEATS: Final[tuple[tuple[str, dict[str, object]], ...]] = (
+    ("i-%FF%FE", {}),
+    ("i-%0D%0Ax", {}),
+    ("i-x", {"zone": None}),
+    ("i-x", {"state": "ready"}),
+    ("i-x", {"state": "draining"}),
+)
+"""Heartbeats of another writer: the ID in the path, and what differs from the server's own."""
 _MEAN_FAULT_INTERVAL_S: Final = 0.75
 """Mean time between two faults at the default fleet size; larger fleets get more faults."""
 _WALL_CLOCK_OFFSET_MS: Final = 5_000.0
@@ -360,15 +370,29 @@
                     self._leavings_random.uniform(0.5, 1.5) * _LEAVING_BEFORE_KILL_INTERVAL_S
                 )
                 nursery.start_soon(self._leave_before_kill)
+                nursery.start_soon(self._announce_foreign)
+
+    async def _announce_foreign(self) -> None:
+        """Send a node the heartbeat of another writer, which names no server to use."""
+        node = self._leavings_random.choice(self._fleet.nodes)
+        path_id, changes = self._leavings_random.choice(_FOREIGN_HEARTBEATS)
+        status = await node.target.announce_foreign(path_id, changes)
+        self._record_event(f"heartbeat of {path_id} {changes}: {status}", node.node_id)
 
     async def _leave_before_kill(self) -> None:
-        """Kill a node after it acknowledged a leaving; an earlier announcement arrives late."""
+        """Kill a node after it acknowledged a leaving; an earlier announcement arrives late.
+
+        That may be the first one of a start which leaves before it.
+        """
         generator = self._leavings_random
         node = generator.choice(self._fleet.nodes)
         server = node.target
         if node.node_id in self._drained_at or server.state != "ready":
             return
         node.sends_heartbeats = False
+        if generator.random() < _LEAVING_OF_NEW_START_SHARE:
+            server.born += 1
+            server.sequence = 0
         late_sequence = server.sequence + 1
         server.sequence += 1
         left_start = server.born
--- a/tests/test_foreign_heartbeats.py
+++ b/tests/test_foreign_heartbeats.py
@@ -1,16 +1,12 @@
 """Test with real processes that a heartbeat of another writer names no target to use."""
 
-import json
 import tempfile
 import unittest
-import urllib.parse
 from pathlib import Path
 from typing import Any
 
 import trio
 
-from gooseberrydock.http_client import fetch_on_new_connection
-from gooseberrydock.http_messages import HttpRequest
 from tests.platform_fleet import PlatformFleet, make_route_fields, running_platform_fleet
 
 _ROUTES = {"look": make_route_fields("shop", "/look/")}
@@ -45,35 +41,13 @@
                 await fleet.wait_until_known()
                 for node in fleet.nodes:
                     await fleet.wait_until_served(node, "/look/1")
-                for number, (title, instance_id, change, status) in enumerate(_FOREIGN):
+                for number, (title, path_id, change, status) in enumerate(_FOREIGN):
                     with self.subTest(title):
-                        born = 10_000 + number
-                        answer = await self._send_foreign(fleet, instance_id, born, change)
+                        changes = {"born": 10_000 + number, **change}
+                        answer = await fleet.nodes[0].target.announce_foreign(path_id, changes)
                         self.assertEqual(status, answer)
                         await self._check_use(fleet)
 
-    async def _send_foreign(
-        self, fleet: PlatformFleet, instance_id: str, born: int, change: dict[str, Any]
-    ) -> int:
-        """Send a heartbeat like that of the target at the first node, but for some fields."""
-        target = fleet.nodes[0].target
-        fields = {
-            "service": target.service,
-            "address": str(target.address),
-            "zone": "z1",
-            "version": "v1",
-            "slots": target.slots,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "sequence": 1,
-            "born": born,
-            **change,
-        }
-        path = "/-/instances/" + urllib.parse.quote(urllib.parse.unquote_to_bytes(instance_id))
-        request = HttpRequest("PUT", path, [], json.dumps(fields).encode())
-        response = await fetch_on_new_connection(target.control, fleet.nursery, request, 1.0)
-        return response.status if response is not None else 0
-
     async def _check_use(self, fleet: PlatformFleet) -> None:
         """Send requests to both nodes; each of them is answered, and the target runs some again."""
         hit = fleet.nodes[0]
