--- a/tests/test_target_leaving.py
+++ b/tests/test_target_leaving.py
@@ -26,7 +26,7 @@
 from gooseberrydock.messages import LeavingNotice, TargetNotice, TargetReport
 from tests.mesh_helpers import make_member
 from tests.platform_fleet import FleetNode, PlatformFleet, make_route_fields, running_platform_fleet
-from tests.test_mesh_node import make_node
+from tests.test_mesh_node import TARGET_ADDRESS, make_node
 
 _ADDRESS = Address("10.0.0.1", 80)
 _DRAIN_MS = 2_000.0
@@ -344,6 +344,22 @@
         node.leavings.on_leaving_stored("a@9")
         self.assertEqual([True], answers)
 
+    def test_leaving_of_a_start_that_is_not_in_use_is_stored_first_too(self) -> None:
+        # Guards against an early acknowledgement of what nothing keeps.
+        for started, instance_id in ((5, "a"), (5, "b"), (20, "a"), (20, "b")):
+            with self.subTest(started=started, instance_id=instance_id):
+                node, answers = make_node(), list[bool]()
+                node.fleet.on_store_items((), is_snapshot=True)
+                node.target_dispatcher.on_announcement(
+                    attrs.evolve(_READY, started_wall_ms=10, address=TARGET_ADDRESS)
+                )
+                leaving = node.target_dispatcher.on_target_leaving(instance_id, started)
+                node.leavings.answer(leaving, answers.append)
+                node.leavings.tick(node.now_ms() + 100.0)
+                self.assertEqual([], answers)
+                node.leavings.on_leaving_stored(leaving.kept_start_id)
+                self.assertEqual([True], answers)
+
     def test_node_that_has_forgotten_the_others_does_not(self) -> None:
         node = make_node()
         node.fleet.on_store_items((), is_snapshot=True)
