--- a/gooseberrydock/mesh/target_registration.py
+++ b/gooseberrydock/mesh/target_registration.py
@@ -20,6 +20,7 @@
 """Reserve at the end of the drain time, so that a dispatched request still begins within it."""
 
 _MAX_DISOWNED_STARTS: Final = 8
+"""Starts that are kept as disowned, the latest ones."""
 _MAX_LIMITED_STARTS: Final = 8
 """Starts whose rate limits are kept as other nodes know them."""
 _MAX_DEREGISTERED_IDS: Final = 8
@@ -312,7 +313,7 @@
     def on_disowned(self, start_id: str) -> bool:
         """Record that the target answered a request for a start as another instance.
 
-        The heartbeat of that start may be from another writer. Returns whether the current start
+        The announcement of that start may be another writer's. Returns whether the current start
         becomes unusable by this.
         """
         is_current = parse_start_id(start_id)[0] == self.instance_id
